--- /dev/null
+++ b/kernel/metrics.cpp
@@ -0,0 +1,123 @@
+#include "kernel/metrics.h"
+
+#include <array>
+#include <fmt/format.h>
+
+namespace geraniumhinge::kernel {
+
+namespace acc = boost::accumulators;
+
+namespace {
+
+constexpr std::array<double, 3> QUANTILES = { 0.5, 0.9, 0.99 };
+
+template<typename Metric>
+Metric&
+find_or_add(std::map<std::string, std::unique_ptr<Metric>>& metrics,
+            const std::string& name)
+{
+  std::unique_ptr<Metric>& metric = metrics[name];
+  if (!metric)
+    metric = std::make_unique<Metric>();
+  return *metric;
+}
+
+std::string
+base_name(const std::string& name)
+{
+  return name.substr(0, name.find('{'));
+}
+
+/// Writes the type line once for all label sets of a metric.
+void
+append_type(std::string& text,
+            std::string& last,
+            const std::string& name,
+            const char* type)
+{
+  std::string base = base_name(name);
+  if (base == last)
+    return;
+  text += fmt::format("# TYPE geraniumhinge_{} {}\n", base, type);
+  last = base;
+}
+
+} // namespace
+
+Summary::Summary()
+  : samples(acc::tag::extended_p_square_quantile::probabilities = QUANTILES)
+{
+}
+
+std::uint64_t
+Summary::count() const
+{
+  return acc::count(this->samples);
+}
+
+double
+Summary::sum() const
+{
+  return acc::sum(this->samples);
+}
+
+double
+Summary::max() const
+{
+  return this->count() == 0 ? 0 : acc::max(this->samples);
+}
+
+double
+Summary::quantile(double probability) const
+{
+  // The estimator needs one sample for each of its markers.
+  if (this->count() < 2 * QUANTILES.size() + 3)
+    return this->max();
+  return acc::quantile(this->samples, acc::quantile_probability = probability);
+}
+
+Counter&
+Metrics::counter(const std::string& name)
+{
+  return find_or_add(this->counters, name);
+}
+
+Gauge&
+Metrics::gauge(const std::string& name)
+{
+  return find_or_add(this->gauges, name);
+}
+
+Summary&
+Metrics::summary(const std::string& name)
+{
+  return find_or_add(this->summaries, name);
+}
+
+std::string
+Metrics::text() const
+{
+  std::string text;
+  std::string last;
+  for (const auto& [name, counter] : this->counters) {
+    append_type(text, last, name, "counter");
+    text += fmt::format("geraniumhinge_{} {}\n", name, counter->value());
+  }
+  for (const auto& [name, gauge] : this->gauges) {
+    append_type(text, last, name, "gauge");
+    text += fmt::format("geraniumhinge_{} {}\n", name, gauge->value());
+  }
+  for (const auto& [name, summary] : this->summaries) {
+    append_type(text, last, name, "summary");
+    for (double probability : QUANTILES)
+      text += fmt::format("geraniumhinge_{}{{quantile=\"{}\"}} {}\n",
+                          name,
+                          probability,
+                          summary->quantile(probability));
+    text += fmt::format("geraniumhinge_{}_sum {}\n", name, summary->sum());
+    text += fmt::format("geraniumhinge_{}_count {}\n", name, summary->count());
+  }
+  return text;
+}
+
+} // namespace geraniumhinge::kernel
