Add the HTTP server, the HTTP client and the unary protocol

Entries, agents and stand-ins need HTTP on the one loop of the process.

The server runs libmicrohttpd from the loop. Its epoll descriptor stays quiet when a suspended connection is resumed, because the library makes no wakeup of its own without a thread; answers that came late were never written. The server therefore schedules a run after each resume.

The client refuses libcurl's own resend of a request when a reused connection closes before any answer byte. Without the refusal the peer of the test gets 3 requests for 2 calls; with it 2, and the caller gets NoAnswer.

--- a/gateway/http_server.h
+++ b/gateway/http_server.h
@@ -37,7 +37,8 @@
 
 /// An HTTP/1.1 server on libmicrohttpd, driven by the loop without threads of
 /// its own. Requests over the size limit are answered with 413, truncated ones
-/// are dropped; neither reaches the handler.
+/// are dropped; neither reaches the handler. A request whose `Respond` is
+/// dropped without a call is answered with 500.
 class HttpServer : public kernel::Task
 {
 public:
@@ -54,6 +55,10 @@
 
   tl::expected<void, HttpServerError> listen();
 
+  /// The bound port once listening, which an address with port 0 leaves to the
+  /// system; 0 before.
+  int port() const;
+
   /// Closes the listening socket and calls back once every request in flight
   /// has its whole answer written.
   void drain(std::function<void()> done);
--- a/gateway/unary.h
+++ b/gateway/unary.h
@@ -74,7 +74,7 @@
   }
 
   /// Answers a request that is for this service.
-  void handle(HttpRequest request, HttpServer::Respond respond);
+  void handle(const HttpRequest& request, HttpServer::Respond respond);
 
   /// Adds a plain GET path, such as /ready or /metrics.
   void add_page(const std::string& path, std::function<HttpResponse()> page);
@@ -92,6 +92,12 @@
     MessageMethod method;
   };
 
+  bool serve_page(const HttpRequest& request,
+                  const HttpServer::Respond& respond) const;
+  void call(const std::string& name,
+            const Entry& entry,
+            const HttpRequest& request,
+            HttpServer::Respond respond);
   void add_message(const std::string& name,
                    NewMessage new_request,
                    MessageMethod method);
--- /dev/null
+++ b/gateway/unary_error.cpp
@@ -0,0 +1,172 @@
+#include "gateway/unary_error.h"
+
+#include "kernel/names.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+namespace geraniumhinge::gateway {
+
+namespace {
+
+constexpr std::string_view DETAIL_TYPE = "geraniumhinge.v1.ErrorDetail";
+constexpr std::size_t QUOTED_BYTES = 200;
+constexpr std::size_t BASE64_INPUT = 3;
+constexpr std::size_t BASE64_OUTPUT = 4;
+constexpr int MS_PER_S = 1'000;
+
+struct KindRow
+{
+  v1::ErrorKind kind;
+  int status;
+  std::string_view code; ///< Of the Connect protocol.
+};
+
+constexpr KindRow KINDS[] = {
+  { v1::ERROR_KIND_INVALID_FIELD, 400, "invalid_argument" },
+  { v1::ERROR_KIND_UNKNOWN_METHOD, 501, "unimplemented" },
+  { v1::ERROR_KIND_BODY_TOO_LARGE, 413, "resource_exhausted" },
+  { v1::ERROR_KIND_BODY_MALFORMED, 400, "invalid_argument" },
+  { v1::ERROR_KIND_UNAUTHENTICATED, 401, "unauthenticated" },
+  { v1::ERROR_KIND_PERMISSION_DENIED, 403, "permission_denied" },
+  { v1::ERROR_KIND_UNKNOWN_ORGANISATION, 404, "not_found" },
+  { v1::ERROR_KIND_UNKNOWN_JOB, 404, "not_found" },
+  { v1::ERROR_KIND_UNKNOWN_SERVER, 404, "not_found" },
+  { v1::ERROR_KIND_IMPOSSIBLE_SHAPE, 400, "failed_precondition" },
+  { v1::ERROR_KIND_STALE_VERSION, 409, "aborted" },
+  { v1::ERROR_KIND_REQUEST_ID_REUSED, 409, "already_exists" },
+  { v1::ERROR_KIND_GUARANTEE_DOES_NOT_FIT, 400, "failed_precondition" },
+  { v1::ERROR_KIND_QUEUE_FULL, 429, "resource_exhausted" },
+  { v1::ERROR_KIND_STORE_UNAVAILABLE, 503, "unavailable" },
+  { v1::ERROR_KIND_ALREADY_EXISTS, 409, "already_exists" },
+  { v1::ERROR_KIND_NOT_READY, 503, "unavailable" },
+  { v1::ERROR_KIND_ORGANISATION_IN_USE, 400, "failed_precondition" },
+  { v1::ERROR_KIND_INTERNAL, 500, "internal" },
+};
+
+KindRow
+row_of(v1::ErrorKind kind)
+{
+  for (const KindRow& row : KINDS) {
+    if (row.kind == kind)
+      return row;
+  }
+  return { kind, 500, "unknown" };
+}
+
+/// Base64 without padding, as the Connect protocol has it.
+std::string
+encode_base64(const std::string& bytes)
+{
+  std::size_t blocks = (bytes.size() + BASE64_INPUT - 1) / BASE64_INPUT;
+  std::string text(blocks * BASE64_OUTPUT + 1, '\0');
+  int size =
+    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                    reinterpret_cast<const unsigned char*>(bytes.data()),
+                    static_cast<int>(bytes.size()));
+  text.resize(static_cast<std::size_t>(size));
+  text.erase(text.find_last_not_of('=') + 1);
+  return text;
+}
+
+std::string
+decode_base64(std::string text)
+{
+  std::size_t padding =
+    (BASE64_OUTPUT - text.size() % BASE64_OUTPUT) % BASE64_OUTPUT;
+  text.append(padding, '=');
+  std::string bytes(text.size(), '\0');
+  int size =
+    EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                    reinterpret_cast<const unsigned char*>(text.data()),
+                    static_cast<int>(text.size()));
+  if (size < static_cast<int>(padding))
+    return {};
+  bytes.resize(static_cast<std::size_t>(size) - padding);
+  return bytes;
+}
+
+/// The ErrorDetail among the details of an error body.
+bool
+find_detail(const nlohmann::json& body, v1::ErrorDetail& detail)
+{
+  for (const nlohmann::json& item :
+       body.value("details", nlohmann::json::array())) {
+    if (item.is_object() && item.value("type", "") == DETAIL_TYPE)
+      return detail.ParseFromString(decode_base64(item.value("value", "")));
+  }
+  return false;
+}
+
+} // namespace
+
+CallError
+call_error(v1::ErrorKind kind, std::string message)
+{
+  CallError error;
+  error.detail.set_kind(kind);
+  error.message = std::move(message);
+  return error;
+}
+
+CallError
+invalid_field(std::string field, std::string accepted)
+{
+  CallError error =
+    call_error(v1::ERROR_KIND_INVALID_FIELD,
+               field + " is not valid: accepted is " + accepted);
+  error.detail.set_field(std::move(field));
+  error.detail.set_accepted(std::move(accepted));
+  return error;
+}
+
+HttpResponse
+error_response(const CallError& error)
+{
+  KindRow row = row_of(error.detail.kind());
+  nlohmann::json detail = {
+    { "type", DETAIL_TYPE },
+    { "value", encode_base64(error.detail.SerializeAsString()) },
+    { "debug",
+      { { "kind", v1::ErrorKind_Name(error.detail.kind()) },
+        { "field", error.detail.field() },
+        { "accepted", error.detail.accepted() } } },
+  };
+  nlohmann::json body = {
+    { "code", row.code },
+    { "message", error.message },
+    { "details", nlohmann::json::array({ detail }) },
+  };
+  HttpResponse response;
+  response.status = row.status;
+  response.body =
+    body.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+  std::uint32_t retry_ms = error.detail.retry_after_ms();
+  if (retry_ms > 0)
+    response.headers["Retry-After"] =
+      std::to_string((retry_ms + MS_PER_S - 1) / MS_PER_S);
+  return response;
+}
+
+CallError
+parse_error(const HttpAnswer& answer)
+{
+  nlohmann::json body = nlohmann::json::parse(answer.body, nullptr, false);
+  CallError error = call_error(v1::ERROR_KIND_INTERNAL,
+                               "HTTP status " + std::to_string(answer.status) +
+                                 ": " + answer.body.substr(0, QUOTED_BYTES));
+  if (!body.is_object() || !body.contains("code"))
+    return error;
+  try {
+    v1::ErrorDetail detail;
+    if (find_detail(body, detail))
+      error.detail = detail;
+    error.message = body.value("message", "");
+  } catch (const nlohmann::json::exception&) {
+    // A field of another type: the body is not one of ours.
+    return error;
+  }
+  return error;
+}
+
+} // namespace geraniumhinge::gateway
--- /dev/null
+++ b/tests/gateway/loop_fixture.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "kernel/loop.h"
+#include "kernel/timer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <string>
+
+namespace geraniumhinge::tests {
+
+/// A loop that runs until a condition holds.
+struct LoopFixture
+{
+  // Generous, so that a busy machine does not fail a test.
+  static constexpr kernel::Milliseconds BOUND{ 20'000 };
+  static constexpr kernel::Milliseconds POLL{ 1 };
+
+  kernel::Loop loop;
+  kernel::TimerService timers{ loop };
+
+  void run_until(const std::function<bool()>& condition)
+  {
+    bool expired = false;
+    kernel::Subscription bound = this->timers.after(BOUND, [&] {
+      expired = true;
+      this->loop.stop();
+    });
+    kernel::Subscription poll = this->timers.every(POLL, [&] {
+      if (condition())
+        this->loop.stop();
+    });
+    if (!condition())
+      this->loop.run();
+    BOOST_REQUIRE_MESSAGE(!expired, "the condition did not come to hold");
+  }
+};
+
+inline std::string
+url_of(int port, const std::string& path)
+{
+  return "http://127.0.0.1:" + std::to_string(port) + path;
+}
+
+} // namespace geraniumhinge::tests
