Add PeerNode: nng messages between processes

Processes exchange envelopes over one PULL listener and one PUSH socket for each peer. A TCP connection can go silent for good, so unanswered messages start pings: after 400 ms for a request, after 2 s for one-way messages. Two unanswered pings replace the connection. A ping that reports unanswered ones makes its receiver replace its own connection, because its answers were lost.

A request that times out before it was handed to nng is withdrawn and reported as NotSent, which lets a caller say truthfully that it was not run.

--- /dev/null
+++ b/peer/link.cpp
@@ -0,0 +1,192 @@
+#include "peer/link.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumhinge::peer {
+
+namespace {
+
+constexpr std::size_t MAX_QUEUED_MESSAGES = 1'024;
+constexpr std::size_t MAX_QUEUED_BYTES = 16UL * 1'024 * 1'024;
+// Messages that wait longer are stale for every receiver: the longest hop
+// timeout of the control messages is shorter.
+constexpr std::int64_t QUEUE_LIMIT_MS = 5'000;
+// An unanswered request starts heartbeats soon, so that a gang round that is
+// lost on a silent connection leaves time for the next round of 1.5 s.
+constexpr std::int64_t PING_AFTER_REQUEST_MS = 400;
+// One-way messages need no quick proof; this keeps their heartbeats rare.
+constexpr std::int64_t PING_AFTER_SEND_MS = 2'000;
+constexpr std::int64_t PING_PERIOD_MS = 400;
+constexpr std::size_t PINGS_BEFORE_REDIAL = 2;
+constexpr std::int64_t MIN_REDIAL_PERIOD_MS = 1'000;
+constexpr std::int64_t IDLE_LIMIT_MS = 60'000;
+
+} // namespace
+
+Link::Link(std::string address, HandedOver done, std::int64_t now_ms)
+  : address(std::move(address))
+  , done(std::move(done))
+  , last_push_ms(now_ms)
+  , dialled_ms(now_ms)
+{
+  this->connect();
+}
+
+void
+Link::connect()
+{
+  std::uint64_t number = ++this->connection_number;
+  this->connection = std::make_unique<Connection>(
+    this->address,
+    [done = this->done, number](std::uint64_t sequence, bool sent) {
+      done(number, sequence, sent);
+    });
+}
+
+bool
+Link::push(QueuedMessage message, bool expects_reply)
+{
+  if (!this->connection->usable() ||
+      this->queue.size() >= MAX_QUEUED_MESSAGES ||
+      this->queued_bytes + message.bytes.size() > MAX_QUEUED_BYTES)
+    return false;
+  this->last_push_ms = message.queued_ms;
+  if (this->unproven_since_ms == 0) {
+    this->unproven_since_ms = message.queued_ms;
+    this->expects_reply = false;
+  }
+  this->expects_reply = this->expects_reply || expects_reply;
+  this->queued_bytes += message.bytes.size();
+  this->queue.push_back(std::move(message));
+  this->pump();
+  return true;
+}
+
+void
+Link::push_ping(QueuedMessage message)
+{
+  this->last_ping_ms = message.queued_ms;
+  this->pings.insert(message.id);
+  this->queued_bytes += message.bytes.size();
+  this->queue.push_back(std::move(message));
+  this->pump();
+}
+
+void
+Link::pump()
+{
+  if (this->in_hand || this->queue.empty() || !this->connection->usable())
+    return;
+  this->in_hand = std::move(this->queue.front());
+  this->queue.pop_front();
+  this->queued_bytes -= this->in_hand->bytes.size();
+  this->connection->send(this->in_hand->bytes);
+}
+
+Withdrawal
+Link::withdraw(std::uint64_t id)
+{
+  std::deque<QueuedMessage>::iterator found =
+    std::find_if(this->queue.begin(),
+                 this->queue.end(),
+                 [id](const QueuedMessage& item) { return item.id == id; });
+  if (found != this->queue.end()) {
+    this->queued_bytes -= found->bytes.size();
+    this->queue.erase(found);
+    return Withdrawal::NotSent;
+  }
+  if (!this->in_hand || this->in_hand->id != id)
+    return Withdrawal::HandedOver;
+  bool taken = this->connection->take_back();
+  this->in_hand.reset();
+  this->pump();
+  return taken ? Withdrawal::NotSent : Withdrawal::HandedOver;
+}
+
+std::size_t
+Link::completed(std::uint64_t connection, std::uint64_t sequence, bool sent)
+{
+  bool current = connection == this->connection_number && this->in_hand &&
+                 sequence == this->connection->sequence();
+  if (!current)
+    return 0;
+  std::size_t size = this->in_hand->bytes.size();
+  this->connection->finish();
+  this->in_hand.reset();
+  this->pump();
+  return sent ? size : 0;
+}
+
+void
+Link::prove(std::int64_t sent_ms)
+{
+  this->pings.clear();
+  bool newer = this->last_push_ms > sent_ms;
+  this->unproven_since_ms = newer ? this->last_push_ms : 0;
+}
+
+bool
+Link::take_ping(std::uint64_t id)
+{
+  if (this->pings.count(id) == 0)
+    return false;
+  this->prove(this->last_ping_ms);
+  return true;
+}
+
+void
+Link::drop_expired(std::int64_t now_ms)
+{
+  while (!this->queue.empty() &&
+         now_ms - this->queue.front().queued_ms > QUEUE_LIMIT_MS) {
+    this->queued_bytes -= this->queue.front().bytes.size();
+    this->queue.pop_front();
+  }
+}
+
+Link::Due
+Link::check(std::int64_t now_ms)
+{
+  this->drop_expired(now_ms);
+  if (this->unproven_since_ms == 0) {
+    bool idle = this->queue.empty() && !this->in_hand &&
+                now_ms - this->last_push_ms > IDLE_LIMIT_MS;
+    return idle ? Due::Close : Due::Nothing;
+  }
+  std::int64_t limit =
+    this->expects_reply ? PING_AFTER_REQUEST_MS : PING_AFTER_SEND_MS;
+  if (now_ms - this->unproven_since_ms < limit ||
+      now_ms - this->last_ping_ms < PING_PERIOD_MS)
+    return Due::Nothing;
+  return this->pings.size() < PINGS_BEFORE_REDIAL ? Due::Ping : Due::Redial;
+}
+
+bool
+Link::may_redial(std::int64_t now_ms) const
+{
+  return now_ms - this->dialled_ms > MIN_REDIAL_PERIOD_MS;
+}
+
+std::unique_ptr<Connection>
+Link::redial(std::int64_t now_ms)
+{
+  if (this->in_hand) {
+    if (this->connection->take_back()) {
+      this->queued_bytes += this->in_hand->bytes.size();
+      this->queue.push_front(std::move(*this->in_hand));
+    }
+    this->in_hand.reset();
+  }
+  std::unique_ptr<Connection> old = std::move(this->connection);
+  this->pings.clear();
+  this->dialled_ms = now_ms;
+  // Without waiting messages the next one starts the heartbeats again, so a
+  // peer that is gone for good is not dialled for ever.
+  this->unproven_since_ms = this->queue.empty() ? 0 : now_ms;
+  this->connect();
+  this->pump();
+  return old;
+}
+
+} // namespace geraniumhinge::peer
--- /dev/null
+++ b/peer/peer_node.cpp
@@ -0,0 +1,352 @@
+#include "peer/peer_node.h"
+
+#include "kernel/clock.h"
+#include "peer/events.h"
+#include "peer/link.h"
+#include "peer/listener.h"
+
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace geraniumhinge::peer {
+
+namespace {
+
+constexpr kernel::Milliseconds CHECK_PERIOD{ 200 };
+// A replaced connection stays open this long, so that messages already handed
+// to it still arrive when the alarm was false.
+constexpr std::int64_t RETIRED_LINGER_MS = 1'000;
+
+struct Pending
+{
+  std::string address;
+  std::int64_t sent_ms = 0;
+  PeerNode::ReplyCallback callback;
+  kernel::Subscription timeout;
+};
+
+struct Retired
+{
+  std::unique_ptr<Connection> connection;
+  std::int64_t close_ms = 0;
+};
+
+} // namespace
+
+struct PeerNode::State
+{
+  PeerNode& node;
+  kernel::TimerService& timers;
+  const kernel::Log& log;
+  kernel::Counter& bytes_sent;
+  kernel::Counter& bytes_received;
+  kernel::Counter& messages_sent;
+  kernel::Counter& messages_received;
+  kernel::Counter& replies_dropped;
+  kernel::Counter& queue_refusals;
+  kernel::Counter& redials;
+  kernel::Gauge& open_links;
+  std::function<void(const v1::Envelope&)> handler;
+  std::function<std::uint64_t()> version;
+  std::map<std::string, std::unique_ptr<Link>> links;
+  std::unordered_map<std::uint64_t, Pending> pending;
+  std::vector<Retired> retired;
+  std::uint64_t next_id = kernel::random_id();
+  kernel::Subscription checks;
+  std::unique_ptr<Listener> listener;
+
+  State(PeerNode& node,
+        kernel::TimerService& timers,
+        const kernel::Log& log,
+        kernel::Metrics& metrics);
+
+  Link& link(const std::string& address);
+  bool push(const std::string& address, v1::Envelope& envelope, bool asks);
+  QueuedMessage pack(v1::Envelope& envelope);
+  void receive_all();
+  void receive(const std::string& bytes);
+  void note_sender(const v1::Envelope& envelope);
+  void take_reply(const v1::Envelope& envelope);
+  void take_ping(const v1::Envelope& envelope);
+  void ping(Link& link);
+  void redial(const std::string& address, Link& link);
+  void check_links();
+  void time_out(std::uint64_t id);
+};
+
+PeerNode::State::State(PeerNode& node,
+                       kernel::TimerService& timers,
+                       const kernel::Log& log,
+                       kernel::Metrics& metrics)
+  : node(node)
+  , timers(timers)
+  , log(log)
+  , bytes_sent(metrics.counter("peer_bytes_sent_total"))
+  , bytes_received(metrics.counter("peer_bytes_received_total"))
+  , messages_sent(metrics.counter("peer_messages_sent_total"))
+  , messages_received(metrics.counter("peer_messages_received_total"))
+  , replies_dropped(metrics.counter("peer_replies_dropped_total"))
+  , queue_refusals(metrics.counter("peer_queue_refusals_total"))
+  , redials(metrics.counter("peer_redials_total"))
+  , open_links(metrics.gauge("peer_links_open"))
+{
+  this->checks = timers.every(CHECK_PERIOD, [this] { this->check_links(); });
+  this->listener = std::make_unique<Listener>(
+    [&node, this] { node.post([this] { this->receive_all(); }); });
+}
+
+Link&
+PeerNode::State::link(const std::string& address)
+{
+  std::unique_ptr<Link>& found = this->links[address];
+  if (!found) {
+    Link::HandedOver done =
+      [this, address](std::uint64_t number, std::uint64_t sequence, bool sent) {
+        this->node.post([this, address, number, sequence, sent] {
+          std::map<std::string, std::unique_ptr<Link>>::iterator found =
+            this->links.find(address);
+          if (found == this->links.end())
+            return;
+          std::size_t size = found->second->completed(number, sequence, sent);
+          this->bytes_sent.add(size);
+          this->messages_sent.add(size == 0 ? 0 : 1);
+        });
+      };
+    found = std::make_unique<Link>(address, std::move(done), kernel::boot_ms());
+    this->open_links.set(static_cast<double>(this->links.size()));
+  }
+  return *found;
+}
+
+QueuedMessage
+PeerNode::State::pack(v1::Envelope& envelope)
+{
+  const PeerIdentity& self = this->node.self();
+  envelope.set_message_id(this->next_id++);
+  envelope.set_sender(self.name);
+  envelope.set_sender_incarnation(self.incarnation);
+  envelope.set_sender_address(self.address);
+  if (this->version)
+    envelope.set_config_version(this->version());
+  return { envelope.message_id(),
+           envelope.SerializeAsString(),
+           kernel::boot_ms() };
+}
+
+bool
+PeerNode::State::push(const std::string& address,
+                      v1::Envelope& envelope,
+                      bool asks)
+{
+  bool queued = this->link(address).push(this->pack(envelope), asks);
+  if (!queued) {
+    this->queue_refusals.add();
+    this->log.write(QUEUE_FULL, { { "peer", address } });
+  }
+  return queued;
+}
+
+void
+PeerNode::State::receive_all()
+{
+  for (const std::string& bytes : this->listener->take())
+    this->receive(bytes);
+}
+
+void
+PeerNode::State::receive(const std::string& bytes)
+{
+  this->bytes_received.add(bytes.size());
+  this->messages_received.add();
+  v1::Envelope envelope;
+  if (!envelope.ParseFromString(bytes)) {
+    this->log.write(MESSAGE_MALFORMED, { { "bytes", bytes.size() } });
+    return;
+  }
+  this->note_sender(envelope);
+  if (envelope.reply_to() != 0)
+    this->take_reply(envelope);
+  else if (envelope.has_ping())
+    this->take_ping(envelope);
+  else if (this->handler)
+    this->handler(envelope);
+}
+
+void
+PeerNode::State::note_sender(const v1::Envelope& envelope)
+{
+  std::map<std::string, std::unique_ptr<Link>>::iterator found =
+    this->links.find(envelope.sender_address());
+  if (found == this->links.end())
+    return;
+  Link& link = *found->second;
+  bool restarted = link.peer_incarnation != 0 &&
+                   link.peer_incarnation != envelope.sender_incarnation();
+  link.peer_incarnation = envelope.sender_incarnation();
+  // The old connection may lead to a VM that vanished without closing it.
+  if (restarted && link.may_redial(kernel::boot_ms()))
+    this->redial(found->first, link);
+}
+
+void
+PeerNode::State::take_reply(const v1::Envelope& envelope)
+{
+  std::unordered_map<std::uint64_t, Pending>::iterator found =
+    this->pending.find(envelope.reply_to());
+  if (found != this->pending.end()) {
+    Pending pending = std::move(found->second);
+    this->pending.erase(found);
+    this->link(pending.address).prove(pending.sent_ms);
+    pending.timeout.reset();
+    pending.callback(envelope);
+    return;
+  }
+  for (const std::pair<const std::string, std::unique_ptr<Link>>& item :
+       this->links) {
+    if (item.second->take_ping(envelope.reply_to()))
+      return;
+  }
+  this->replies_dropped.add();
+}
+
+void
+PeerNode::State::take_ping(const v1::Envelope& envelope)
+{
+  // An unanswered ping means that our answer was lost: our own connection to
+  // the peer is the silent one.
+  Link& link = this->link(envelope.sender_address());
+  if (envelope.ping().unanswered() > 0 && link.may_redial(kernel::boot_ms()))
+    this->redial(envelope.sender_address(), link);
+  v1::Envelope answer;
+  answer.mutable_pong();
+  this->node.reply(envelope, std::move(answer));
+}
+
+void
+PeerNode::State::ping(Link& link)
+{
+  v1::Envelope envelope;
+  envelope.mutable_ping()->set_unanswered(link.unanswered_pings());
+  link.push_ping(this->pack(envelope));
+}
+
+void
+PeerNode::State::redial(const std::string& address, Link& link)
+{
+  std::int64_t now = kernel::boot_ms();
+  this->redials.add();
+  this->log.write(CONNECTION_SILENT, { { "peer", address } });
+  this->retired.push_back({ link.redial(now), now + RETIRED_LINGER_MS });
+}
+
+void
+PeerNode::State::check_links()
+{
+  std::int64_t now = kernel::boot_ms();
+  std::erase_if(this->retired,
+                [now](const Retired& item) { return now >= item.close_ms; });
+  std::vector<std::string> idle;
+  for (const std::pair<const std::string, std::unique_ptr<Link>>& item :
+       this->links) {
+    Link::Due due = item.second->check(now);
+    if (due == Link::Due::Ping)
+      this->ping(*item.second);
+    else if (due == Link::Due::Redial)
+      this->redial(item.first, *item.second);
+    else if (due == Link::Due::Close)
+      idle.push_back(item.first);
+  }
+  for (const std::string& address : idle)
+    this->links.erase(address);
+  this->open_links.set(static_cast<double>(this->links.size()));
+}
+
+void
+PeerNode::State::time_out(std::uint64_t id)
+{
+  std::unordered_map<std::uint64_t, Pending>::iterator found =
+    this->pending.find(id);
+  if (found == this->pending.end())
+    return;
+  Pending pending = std::move(found->second);
+  this->pending.erase(found);
+  Withdrawal result = this->link(pending.address).withdraw(id);
+  pending.callback(tl::unexpected(
+    result == Withdrawal::NotSent ? PeerError::NotSent : PeerError::TimedOut));
+}
+
+PeerNode::PeerNode(kernel::Loop& loop,
+                   kernel::TimerService& timers,
+                   const kernel::Log& log,
+                   kernel::Metrics& metrics,
+                   PeerIdentity identity)
+  : Task(loop, "peer")
+  , identity(std::move(identity))
+  , state(std::make_unique<State>(*this, timers, log, metrics))
+{
+}
+
+PeerNode::~PeerNode() = default;
+
+tl::expected<void, PeerError>
+PeerNode::listen()
+{
+  if (this->state->listener->listen(this->identity.address))
+    return {};
+  this->state->log.write(LISTEN_FAILED,
+                         { { "address", this->identity.address } });
+  return tl::unexpected(PeerError::ListenFailed);
+}
+
+tl::expected<void, PeerError>
+PeerNode::send(const std::string& address, v1::Envelope envelope)
+{
+  if (this->state->push(address, envelope, false))
+    return {};
+  return tl::unexpected(PeerError::NotSent);
+}
+
+void
+PeerNode::request(const std::string& address,
+                  v1::Envelope envelope,
+                  kernel::Milliseconds timeout,
+                  ReplyCallback callback)
+{
+  if (!this->state->push(address, envelope, true)) {
+    this->post([callback = std::move(callback)] {
+      callback(tl::unexpected(PeerError::NotSent));
+    });
+    return;
+  }
+  std::uint64_t id = envelope.message_id();
+  Pending pending;
+  pending.address = address;
+  pending.sent_ms = kernel::boot_ms();
+  pending.callback = std::move(callback);
+  pending.timeout = this->state->timers.after(
+    timeout, [state = this->state.get(), id] { state->time_out(id); });
+  this->state->pending.emplace(id, std::move(pending));
+}
+
+void
+PeerNode::reply(const v1::Envelope& received, v1::Envelope answer)
+{
+  answer.set_reply_to(received.message_id());
+  this->state->push(received.sender_address(), answer, false);
+}
+
+void
+PeerNode::on_message(std::function<void(const v1::Envelope&)> handler)
+{
+  this->state->handler = std::move(handler);
+}
+
+void
+PeerNode::on_config_version(std::function<std::uint64_t()> version)
+{
+  this->state->version = std::move(version);
+}
+
+} // namespace geraniumhinge::peer
--- /dev/null
+++ b/tests/peer/peer_node_test.cpp
@@ -0,0 +1,212 @@
+#define BOOST_TEST_MODULE peer_node
+#include "tests/peer/peer_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+using namespace geraniumhinge;
+using namespace geraniumhinge::tests;
+using peer::PeerError;
+using peer::PeerNode;
+
+namespace {
+
+constexpr kernel::Milliseconds TIMEOUT{ 300 };
+constexpr kernel::Milliseconds LONG_TIMEOUT{ 10'000 };
+
+v1::Envelope
+job_notice(const std::string& job)
+{
+  v1::Envelope envelope;
+  envelope.mutable_job_notice()->set_job(job);
+  return envelope;
+}
+
+/// Answers each notice with the same job name.
+void
+echo(PeerNode& node)
+{
+  node.on_message([&node](const v1::Envelope& received) {
+    if (received.has_job_notice())
+      node.reply(received, job_notice(received.job_notice().job()));
+  });
+}
+
+/// Keeps sending requests until one is answered.
+bool
+answered_again(Fixture& fixture, PeerNode& node, const std::string& address)
+{
+  bool answered = false;
+  kernel::Subscription requests = fixture.timers.every(TIMEOUT, [&] {
+    node.request(address, job_notice("again"), TIMEOUT, [&](auto reply) {
+      answered = answered || reply.has_value();
+    });
+  });
+  bool result = fixture.run_until([&] { return answered; });
+  requests.reset();
+  // Outstanding callbacks refer to this frame.
+  kernel::Subscription end;
+  bool quiet = false;
+  end = fixture.timers.after(TIMEOUT * 2, [&] { quiet = true; });
+  fixture.run_until([&] { return quiet; });
+  return result;
+}
+
+} // namespace
+
+// Guards against replies that reach the callback of another request.
+BOOST_FIXTURE_TEST_CASE(matches_each_reply_with_its_request, Fixture)
+{
+  std::string address = free_address();
+  std::unique_ptr<PeerNode> server = this->node("server", address);
+  std::unique_ptr<PeerNode> client = this->node("client", free_address());
+  std::vector<v1::Envelope> waiting;
+  constexpr int REQUESTS = 50;
+  server->on_message([&](const v1::Envelope& received) {
+    waiting.push_back(received);
+    if (waiting.size() < REQUESTS)
+      return;
+    for (std::size_t i = waiting.size(); i > 0; i--)
+      server->reply(waiting[i - 1],
+                    job_notice(waiting[i - 1].job_notice().job()));
+  });
+  int right = 0;
+  int wrong = 0;
+  for (int i = 0; i < REQUESTS; i++) {
+    std::string job = std::to_string(i);
+    client->request(address, job_notice(job), LONG_TIMEOUT, [&, job](auto r) {
+      (r && r->job_notice().job() == job ? right : wrong)++;
+    });
+  }
+  BOOST_TEST(this->run_until([&] { return right + wrong == REQUESTS; }));
+  BOOST_TEST(right == REQUESTS);
+}
+
+// Guards against a late or repeated reply that is taken for an answer.
+BOOST_FIXTURE_TEST_CASE(drops_late_and_duplicated_replies, Fixture)
+{
+  std::string address = free_address();
+  std::unique_ptr<PeerNode> server = this->node("server", address);
+  std::unique_ptr<PeerNode> client = this->node("client", free_address());
+  std::vector<v1::Envelope> received;
+  server->on_message(
+    [&](const v1::Envelope& envelope) { received.push_back(envelope); });
+  int calls = 0;
+  int timeouts = 0;
+  client->request(address, job_notice("a"), TIMEOUT, [&](auto reply) {
+    calls++;
+    timeouts += !reply && reply.error() == PeerError::TimedOut ? 1 : 0;
+  });
+  BOOST_TEST(this->run_until([&] { return calls == 1; }));
+  BOOST_TEST(timeouts == 1);
+
+  server->reply(received.at(0), job_notice("late"));
+  client->request(address, job_notice("b"), LONG_TIMEOUT, [&](auto reply) {
+    calls++;
+    BOOST_TEST(reply->job_notice().job() == "b");
+  });
+  BOOST_TEST(this->run_until([&] { return received.size() == 2; }));
+  server->reply(received.at(1), job_notice("b"));
+  server->reply(received.at(1), job_notice("b"));
+  kernel::Counter& dropped =
+    this->metrics.counter("peer_replies_dropped_total");
+  BOOST_TEST(this->run_until([&] { return dropped.value() == 2; }));
+  BOOST_TEST(calls == 2);
+}
+
+// Guards against a request that is reported as possibly run although nothing
+// was ever connected.
+BOOST_FIXTURE_TEST_CASE(reports_not_sent_without_a_connection, Fixture)
+{
+  std::unique_ptr<PeerNode> client = this->node("client", free_address());
+  tl::expected<v1::Envelope, PeerError> result;
+  bool called = false;
+  client->request(free_address(), job_notice("a"), TIMEOUT, [&](auto reply) {
+    called = true;
+    result = std::move(reply);
+  });
+  BOOST_TEST(this->run_until([&] { return called; }));
+  BOOST_TEST((!result && result.error() == PeerError::NotSent));
+}
+
+// Guards against a connection that goes silent for good and is kept, in
+// direction of the request.
+BOOST_FIXTURE_TEST_CASE(redials_a_connection_that_swallows_requests, Fixture)
+{
+  std::string address = free_address();
+  std::unique_ptr<PeerNode> server = this->node("server", address);
+  std::unique_ptr<PeerNode> client = this->node("client", free_address());
+  echo(*server);
+  Relay relay(address);
+  BOOST_TEST(answered_again(*this, *client, relay.address()));
+  relay.swallow();
+  BOOST_TEST(answered_again(*this, *client, relay.address()));
+  BOOST_TEST(relay.connections() >= 2);
+}
+
+// Guards against a silent connection in direction of the replies, which only
+// the other side can replace.
+BOOST_FIXTURE_TEST_CASE(redials_a_connection_that_swallows_replies, Fixture)
+{
+  std::string listen = free_address();
+  std::unique_ptr<PeerNode> client = this->node("client", listen);
+  Relay relay(listen);
+  std::string address = free_address();
+  std::unique_ptr<PeerNode> server = this->node("server", address);
+  // Replies go through the relay.
+  server->on_message([&](const v1::Envelope& received) {
+    v1::Envelope redirected = received;
+    redirected.set_sender_address(relay.address());
+    server->reply(redirected, job_notice("answer"));
+  });
+  BOOST_TEST(answered_again(*this, *client, address));
+  relay.swallow();
+  BOOST_TEST(answered_again(*this, *client, address));
+  BOOST_TEST(relay.connections() >= 2);
+}
+
+// Guards against one-way messages that vanish unnoticed on a silent
+// connection.
+BOOST_FIXTURE_TEST_CASE(redials_a_silent_connection_of_one_way_messages,
+                        Fixture)
+{
+  std::string address = free_address();
+  std::unique_ptr<PeerNode> server = this->node("server", address);
+  std::unique_ptr<PeerNode> client = this->node("client", free_address());
+  int received = 0;
+  server->on_message([&](const v1::Envelope&) { received++; });
+  Relay relay(address);
+  kernel::Subscription sends = this->timers.every(TIMEOUT, [&] {
+    BOOST_TEST(client->send(relay.address(), job_notice("a")).has_value());
+  });
+  BOOST_TEST(this->run_until([&] { return received > 0; }));
+  relay.swallow();
+  int before = received;
+  BOOST_TEST(this->run_until([&] { return received > before + 1; }));
+}
+
+// Guards against a sender that stays attached to a dead process after its peer
+// restarts on the same address.
+BOOST_FIXTURE_TEST_CASE(reaches_a_peer_restarted_on_its_address, Fixture)
+{
+  std::string address = free_address();
+  std::unique_ptr<PeerNode> client = this->node("client", free_address());
+  for (int round = 0; round < 3; round++) {
+    std::unique_ptr<PeerNode> server = this->node("server", address);
+    echo(*server);
+    BOOST_TEST(answered_again(*this, *client, address));
+  }
+}
+
+// Guards against a send queue that grows without bound while a peer is away.
+BOOST_FIXTURE_TEST_CASE(refuses_messages_beyond_the_queue_bound, Fixture)
+{
+  std::unique_ptr<PeerNode> client = this->node("client", free_address());
+  std::string address = free_address();
+  constexpr int MESSAGES = 2'000;
+  int refused = 0;
+  for (int i = 0; i < MESSAGES; i++)
+    refused += client->send(address, job_notice("a")) ? 0 : 1;
+  BOOST_TEST(refused > 0);
+  BOOST_TEST(refused < MESSAGES);
+}
