--- /dev/null
+++ b/core/capacity.cpp
@@ -0,0 +1,159 @@
+#include "core/capacity.h"
+
+#include <algorithm>
+#include <bit>
+#include <limits>
+#include <unordered_map>
+
+namespace geraniumhinge::core {
+
+namespace {
+
+bool
+counts(const Server& server, Counted counted)
+{
+  switch (counted) {
+    case Counted::Installed:
+      return true;
+    case Counted::NotLost:
+      return server.state != ServerState::Lost;
+    case Counted::Free:
+    case Counted::FreeOrPreemptible:
+      break;
+  }
+  return server.state == ServerState::Ready;
+}
+
+void
+add_servers(Capacity& capacity, const Cell& cell, Counted counted)
+{
+  std::unordered_map<NameId, std::uint32_t> numbers;
+  capacity.servers.reserve(cell.servers.size());
+  capacity.rack.reserve(cell.servers.size());
+  for (const Server& server : cell.servers) {
+    const auto [found, added] = numbers.try_emplace(
+      server.rack, static_cast<std::uint32_t>(capacity.racks.size()));
+    if (added) {
+      capacity.racks.emplace_back();
+    }
+    const auto index = static_cast<std::uint32_t>(capacity.servers.size());
+    capacity.racks[found->second].push_back(index);
+    capacity.rack.push_back(found->second);
+    capacity.servers.push_back(counts(server, counted)
+                                 ? Available{ server.accelerators,
+                                              server.slots,
+                                              server.cores,
+                                              server.memory_mb }
+                                 : Available{});
+  }
+}
+
+std::uint32_t
+lowest_bits(std::uint64_t& from, std::uint32_t wanted, std::uint64_t& taken)
+{
+  std::uint32_t count = 0;
+  while (count < wanted && from != 0) {
+    const std::uint64_t bit = from & (~from + 1);
+    taken |= bit;
+    from &= ~bit;
+    ++count;
+  }
+  return count;
+}
+
+} // namespace
+
+Capacity
+capacity_of(const Cell& cell, Counted counted)
+{
+  Capacity capacity;
+  add_servers(capacity, cell, counted);
+  if (counted >= Counted::NotLost) {
+    return capacity;
+  }
+  for (const Allocation& held : cell.allocations) {
+    if (counted == Counted::FreeOrPreemptible && held.preemptible) {
+      continue;
+    }
+    take(capacity.servers[held.server],
+         held.accelerators,
+         held.cores,
+         held.memory_mb);
+  }
+  return capacity;
+}
+
+std::uint32_t
+members_on(const Available& server, const Shape& shape)
+{
+  std::uint32_t fit = server.slots;
+  if (shape.accelerators > 0) {
+    const auto free =
+      static_cast<std::uint32_t>(std::popcount(server.accelerators));
+    fit = std::min(fit, free / shape.accelerators);
+  }
+  if (shape.cores > 0) {
+    fit = std::min(fit, server.cores / shape.cores);
+  }
+  if (shape.memory_mb > 0) {
+    fit = std::min(fit, server.memory_mb / shape.memory_mb);
+  }
+  return fit;
+}
+
+std::uint32_t
+members_on(const Capacity& capacity,
+           std::span<const std::uint32_t> servers,
+           const Shape& shape)
+{
+  std::uint32_t fit = 0;
+  for (const std::uint32_t server : servers) {
+    fit += members_on(capacity.servers[server], shape);
+  }
+  return fit;
+}
+
+std::uint64_t
+take_member(Available& server, const Shape& shape, std::uint64_t preferred)
+{
+  std::uint64_t taken = 0;
+  std::uint64_t first = server.accelerators & preferred;
+  std::uint64_t rest = server.accelerators & ~preferred;
+  const std::uint32_t count = lowest_bits(first, shape.accelerators, taken);
+  lowest_bits(rest, shape.accelerators - count, taken);
+  take(server, taken, shape.cores, shape.memory_mb);
+  return taken;
+}
+
+void
+take(Available& server,
+     std::uint64_t accelerators,
+     std::uint32_t cores,
+     std::uint32_t memory_mb)
+{
+  server.accelerators &= ~accelerators;
+  server.slots -= std::min(server.slots, 1U);
+  server.cores -= std::min(server.cores, cores);
+  server.memory_mb -= std::min(server.memory_mb, memory_mb);
+}
+
+void
+give_member(Available& server, const Shape& shape, std::uint64_t accelerators)
+{
+  server.accelerators |= accelerators;
+  server.slots += 1;
+  server.cores += shape.cores;
+  server.memory_mb += shape.memory_mb;
+}
+
+std::uint32_t
+free_accelerators(const Capacity& capacity)
+{
+  int count = 0;
+  for (const Available& server : capacity.servers) {
+    count += std::popcount(server.accelerators);
+  }
+  return static_cast<std::uint32_t>(count);
+}
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/check.cpp
@@ -0,0 +1,67 @@
+#include "core/check.h"
+
+#include "core/witness.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::core {
+
+namespace {
+
+Cell
+with_placement(const CellState& state,
+               std::uint32_t index,
+               const Demand& demand,
+               const Placement& placement)
+{
+  Cell after = *state.cell;
+  for (std::uint32_t i = 0; i < placement.members.size(); ++i) {
+    if (placement.members[i].cell == index) {
+      after.allocations.push_back(allocation_of(demand, placement, i, 0, 0));
+    }
+  }
+  return after;
+}
+
+bool
+cell_keeps_witness(const CellState& state, const Cell& after)
+{
+  if (find_witness(after, state.guarantees)) {
+    return true;
+  }
+  const std::vector<std::uint32_t> before =
+    broken_guarantees(*state.cell, state.guarantees);
+  const std::vector<std::uint32_t> now =
+    broken_guarantees(after, state.guarantees);
+  for (std::size_t i = 0; i < now.size(); ++i) {
+    if (now[i] > before[i]) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+bool
+keeps_witness(std::span<const CellState> cells,
+              const Demand& demand,
+              const Placement& placement)
+{
+  for (std::uint32_t i = 0; i < cells.size(); ++i) {
+    const bool touched =
+      std::any_of(placement.members.begin(),
+                  placement.members.end(),
+                  [i](const PlacedMember& member) { return member.cell == i; });
+    if (!touched || cells[i].guarantees.empty()) {
+      continue;
+    }
+    const Cell after = with_placement(cells[i], i, demand, placement);
+    if (!cell_keeps_witness(cells[i], after)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/check.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "core/place.h"
+
+#include <span>
+
+namespace geraniumhinge::core {
+
+/// Whether every touched cell keeps its witness when the placement commits. In
+/// a cell whose witness is broken already (after a loss), the placement must
+/// not break more shapes.
+bool
+keeps_witness(std::span<const CellState> cells,
+              const Demand& demand,
+              const Placement& placement);
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/estimate.cpp
@@ -0,0 +1,139 @@
+#include "core/estimate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace geraniumhinge::core {
+
+namespace {
+
+constexpr std::size_t REMEMBERED_RUNS = 32;
+/// Runs of a class from which its own run times are trusted more than the
+/// declaration times the usual ratio.
+constexpr std::size_t ENOUGH_RUNS = 5;
+/// Declarations are off by up to this factor either way.
+constexpr double LARGEST_ERROR = 10.0;
+/// A high usage is forgotten by half after about 14 samples.
+constexpr double USAGE_DECAY = 0.95;
+
+double
+median(std::vector<double> values)
+{
+  const auto middle =
+    values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+/// Mean distance of the logarithms from their median: how well the median
+/// predicts a value.
+double
+spread(const std::vector<double>& values)
+{
+  const double centre = std::log(median(values));
+  double sum = 0;
+  for (const double value : values) {
+    sum += std::abs(std::log(value) - centre);
+  }
+  return sum / static_cast<double>(values.size());
+}
+
+void
+remember(std::vector<double>& values, std::size_t next, double value)
+{
+  if (values.size() < REMEMBERED_RUNS) {
+    values.push_back(value);
+  } else {
+    values[next % REMEMBERED_RUNS] = value;
+  }
+}
+
+double
+raise(double ratio, std::uint32_t used, std::uint32_t declared)
+{
+  if (declared == 0) {
+    return ratio;
+  }
+  const double now = static_cast<double>(used) / declared;
+  return std::max(std::min(now, LARGEST_ERROR), ratio * USAGE_DECAY);
+}
+
+std::uint32_t
+corrected(std::uint32_t declared, double ratio)
+{
+  const double factor = std::clamp(ratio, 1.0, LARGEST_ERROR);
+  return static_cast<std::uint32_t>(std::ceil(declared * factor));
+}
+
+} // namespace
+
+void
+Estimator::observe_run(NameId organisation,
+                       const std::string& job_class,
+                       std::int64_t declared_ms,
+                       std::int64_t actual_ms)
+{
+  if (actual_ms <= 0) {
+    return;
+  }
+  History& history = this->histories[{ organisation, job_class }];
+  const auto actual = static_cast<double>(actual_ms);
+  remember(history.run_ms, history.next, actual);
+  if (declared_ms > 0) {
+    const double ratio = actual / static_cast<double>(declared_ms);
+    remember(history.ratios,
+             history.next,
+             std::clamp(ratio, 1 / LARGEST_ERROR, LARGEST_ERROR));
+  }
+  ++history.next;
+}
+
+void
+Estimator::observe_usage(NameId organisation,
+                         const std::string& job_class,
+                         const JobSize& declared,
+                         const JobSize& used)
+{
+  History& history = this->histories[{ organisation, job_class }];
+  history.cores_ratio = raise(history.cores_ratio, used.cores, declared.cores);
+  history.memory_ratio =
+    raise(history.memory_ratio, used.memory_mb, declared.memory_mb);
+}
+
+JobSize
+Estimator::estimate(NameId organisation,
+                    const std::string& job_class,
+                    const JobSize& declared) const
+{
+  const auto found = this->histories.find({ organisation, job_class });
+  if (found == this->histories.end()) {
+    return declared;
+  }
+  const History& history = found->second;
+  JobSize size = declared;
+  size.cores = corrected(declared.cores, history.cores_ratio);
+  size.memory_mb = corrected(declared.memory_mb, history.memory_ratio);
+  if (history.run_ms.empty()) {
+    return size;
+  }
+  const bool own_runs = declared.run_ms <= 0 || history.ratios.empty() ||
+                        (history.run_ms.size() >= ENOUGH_RUNS &&
+                         spread(history.run_ms) < spread(history.ratios));
+  const double run =
+    own_runs ? median(history.run_ms)
+             : static_cast<double>(declared.run_ms) * median(history.ratios);
+  size.run_ms = static_cast<std::int64_t>(run);
+  return size;
+}
+
+std::int64_t
+Estimator::outlived(std::int64_t estimate_ms, std::int64_t elapsed_ms)
+{
+  std::int64_t expected = std::max<std::int64_t>(estimate_ms, 1);
+  while (expected <= elapsed_ms) {
+    expected *= 2;
+  }
+  return expected;
+}
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/gradient.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/capacity.h"
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace geraniumhinge::core {
+
+/// Growth of the unservable free accelerators of a cell when members are
+/// placed on a server. Sums over the racks and the cell are computed once.
+class Gradient
+{
+public:
+  Gradient(const Capacity& capacity, std::span<const WeightedShape> typical);
+
+  /// Weighted change for `count` members of `shape` on the server. Negative if
+  /// they use accelerators that served nothing.
+  double change(const Capacity& capacity,
+                std::uint32_t server,
+                const Shape& shape,
+                std::uint32_t count) const;
+
+private:
+  double change_for(std::size_t index,
+                    const Available& before,
+                    const Available& after,
+                    std::uint32_t rack) const;
+
+  std::vector<WeightedShape> typical;
+  std::vector<std::vector<std::uint32_t>> rack_fit; // By shape, by rack.
+  std::vector<std::uint32_t> cell_fit;              // By shape.
+};
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/guarantee.cpp
@@ -0,0 +1,21 @@
+#include "core/guarantee.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::core {
+
+std::vector<HomedGuarantee>
+homed_in(NameId zone, std::span<const Guarantee> guarantees)
+{
+  std::vector<HomedGuarantee> homed;
+  for (const Guarantee& held : guarantees) {
+    const auto count = std::count(held.homes.begin(), held.homes.end(), zone);
+    if (count > 0) {
+      homed.push_back(
+        { held.organisation, held.shape, static_cast<std::uint32_t>(count) });
+    }
+  }
+  return homed;
+}
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/place.cpp
@@ -0,0 +1,333 @@
+#include "core/place.h"
+
+#include "core/capacity.h"
+#include "core/check.h"
+#include "core/claim.h"
+#include "core/rank.h"
+#include "core/witness.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace geraniumhinge::core {
+
+namespace {
+
+/// Domains tried before placing around a witness; each try may cost a packing.
+constexpr std::size_t TRIED_DOMAINS = 4;
+
+using Capacities = std::vector<Capacity>;
+using Result = tl::expected<Placement, PlaceError>;
+
+void
+leave_out(Capacities& free,
+          std::span<const CellState> cells,
+          const Demand& demand,
+          std::span<const PlacedMember> reserved)
+{
+  for (const PlacedMember& member : reserved) {
+    free[member.cell].servers[member.server].accelerators &=
+      ~member.accelerators;
+  }
+  if (demand.avoid.empty()) {
+    return;
+  }
+  for (std::size_t i = 0; i < cells.size(); ++i) {
+    for (std::size_t j = 0; j < cells[i].cell->servers.size(); ++j) {
+      if (std::count(demand.avoid.begin(),
+                     demand.avoid.end(),
+                     cells[i].cell->servers[j].name) > 0) {
+        free[i].servers[j] = {};
+      }
+    }
+  }
+}
+
+Capacities
+free_capacity(std::span<const CellState> cells,
+              const Demand& demand,
+              std::span<const PlacedMember> reserved)
+{
+  Capacities free;
+  free.reserve(cells.size());
+  for (const CellState& state : cells) {
+    free.push_back(capacity_of(*state.cell, Counted::Free));
+  }
+  leave_out(free, cells, demand, reserved);
+  return free;
+}
+
+bool
+acceptable(std::span<const CellState> cells,
+           const Demand& demand,
+           const Placement& placement,
+           const Policy& policy)
+{
+  if (!policy.witness_check || (demand.preemptible && !placement.guaranteed)) {
+    return true; // Preemptible work takes nothing from a witness.
+  }
+  return keeps_witness(cells, demand, placement);
+}
+
+void
+give_back(Capacities& free,
+          const std::vector<PlacedMember>& members,
+          const Shape& shape)
+{
+  for (const PlacedMember& member : members) {
+    give_member(
+      free[member.cell].servers[member.server], shape, member.accelerators);
+  }
+}
+
+bool
+spans_cells(const Shape& shape)
+{
+  return shape.members > 1 && shape.adjacency == Adjacency::Any;
+}
+
+/// Places the shape by the rule of the policy; leaves `free` as it was.
+Result
+place_by_rule(std::span<const CellState> cells,
+              Capacities& free,
+              const Demand& demand,
+              const Shape& shape,
+              const Policy& policy)
+{
+  Placement placement;
+  PlaceError error = PlaceError::NoCapacity;
+  const auto good = [&](std::vector<PlacedMember> members) {
+    give_back(free, members, shape);
+    placement.members = std::move(members);
+    placement.guaranteed = demand.use_guarantee;
+    error = PlaceError::WouldBreakGuarantee;
+    return acceptable(cells, demand, placement, policy);
+  };
+  if (spans_cells(shape)) {
+    const std::vector<std::uint32_t> limits(free.size(), UNLIMITED);
+    std::vector<PlacedMember> members = fill_cells(free, shape, limits, policy);
+    if (!members.empty() && good(std::move(members))) {
+      return placement;
+    }
+    return tl::unexpected(error);
+  }
+  for (const Domain& domain :
+       rank_domains(free, shape, policy, TRIED_DOMAINS)) {
+    if (good(fill(free, domain, shape, shape.members, policy))) {
+      return placement;
+    }
+  }
+  return tl::unexpected(error);
+}
+
+/// Takes the accelerators of a witness out of the free ones.
+void
+leave_out_witness(Capacity& free, const CellState& state)
+{
+  const tl::expected<Witness, WitnessError> witness =
+    find_witness(*state.cell, state.guarantees);
+  if (!witness) {
+    return;
+  }
+  for (const WitnessShape& held : witness->shapes) {
+    const Shape& shape = state.guarantees[held.guarantee].shape;
+    for (const WitnessMember& member : held.members) {
+      take(free.servers[member.server],
+           member.accelerators,
+           shape.cores,
+           shape.memory_mb);
+    }
+  }
+}
+
+Result
+place_outside(std::span<const CellState> cells,
+              Capacities& free,
+              const Demand& demand,
+              const Policy& policy)
+{
+  Result found = place_by_rule(cells, free, demand, demand.shape, policy);
+  if (found || found.error() != PlaceError::WouldBreakGuarantee) {
+    return found;
+  }
+  for (std::size_t i = 0; i < cells.size(); ++i) {
+    leave_out_witness(free[i], cells[i]);
+  }
+  Result around = place_by_rule(cells, free, demand, demand.shape, policy);
+  return around ? around : found;
+}
+
+/// Uses the places that the witness has for the claimed shape, if all of them
+/// are free now.
+Result
+place_on_witness(std::span<const CellState> cells,
+                 const Capacities& free,
+                 const Demand& demand,
+                 const std::vector<Claim>& claims,
+                 const Policy& policy)
+{
+  Placement placement;
+  placement.guaranteed = true;
+  placement.members = witness_places(cells, free, demand.shape, claims);
+  if (placement.members.empty()) {
+    return tl::unexpected(PlaceError::NoCapacity);
+  }
+  if (!acceptable(cells, demand, placement, policy)) {
+    return tl::unexpected(PlaceError::WouldBreakGuarantee);
+  }
+  return placement;
+}
+
+Result
+place_spread_claim(std::span<const CellState> cells,
+                   Capacities& free,
+                   const Demand& demand,
+                   const std::vector<Claim>& claims,
+                   const Policy& policy)
+{
+  std::vector<std::uint32_t> limits(cells.size(), 0);
+  for (const Claim& claim : claims) {
+    limits[claim.cell] = claim.unused;
+  }
+  Placement placement;
+  placement.guaranteed = true;
+  placement.members = fill_cells(free, demand.shape, limits, policy);
+  give_back(free, placement.members, demand.shape);
+  if (placement.members.empty()) {
+    return tl::unexpected(PlaceError::NoCapacity);
+  }
+  if (!acceptable(cells, demand, placement, policy)) {
+    return tl::unexpected(PlaceError::WouldBreakGuarantee);
+  }
+  return placement;
+}
+
+Result
+place_claim(std::span<const CellState> cells,
+            Capacities& free,
+            const Demand& demand,
+            const std::vector<Claim>& claims,
+            const Policy& policy)
+{
+  const Claim& first = claims.front();
+  const HomedGuarantee& held = cells[first.cell].guarantees[first.guarantee];
+  if (held.shape.adjacency == Adjacency::Any) {
+    return place_spread_claim(cells, free, demand, claims, policy);
+  }
+  Capacities home(free.size());
+  home[first.cell] = free[first.cell];
+  const Shape shape = claimed_shape(held, demand.shape);
+  return place_by_rule(cells, home, demand, shape, policy);
+}
+
+Result
+place_guaranteed(std::span<const CellState> cells,
+                 Capacities& free,
+                 const Demand& demand,
+                 const Policy& policy)
+{
+  const std::vector<std::vector<Claim>> groups = claims_of(cells, demand);
+  if (groups.empty()) {
+    return tl::unexpected(PlaceError::NoUnusedGuarantee);
+  }
+  PlaceError error = PlaceError::NoCapacity;
+  for (const std::vector<Claim>& claims : groups) {
+    Result found = place_claim(cells, free, demand, claims, policy);
+    if (!found && found.error() == PlaceError::WouldBreakGuarantee) {
+      found = place_on_witness(cells, free, demand, claims, policy);
+    }
+    if (found) {
+      return found;
+    }
+    error = found.error();
+  }
+  return tl::unexpected(error);
+}
+
+std::uint32_t
+members_in_cell(const Capacity& capacity, const Shape& shape)
+{
+  std::uint32_t fit = 0;
+  for (const Available& server : capacity.servers) {
+    fit += members_on(server, shape);
+  }
+  return fit;
+}
+
+/// Most members that fit one domain of the shape's adjacency.
+std::uint32_t
+largest_domain(const Capacity& capacity, const Shape& shape)
+{
+  if (shape.members > 1 && shape.adjacency >= Adjacency::Zone) {
+    return members_in_cell(capacity, shape);
+  }
+  std::uint32_t most = 0;
+  if (shape.members > 1 && shape.adjacency == Adjacency::Rack) {
+    for (const std::vector<std::uint32_t>& rack : capacity.racks) {
+      most = std::max(most, members_on(capacity, rack, shape));
+    }
+    return most;
+  }
+  for (const Available& server : capacity.servers) {
+    most = std::max(most, members_on(server, shape));
+  }
+  return most;
+}
+
+} // namespace
+
+Result
+place(std::span<const CellState> cells,
+      const Demand& demand,
+      const Policy& policy,
+      std::span<const PlacedMember> reserved)
+{
+  Capacities free = free_capacity(cells, demand, reserved);
+  Result found = demand.use_guarantee
+                   ? place_guaranteed(cells, free, demand, policy)
+                   : place_outside(cells, free, demand, policy);
+  if (!found && found.error() == PlaceError::NoCapacity &&
+      !fits_empty_fleet(cells, demand.shape)) {
+    return tl::unexpected(PlaceError::ImpossibleShape);
+  }
+  return found;
+}
+
+Allocation
+allocation_of(const Demand& demand,
+              const Placement& placement,
+              std::uint32_t index,
+              std::uint32_t generation,
+              std::int64_t started_ms)
+{
+  const PlacedMember& member = placement.members[index];
+  Allocation held;
+  held.job = demand.job;
+  held.generation = generation;
+  held.member = index;
+  held.server = member.server;
+  held.accelerators = member.accelerators;
+  held.cores = demand.shape.cores;
+  held.memory_mb = demand.shape.memory_mb;
+  held.organisation = demand.organisation;
+  held.preemptible = demand.preemptible && !placement.guaranteed;
+  held.guaranteed = placement.guaranteed;
+  held.started_ms = started_ms;
+  return held;
+}
+
+bool
+fits_empty_fleet(std::span<const CellState> cells, const Shape& shape)
+{
+  std::uint32_t total = 0;
+  for (const CellState& state : cells) {
+    const Capacity installed = capacity_of(*state.cell, Counted::Installed);
+    if (largest_domain(installed, shape) >= shape.members) {
+      return true;
+    }
+    total += members_in_cell(installed, shape);
+  }
+  return spans_cells(shape) && total >= shape.members;
+}
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/quarantine.cpp
@@ -0,0 +1,95 @@
+#include "core/quarantine.h"
+
+#include <algorithm>
+#include <set>
+
+namespace geraniumhinge::core {
+
+FailureTracker::FailureTracker(const QuarantineLimits& limits)
+  : limits(limits)
+{
+}
+
+void
+FailureTracker::failed(NameId server,
+                       const std::string& job,
+                       std::int64_t now_ms)
+{
+  const ServerTrust trust = this->server_trust(server, now_ms);
+  this->failures.push_back({ server, job, now_ms });
+  if (trust == ServerTrust::Probing) {
+    Quarantine& held = this->quarantines[server];
+    held.length_ms =
+      std::min(held.length_ms * 2, this->limits.longest_quarantine_ms);
+    held.until_ms = now_ms + held.length_ms;
+  } else if (trust == ServerTrust::Trusted &&
+             this->suspicious(server, now_ms)) {
+    const std::int64_t length = this->limits.first_quarantine_ms;
+    this->quarantines[server] = { now_ms + length, length };
+  }
+}
+
+void
+FailureTracker::succeeded(NameId server,
+                          const std::string& job,
+                          std::int64_t now_ms)
+{
+  const bool probed =
+    this->server_trust(server, now_ms) == ServerTrust::Probing;
+  std::erase_if(this->failures, [&](const Failure& failure) {
+    return failure.job == job || failure.server == server;
+  });
+  if (probed) {
+    this->quarantines.erase(server);
+  }
+}
+
+ServerTrust
+FailureTracker::server_trust(NameId server, std::int64_t now_ms) const
+{
+  const auto found = this->quarantines.find(server);
+  if (found == this->quarantines.end()) {
+    return ServerTrust::Trusted;
+  }
+  return now_ms < found->second.until_ms ? ServerTrust::Quarantined
+                                         : ServerTrust::Probing;
+}
+
+bool
+FailureTracker::job_is_faulty(const std::string& job, std::int64_t now_ms) const
+{
+  std::set<NameId> servers;
+  for (const Failure& failure : this->failures) {
+    const bool recent = now_ms - failure.at_ms <= this->limits.memory_ms;
+    if (recent && failure.job == job &&
+        this->server_trust(failure.server, now_ms) == ServerTrust::Trusted) {
+      servers.insert(failure.server);
+    }
+  }
+  return servers.size() >= this->limits.servers_per_job;
+}
+
+void
+FailureTracker::expire(std::int64_t now_ms)
+{
+  std::erase_if(this->failures, [this, now_ms](const Failure& failure) {
+    return now_ms - failure.at_ms > this->limits.memory_ms;
+  });
+}
+
+/// Failures of jobs that fail everywhere do not count against the server.
+bool
+FailureTracker::suspicious(NameId server, std::int64_t now_ms) const
+{
+  std::set<std::string_view> jobs;
+  for (const Failure& failure : this->failures) {
+    const bool recent = now_ms - failure.at_ms <= this->limits.memory_ms;
+    if (recent && failure.server == server &&
+        !this->job_is_faulty(failure.job, now_ms)) {
+      jobs.insert(failure.job);
+    }
+  }
+  return jobs.size() >= this->limits.jobs_per_server;
+}
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/queue.cpp
@@ -0,0 +1,293 @@
+#include "core/queue.h"
+
+#include <algorithm>
+#include <map>
+#include <unordered_set>
+
+namespace geraniumhinge::core {
+
+namespace {
+
+/// Shortest run time assumed, so that jobs that declare next to nothing do not
+/// go ahead of all others.
+constexpr std::int64_t SHORTEST_RUN_MS = 60'000;
+
+using Entries = std::vector<const QueueEntry*>;
+
+double
+response_ratio(const QueueEntry& entry, std::int64_t now_ms)
+{
+  const auto run =
+    static_cast<double>(std::max(entry.expected_run_ms, SHORTEST_RUN_MS));
+  return (static_cast<double>(now_ms - entry.submitted_ms) + run) / run;
+}
+
+void
+sort_own(Entries& entries, QueueOrder rule, std::int64_t now_ms)
+{
+  if (rule == QueueOrder::Arrival) {
+    return; // Entries are kept by arrival.
+  }
+  std::stable_sort(entries.begin(),
+                   entries.end(),
+                   [now_ms](const QueueEntry* left, const QueueEntry* right) {
+                     return response_ratio(*left, now_ms) >
+                            response_ratio(*right, now_ms);
+                   });
+}
+
+/// Queue of one organisation while the fair order is made.
+struct Lane
+{
+  Entries entries;
+  std::size_t next = 0;
+  double used = 0;
+  double weight = 1;
+};
+
+Lane*
+least_served(std::map<NameId, Lane>& lanes)
+{
+  Lane* least = nullptr;
+  for (auto& [organisation, lane] : lanes) {
+    if (lane.next < lane.entries.size() &&
+        (least == nullptr ||
+         lane.used / lane.weight < least->used / least->weight)) {
+      least = &lane;
+    }
+  }
+  return least;
+}
+
+const OrganisationShare*
+share_of(std::span<const OrganisationShare> shares, NameId organisation)
+{
+  for (const OrganisationShare& share : shares) {
+    if (share.organisation == organisation) {
+      return &share;
+    }
+  }
+  return nullptr;
+}
+
+/// Each next job comes from the organisation with the least use for its
+/// weight, counting the jobs ordered before it.
+void
+append_fairly(Entries& order,
+              const Entries& entries,
+              std::span<const OrganisationShare> shares,
+              QueueOrder rule,
+              std::int64_t now_ms)
+{
+  std::map<NameId, Lane> lanes;
+  for (const QueueEntry* entry : entries) {
+    lanes[entry->organisation].entries.push_back(entry);
+  }
+  for (auto& [organisation, lane] : lanes) {
+    if (const OrganisationShare* share = share_of(shares, organisation)) {
+      lane.used = share->used_accelerators;
+      lane.weight = std::max(share->weight, 1U);
+    }
+    sort_own(lane.entries, rule, now_ms);
+  }
+  while (Lane* lane = least_served(lanes)) {
+    const QueueEntry* entry = lane->entries[lane->next];
+    ++lane->next;
+    lane->used += std::max(total_accelerators(entry->shape), 1U);
+    order.push_back(entry);
+  }
+}
+
+bool
+over_limit(const QueueEntry& entry, std::span<const OrganisationShare> shares)
+{
+  const OrganisationShare* share = share_of(shares, entry.organisation);
+  return share != nullptr && share->max_running_accelerators > 0 &&
+         share->used_accelerators + total_accelerators(entry.shape) >
+           share->max_running_accelerators;
+}
+
+std::vector<Cell>
+after_ends(std::span<const CellState> cells,
+           std::span<const ExpectedEnd> ends,
+           std::size_t count)
+{
+  std::vector<std::string> gone;
+  for (std::size_t i = 0; i < count; ++i) {
+    gone.push_back(ends[i].job);
+  }
+  std::vector<Cell> after;
+  for (const CellState& state : cells) {
+    after.push_back(*state.cell);
+    release(after.back(), gone);
+  }
+  return after;
+}
+
+std::optional<Placement>
+place_after(std::span<const CellState> cells,
+            std::span<const ExpectedEnd> ends,
+            std::size_t count,
+            const Demand& demand,
+            const Policy& policy)
+{
+  const std::vector<Cell> after = after_ends(cells, ends, count);
+  std::vector<CellState> states;
+  for (std::size_t i = 0; i < cells.size(); ++i) {
+    states.push_back({ &after[i], cells[i].guarantees });
+  }
+  tl::expected<Placement, PlaceError> found = place(states, demand, policy);
+  if (!found) {
+    return std::nullopt;
+  }
+  return std::move(*found);
+}
+
+} // namespace
+
+JobQueue::JobQueue(QueueOrder order)
+  : rule(order)
+{
+}
+
+tl::expected<void, QueueError>
+JobQueue::push(QueueEntry entry, std::uint32_t limit)
+{
+  if (this->find(entry.job) != nullptr) {
+    return tl::unexpected(QueueError::AlreadyQueued);
+  }
+  std::uint32_t& count = this->counts[entry.organisation];
+  if (count >= limit) {
+    return tl::unexpected(QueueError::OrganisationFull);
+  }
+  ++count;
+  this->entries.push_back(std::move(entry));
+  return {};
+}
+
+bool
+JobQueue::remove(const std::string& job)
+{
+  return !this->cancel(std::span(&job, 1)).empty();
+}
+
+std::vector<QueueEntry>
+JobQueue::cancel(std::span<const std::string> jobs)
+{
+  const std::unordered_set<std::string_view> named(jobs.begin(), jobs.end());
+  std::vector<QueueEntry> cancelled;
+  std::vector<QueueEntry> kept;
+  kept.reserve(this->entries.size());
+  for (QueueEntry& entry : this->entries) {
+    if (named.contains(entry.job)) {
+      --this->counts[entry.organisation];
+      cancelled.push_back(std::move(entry));
+    } else {
+      kept.push_back(std::move(entry));
+    }
+  }
+  this->entries = std::move(kept);
+  return cancelled;
+}
+
+const QueueEntry*
+JobQueue::find(const std::string& job) const
+{
+  for (const QueueEntry& entry : this->entries) {
+    if (entry.job == job) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
+std::size_t
+JobQueue::size(NameId organisation) const
+{
+  const auto found = this->counts.find(organisation);
+  return found == this->counts.end() ? 0 : found->second;
+}
+
+std::vector<const QueueEntry*>
+JobQueue::order(std::span<const OrganisationShare> shares,
+                std::int64_t now_ms) const
+{
+  Entries urgent;
+  Entries guaranteed;
+  Entries others;
+  for (const QueueEntry& entry : this->entries) {
+    if (!entry.use_guarantee && over_limit(entry, shares)) {
+      continue;
+    }
+    Entries& group = entry.urgent          ? urgent
+                     : entry.use_guarantee ? guaranteed
+                                           : others;
+    group.push_back(&entry);
+  }
+  Entries order;
+  order.reserve(this->entries.size());
+  append_fairly(order, urgent, shares, QueueOrder::Arrival, now_ms);
+  order.insert(order.end(), guaranteed.begin(), guaranteed.end());
+  append_fairly(order, others, shares, this->rule, now_ms);
+  return order;
+}
+
+const QueueEntry*
+JobQueue::oldest_large(std::uint32_t min_accelerators) const
+{
+  const QueueEntry* oldest = nullptr;
+  for (const QueueEntry& entry : this->entries) {
+    const bool large = total_accelerators(entry.shape) >= min_accelerators;
+    if (large && !entry.use_guarantee &&
+        (oldest == nullptr || entry.submitted_ms < oldest->submitted_ms)) {
+      oldest = &entry;
+    }
+  }
+  return oldest;
+}
+
+std::optional<Reservation>
+reserve(std::span<const CellState> cells,
+        const Demand& demand,
+        const Policy& policy,
+        std::span<const ExpectedEnd> ends,
+        std::int64_t now_ms)
+{
+  std::vector<ExpectedEnd> sorted(ends.begin(), ends.end());
+  std::stable_sort(sorted.begin(),
+                   sorted.end(),
+                   [](const ExpectedEnd& left, const ExpectedEnd& right) {
+                     return left.end_ms < right.end_ms;
+                   });
+  std::size_t low = 0;
+  std::size_t high = sorted.size();
+  std::optional<Placement> found =
+    place_after(cells, sorted, high, demand, policy);
+  if (!found) {
+    return std::nullopt;
+  }
+  while (low < high) {
+    const std::size_t middle = low + (high - low) / 2;
+    std::optional<Placement> earlier =
+      place_after(cells, sorted, middle, demand, policy);
+    if (earlier) {
+      high = middle;
+      found = std::move(earlier);
+    } else {
+      low = middle + 1;
+    }
+  }
+  const std::int64_t start = high == 0 ? now_ms : sorted[high - 1].end_ms;
+  return Reservation{ demand.job, std::max(start, now_ms), std::move(*found) };
+}
+
+bool
+may_backfill(const Reservation& reservation,
+             const QueueEntry& entry,
+             std::int64_t now_ms)
+{
+  return entry.expected_run_ms > 0 &&
+         now_ms + entry.expected_run_ms <= reservation.start_ms;
+}
+
+} // namespace geraniumhinge::core
--- a/core/shape.h
+++ b/core/shape.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <string_view>
 
@@ -34,7 +33,7 @@
   std::uint32_t memory_mb = 0;
   Adjacency adjacency = Adjacency::Any;
 
-  friend auto operator<=>(const Shape&, const Shape&) = default;
+  friend bool operator==(const Shape&, const Shape&) = default;
 };
 
 inline std::uint32_t
--- a/core/witness.h
+++ b/core/witness.h
@@ -70,4 +70,9 @@
 tl::expected<Witness, WitnessError>
 find_witness(const Cell& cell, std::span<const HomedGuarantee> guarantees);
 
+/// For each homed guarantee, the number of its unused shapes that no longer
+/// pack, for `status` and the event after a loss.
+std::vector<std::uint32_t>
+broken_guarantees(const Cell& cell, std::span<const HomedGuarantee> guarantees);
+
 } // namespace geraniumhinge::core
