--- a/core/claim.cpp
+++ b/core/claim.cpp
@@ -9,12 +9,19 @@
 
 namespace {
 
-std::uint32_t
+/// Sorts before any excess.
+constexpr std::int64_t SAME_SHAPE = -1;
+
+std::int64_t
 excess(const Shape& held, const Shape& wanted)
 {
+  if (same_shape(held, wanted)) {
+    return SAME_SHAPE;
+  }
   const std::uint32_t members =
     held.adjacency == Adjacency::Any ? wanted.members : held.members;
-  return members * held.accelerators - total_accelerators(wanted);
+  return std::int64_t{ members } * held.accelerators -
+         total_accelerators(wanted);
 }
 
 std::vector<Claim>&
@@ -62,6 +69,13 @@
          Adjacency::Any;
 }
 
+std::uint64_t
+claim_key(std::span<const CellState> cells, const std::vector<Claim>& claims)
+{
+  const Claim& first = claims.front();
+  return shape_key(cells[first.cell].guarantees[first.guarantee].shape);
+}
+
 Shape
 claimed_shape(const HomedGuarantee& guarantee, const Shape& wanted)
 {
@@ -73,7 +87,7 @@
 std::vector<std::vector<Claim>>
 claims_of(std::span<const CellState> cells, const Demand& demand)
 {
-  std::vector<std::pair<std::uint32_t, std::vector<Claim>>> found;
+  std::vector<std::pair<std::int64_t, std::vector<Claim>>> found;
   std::vector<std::pair<Shape, std::vector<Claim>>> spread;
   for (std::uint32_t i = 0; i < cells.size(); ++i) {
     const Usage usage = usage_of(*cells[i].cell, cells[i].guarantees);
@@ -107,7 +121,9 @@
   std::vector<std::vector<Claim>> claims;
   claims.reserve(found.size());
   for (auto& [waste, group] : found) {
-    claims.push_back(std::move(group));
+    if (waste == SAME_SHAPE || found.front().first != SAME_SHAPE) {
+      claims.push_back(std::move(group));
+    }
   }
   return claims;
 }
--- a/core/claim.h
+++ b/core/claim.h
@@ -18,13 +18,19 @@
 };
 
 /// Claims that each suffice for the demand, least excess first. A claim on an
-/// `Any` shape has one entry for each of its home cells.
+/// `Any` shape has one entry for each of its home cells. If the organisation
+/// has the same shape unused, only claims on it: a demand that took a larger
+/// one would deprive the owner of it.
 std::vector<std::vector<Claim>>
 claims_of(std::span<const CellState> cells, const Demand& demand);
 
 bool
 spans_cells(std::span<const CellState> cells, const std::vector<Claim>& claims);
 
+/// `shape_key` of the claimed guarantee.
+std::uint64_t
+claim_key(std::span<const CellState> cells, const std::vector<Claim>& claims);
+
 /// The wanted shape with the adjacency of the guarantee if that is closer.
 Shape
 claimed_shape(const HomedGuarantee& guarantee, const Shape& wanted);
--- a/core/place.cpp
+++ b/core/place.cpp
@@ -92,6 +92,7 @@
               Capacities& free,
               const Demand& demand,
               const Shape& shape,
+              std::uint64_t claim,
               const Policy& policy)
 {
   Placement placement;
@@ -100,6 +101,7 @@
     give_back(free, members, shape);
     placement.members = std::move(members);
     placement.guaranteed = demand.use_guarantee;
+    placement.claim = claim;
     error = PlaceError::WouldBreakGuarantee;
     return acceptable(cells, demand, placement, policy);
   };
@@ -146,14 +148,14 @@
               const Demand& demand,
               const Policy& policy)
 {
-  Result found = place_by_rule(cells, free, demand, demand.shape, policy);
+  Result found = place_by_rule(cells, free, demand, demand.shape, 0, policy);
   if (found || found.error() != PlaceError::WouldBreakGuarantee) {
     return found;
   }
   for (std::size_t i = 0; i < cells.size(); ++i) {
     leave_out_witness(free[i], cells[i]);
   }
-  Result around = place_by_rule(cells, free, demand, demand.shape, policy);
+  Result around = place_by_rule(cells, free, demand, demand.shape, 0, policy);
   return around ? around : found;
 }
 
@@ -168,6 +170,7 @@
 {
   Placement placement;
   placement.guaranteed = true;
+  placement.claim = claim_key(cells, claims);
   placement.members = witness_places(cells, free, demand.shape, claims);
   if (placement.members.empty()) {
     return tl::unexpected(PlaceError::NoCapacity);
@@ -191,6 +194,7 @@
   }
   Placement placement;
   placement.guaranteed = true;
+  placement.claim = claim_key(cells, claims);
   placement.members = fill_cells(free, demand.shape, limits, policy);
   give_back(free, placement.members, demand.shape);
   if (placement.members.empty()) {
@@ -217,7 +221,8 @@
   Capacities home(free.size());
   home[first.cell] = free[first.cell];
   const Shape shape = claimed_shape(held, demand.shape);
-  return place_by_rule(cells, home, demand, shape, policy);
+  return place_by_rule(
+    cells, home, demand, shape, claim_key(cells, claims), policy);
 }
 
 Result
@@ -312,6 +317,7 @@
   held.organisation = demand.organisation;
   held.preemptible = demand.preemptible && !placement.guaranteed;
   held.guaranteed = placement.guaranteed;
+  held.claim = placement.claim;
   held.started_ms = started_ms;
   return held;
 }
--- a/core/place.h
+++ b/core/place.h
@@ -67,6 +67,7 @@
 {
   std::vector<PlacedMember> members;
   bool guaranteed = false; ///< Consumes a guaranteed shape.
+  std::uint64_t claim = 0; ///< `shape_key` of that shape.
 };
 
 enum class PlaceError : std::uint8_t
@@ -86,8 +87,9 @@
 /// Chooses a place for the whole demand on free resources of ready servers,
 /// such that every touched cell still has a witness. A demand that uses a
 /// guarantee is placed in the home cells of an unused shape that covers it,
-/// and consumes that shape; `NoCapacity` then means that `plan_reclaim` is
-/// needed. `reserved` accelerators are treated as taken.
+/// and consumes that shape; if the same shape is held, no other one is used.
+/// `NoCapacity` then means that `plan_reclaim` is needed. `reserved`
+/// accelerators are treated as taken.
 tl::expected<Placement, PlaceError>
 place(std::span<const CellState> cells,
       const Demand& demand,
--- a/core/reclaim.cpp
+++ b/core/reclaim.cpp
@@ -19,6 +19,13 @@
 
 using Choice = Evictions::Choice;
 
+/// A choice that consumes the claimed shape.
+struct Claimed
+{
+  Choice choice;
+  std::uint64_t claim = 0;
+};
+
 bool
 one_server(const Shape& shape)
 {
@@ -135,11 +142,12 @@
 }
 
 ReclaimPlan
-plan_of(Choice choice, bool guaranteed, const ReclaimTimes& times)
+plan_of(Choice choice, std::uint64_t claim, const ReclaimTimes& times)
 {
   ReclaimPlan plan;
   plan.placement.members = std::move(choice.members);
-  plan.placement.guaranteed = guaranteed;
+  plan.placement.guaranteed = claim != 0;
+  plan.placement.claim = claim;
   plan.victims = std::move(choice.victims);
   if (!plan.victims.empty()) {
     plan.bound_ms = times.checkpoint_ms + times.stop_ms + times.lease_lapse_ms;
@@ -152,12 +160,18 @@
            const Demand& demand,
            const Policy& policy,
            const ReclaimTimes& times,
-           std::vector<Choice> choices)
+           std::vector<Claimed> choices)
 {
-  sort_by_cost(choices);
+  std::stable_sort(choices.begin(),
+                   choices.end(),
+                   [](const Claimed& left, const Claimed& right) {
+                     return left.choice.lost_work_ms <
+                            right.choice.lost_work_ms;
+                   });
   const std::size_t count = std::min(choices.size(), CHECKED_CHOICES);
   for (std::size_t i = 0; i < count; ++i) {
-    ReclaimPlan plan = plan_of(std::move(choices[i]), true, times);
+    ReclaimPlan plan =
+      plan_of(std::move(choices[i].choice), choices[i].claim, times);
     if (!policy.witness_check || keeps_witness(cells, demand, plan.placement)) {
       return plan;
     }
@@ -257,20 +271,20 @@
     return tl::unexpected(PlaceError::NoUnusedGuarantee);
   }
   const Evictions evictions(cells, now_ms, false);
-  std::vector<Choice> choices;
+  std::vector<Claimed> choices;
   for (const std::vector<Claim>& claims : groups) {
     for (Choice& choice : claim_choices(evictions, cells, demand, claims)) {
-      choices.push_back(std::move(choice));
+      choices.push_back({ std::move(choice), claim_key(cells, claims) });
     }
   }
   std::optional<ReclaimPlan> plan =
     first_kept(cells, demand, policy, times, std::move(choices));
   for (std::size_t i = 0; !plan && i < groups.size(); ++i) {
-    plan = first_kept(cells,
-                      demand,
-                      policy,
-                      times,
-                      witness_choice(evictions, cells, demand, groups[i]));
+    choices.clear();
+    for (Choice& choice : witness_choice(evictions, cells, demand, groups[i])) {
+      choices.push_back({ std::move(choice), claim_key(cells, groups[i]) });
+    }
+    plan = first_kept(cells, demand, policy, times, std::move(choices));
   }
   if (!plan) {
     return tl::unexpected(PlaceError::WouldBreakGuarantee);
@@ -299,7 +313,7 @@
   sort_by_cost(choices);
   const std::size_t count = std::min(choices.size(), CHECKED_CHOICES);
   for (std::size_t i = 0; i < count; ++i) {
-    ReclaimPlan plan = plan_of(std::move(choices[i]), false, times);
+    ReclaimPlan plan = plan_of(std::move(choices[i]), 0, times);
     const bool kept = demand.preemptible || !policy.witness_check ||
                       keeps_witness(cells, demand, plan.placement);
     if (kept && victims_fit(cells, demand, plan, policy)) {
--- a/core/shape.h
+++ b/core/shape.h
@@ -46,6 +46,16 @@
 bool
 covers(const Shape& held, const Shape& wanted);
 
+/// Whether the shapes are the same for the owner of `held`: equal resources of
+/// a member, equal adjacency and all members, or some members of an `Any`
+/// shape.
+bool
+same_shape(const Shape& held, const Shape& wanted);
+
+/// Identifies a shape in an allocation; never 0.
+std::uint64_t
+shape_key(const Shape& shape);
+
 /// A shape with its weight among the guaranteed and recently requested ones.
 struct WeightedShape
 {
--- a/core/witness.cpp
+++ b/core/witness.cpp
@@ -90,6 +90,10 @@
          std::uint32_t unused)
 {
   const Shape& shape = guarantee.shape;
+  const std::uint64_t claim = use.members.front()->claim;
+  if (claim != 0 && claim != shape_key(shape)) {
+    return std::nullopt;
+  }
   const bool any = shape.adjacency == Adjacency::Any;
   const std::uint32_t wanted = any ? use.largest.members : 1;
   if (guarantee.organisation != use.organisation || unused < wanted ||
--- a/core/witness.h
+++ b/core/witness.h
@@ -26,9 +26,9 @@
   std::vector<Residual> residuals;
 };
 
-/// Matches the guaranteed allocations of the cell to the guarantees: exact
-/// shapes first, then the smallest shape that covers the job. A job consumes
-/// one whole shape, or one unit for each member of an `Any` shape.
+/// Matches the guaranteed allocations of the cell to the guarantees: by the
+/// recorded claim, or else to the smallest shape that covers the job. A job
+/// consumes one whole shape, or one unit for each member of an `Any` shape.
 Usage
 usage_of(const Cell& cell, std::span<const HomedGuarantee> guarantees);
 
--- /dev/null
+++ b/tests/core/place_test.cpp
@@ -0,0 +1,169 @@
+#define BOOST_TEST_MODULE place
+#include "tests/core/fleet.h"
+
+#include "core/fragmentation.h"
+#include "core/reclaim.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace geraniumhinge::core;
+using namespace geraniumhinge::core::test;
+
+namespace {
+
+const std::vector<PlacementRule> RULES = {
+  PlacementRule::FirstFit,
+  PlacementRule::BestFitRack,
+  PlacementRule::FragmentationGradient,
+  PlacementRule::BuddyCells,
+};
+
+Policy
+policy_of(PlacementRule rule)
+{
+  return { rule, { { { 4, 2, 0, 0, Adjacency::Rack }, 1 } }, true };
+}
+
+} // namespace
+
+// Guards against a gang whose members are further apart than it asked for.
+BOOST_AUTO_TEST_CASE(members_keep_their_adjacency)
+{
+  const Fleet fleet = make_fleet({ 4, 4 }, 2, 4);
+  for (const PlacementRule rule : RULES) {
+    const auto rack =
+      place(fleet.states(),
+            make_demand("rack", 0, { 8, 1, 0, 0, Adjacency::Rack }),
+            policy_of(rule));
+    BOOST_REQUIRE(rack.has_value());
+    BOOST_TEST(rack->members.size() == 8);
+    std::set<NameId> racks;
+    for (const PlacedMember& member : rack->members) {
+      racks.insert(fleet.cells[member.cell].servers[member.server].rack);
+    }
+    BOOST_TEST(racks.size() == 1);
+
+    const auto any =
+      place(fleet.states(),
+            make_demand("any", 0, { 32, 1, 0, 0, Adjacency::Any }),
+            policy_of(rule));
+    BOOST_REQUIRE(any.has_value());
+    BOOST_TEST(any->members.size() == 32);
+  }
+}
+
+// Guards against work on servers that leave, are lost or are quarantined, and
+// on servers that refused the job just now.
+BOOST_AUTO_TEST_CASE(only_ready_servers_get_work)
+{
+  Fleet fleet = make_fleet({ 4 }, 4, 4);
+  fleet.cells[0].servers[0].state = ServerState::Leaving;
+  fleet.cells[0].servers[1].state = ServerState::Lost;
+  fleet.cells[0].servers[2].state = ServerState::Quarantined;
+  Demand demand = make_demand("job", 0, { 1, 1, 0, 0, Adjacency::Any });
+  for (const PlacementRule rule : RULES) {
+    const auto found = place(fleet.states(), demand, policy_of(rule));
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST(found->members.front().server == 3);
+  }
+  demand.avoid = { fleet.cells[0].servers[3].name };
+  const auto none = place(fleet.states(), demand, {});
+  BOOST_TEST((none.error() == PlaceError::NoCapacity));
+}
+
+// Guards against a job that waits for ever although no fleet could hold it.
+BOOST_AUTO_TEST_CASE(impossible_shapes_are_told_apart)
+{
+  const Fleet fleet = make_fleet({ 2, 2 }, 2, 4);
+  const Shape shape{ 1, 8, 0, 0, Adjacency::Any };
+  BOOST_TEST(!fits_empty_fleet(fleet.states(), shape));
+  const auto none = place(fleet.states(), make_demand("job", 0, shape), {});
+  BOOST_TEST((none.error() == PlaceError::ImpossibleShape));
+}
+
+// Guards against an organisation that uses its guarantee twice.
+BOOST_AUTO_TEST_CASE(a_guarantee_is_consumed)
+{
+  Fleet fleet = make_fleet({ 3 }, 3, 8);
+  const Shape whole{ 1, 8, 0, 0, Adjacency::Server };
+  fleet.homed[0] = { { 0, whole, 1 } };
+  Demand demand = make_demand("one", 0, whole);
+  demand.use_guarantee = true;
+  const auto first = place(fleet.states(), demand, {});
+  BOOST_REQUIRE(first.has_value());
+  fleet.commit(demand, *first);
+  demand.job = "two";
+  const auto second = place(fleet.states(), demand, {});
+  BOOST_TEST((second.error() == PlaceError::NoUnusedGuarantee));
+}
+
+// Guards against accelerators reserved for a large job that go to another.
+BOOST_AUTO_TEST_CASE(reserved_accelerators_are_left_out)
+{
+  const Fleet fleet = make_fleet({ 1 }, 1, 4);
+  const std::vector<PlacedMember> reserved = { { 0, 0, 0b0111 } };
+  const auto one = place(fleet.states(),
+                         make_demand("one", 0, { 1, 1, 0, 0, Adjacency::Any }),
+                         {},
+                         reserved);
+  BOOST_REQUIRE(one.has_value());
+  BOOST_TEST(one->members.front().accelerators == 0b1000);
+  const auto two = place(fleet.states(),
+                         make_demand("two", 0, { 1, 2, 0, 0, Adjacency::Any }),
+                         {},
+                         reserved);
+  BOOST_TEST(!two.has_value());
+}
+
+// Guards against a large job that waits while small ones could move away.
+BOOST_AUTO_TEST_CASE(migration_moves_small_jobs_only_where_they_fit)
+{
+  Fleet fleet = make_fleet({ 2 }, 1, 4);
+  for (std::uint32_t server = 0; server < 2; ++server) {
+    Allocation one;
+    one.job = "small-" + std::to_string(server);
+    one.server = server;
+    one.accelerators = 1;
+    one.preemptible = true;
+    one.started_ms = 500'000 + server;
+    fleet.cells[0].allocations.push_back(one);
+  }
+  const Demand large =
+    make_demand("large", 0, { 1, 4, 0, 0, Adjacency::Server });
+  const auto plan =
+    plan_migration(fleet.states(), large, {}, { 5, 2, 6 }, fleet.now_ms);
+  BOOST_REQUIRE(plan.has_value());
+  BOOST_REQUIRE(plan->victims.size() == 1);
+  BOOST_TEST(plan->victims.front().job == "small-1");
+
+  Allocation pinned = fleet.cells[0].allocations.front();
+  pinned.job = "pinned";
+  pinned.accelerators = 0b1110;
+  pinned.preemptible = false;
+  fleet.cells[0].allocations.push_back(pinned);
+  BOOST_TEST(
+    !plan_migration(fleet.states(), large, {}, { 5, 2, 6 }, fleet.now_ms)
+       .has_value());
+}
+
+// Guards against a fragmentation figure that counts accelerators twice or
+// overlooks the adjacency of a shape.
+BOOST_AUTO_TEST_CASE(fragmentation_follows_the_shapes)
+{
+  Fleet fleet = make_fleet({ 4 }, 2, 4);
+  for (std::uint32_t server = 0; server < 4; ++server) {
+    Allocation one;
+    one.job = std::to_string(server);
+    one.server = server;
+    one.accelerators = server == 0 ? 0b0011 : 0b0001;
+    fleet.cells[0].allocations.push_back(one);
+  }
+  const auto share = [&fleet](const Shape& shape) {
+    const std::vector<WeightedShape> shapes = { { shape, 1 } };
+    return fragmentation(fleet.states(), shapes).share();
+  };
+  BOOST_TEST(share({ 1, 1, 0, 0, Adjacency::Any }) == 0.0);
+  BOOST_TEST(share({ 1, 4, 0, 0, Adjacency::Any }) == 1.0);
+  BOOST_TEST(share({ 2, 3, 0, 0, Adjacency::Rack }) == 5.0 / 11.0);
+}
