--- a/gateway/http_server.cpp
+++ b/gateway/http_server.cpp
@@ -314,6 +314,8 @@
 MHD_Result
 HttpServer::State::send(Exchange& exchange)
 {
+  if (exchange.response->status == CLOSE_CONNECTION)
+    return MHD_NO;
   return queue_response(
     exchange.connection, *exchange.response, this->draining);
 }
--- a/gateway/http_server.h
+++ b/gateway/http_server.h
@@ -22,6 +22,9 @@
   std::string body;
 };
 
+/// A response status that closes the connection without an answer.
+inline constexpr int CLOSE_CONNECTION = 0;
+
 struct HttpResponse
 {
   int status = 200;
--- a/gateway/unary_error.cpp
+++ b/gateway/unary_error.cpp
@@ -1,9 +1,8 @@
 #include "gateway/unary_error.h"
 
-#include "kernel/names.h"
+#include "gateway/base64.h"
 
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 namespace geraniumhinge::gateway {
 
@@ -11,8 +10,6 @@
 
 constexpr std::string_view DETAIL_TYPE = "geraniumhinge.v1.ErrorDetail";
 constexpr std::size_t QUOTED_BYTES = 200;
-constexpr std::size_t BASE64_INPUT = 3;
-constexpr std::size_t BASE64_OUTPUT = 4;
 constexpr int MS_PER_S = 1'000;
 
 struct KindRow
@@ -56,44 +53,23 @@
 
 /// Base64 without padding, as the Connect protocol has it.
 std::string
-encode_base64(const std::string& bytes)
+encode_detail(const v1::ErrorDetail& detail)
 {
-  std::size_t blocks = (bytes.size() + BASE64_INPUT - 1) / BASE64_INPUT;
-  std::string text(blocks * BASE64_OUTPUT + 1, '\0');
-  int size =
-    EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                    reinterpret_cast<const unsigned char*>(bytes.data()),
-                    static_cast<int>(bytes.size()));
-  text.resize(static_cast<std::size_t>(size));
+  std::string text = encode_base64(detail.SerializeAsString());
   text.erase(text.find_last_not_of('=') + 1);
   return text;
 }
 
-std::string
-decode_base64(std::string text)
-{
-  std::size_t padding =
-    (BASE64_OUTPUT - text.size() % BASE64_OUTPUT) % BASE64_OUTPUT;
-  text.append(padding, '=');
-  std::string bytes(text.size(), '\0');
-  int size =
-    EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                    reinterpret_cast<const unsigned char*>(text.data()),
-                    static_cast<int>(text.size()));
-  if (size < static_cast<int>(padding))
-    return {};
-  bytes.resize(static_cast<std::size_t>(size) - padding);
-  return bytes;
-}
-
 /// The ErrorDetail among the details of an error body.
 bool
 find_detail(const nlohmann::json& body, v1::ErrorDetail& detail)
 {
   for (const nlohmann::json& item :
        body.value("details", nlohmann::json::array())) {
-    if (item.is_object() && item.value("type", "") == DETAIL_TYPE)
-      return detail.ParseFromString(decode_base64(item.value("value", "")));
+    if (!item.is_object() || item.value("type", "") != DETAIL_TYPE)
+      continue;
+    std::optional<std::string> bytes = decode_base64(item.value("value", ""));
+    return bytes && detail.ParseFromString(*bytes);
   }
   return false;
 }
@@ -126,7 +102,7 @@
   KindRow row = row_of(error.detail.kind());
   nlohmann::json detail = {
     { "type", DETAIL_TYPE },
-    { "value", encode_base64(error.detail.SerializeAsString()) },
+    { "value", encode_detail(error.detail) },
     { "debug",
       { { "kind", v1::ErrorKind_Name(error.detail.kind()) },
         { "field", error.detail.field() },
--- /dev/null
+++ b/tests/platform/table_test.cpp
@@ -0,0 +1,218 @@
+#define BOOST_TEST_MODULE table
+#include "platform/objects_http.h"
+#include "platform/table_http.h"
+#include "platform/table_sweep.h"
+#include "tests/platform/standin_process.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace geraniumhinge;
+using namespace geraniumhinge::platform;
+
+namespace {
+
+struct Fixture : tests::StandinFixture
+{
+  kernel::Log log{ "test", kernel::Severity::Error };
+  HttpTableOptions options{ url, kernel::Milliseconds(300) };
+  HttpTable table{ loop, timers, log, client, options };
+
+  Table::CommitResult commit(Transaction transaction)
+  {
+    return wait_for<Table::CommitResult>(
+      [&](const auto& done) { table.commit(std::move(transaction), done); });
+  }
+  Table::CommitResult put(const std::string& key,
+                          const std::string& value,
+                          std::uint64_t version)
+  {
+    return commit({ { { key, version } }, { { key, value } } });
+  }
+  Row get(const std::string& key)
+  {
+    return wait_for<Table::ReadResult>(
+             [&](const auto& done) { table.read({ key }, done); })
+      .value()
+      .front();
+  }
+  std::vector<Row> scan(const std::string& prefix)
+  {
+    return wait_for<Table::ReadResult>(
+             [&](const auto& done) { table.scan(prefix, "", 1'000, done); })
+      .value();
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(table_suite, Fixture)
+
+// Guards against a conflict that does not say which row changed.
+BOOST_AUTO_TEST_CASE(a_conflict_names_the_row_and_its_version)
+{
+  std::uint64_t first = put("a", std::string("\0\xff", 2), 0).value()[0];
+  BOOST_TEST(get("a").value == std::string("\0\xff", 2));
+  std::uint64_t second = put("a", "two", first).value()[0];
+  BOOST_TEST(second > first);
+  Table::CommitResult result =
+    commit({ { { "b", 0 }, { "a", first } }, { { "b", "x" } } });
+  BOOST_REQUIRE(!result);
+  BOOST_TEST((result.error().kind == TableErrorKind::Conflict));
+  BOOST_TEST(result.error().key == "a");
+  BOOST_TEST(result.error().version == second);
+  BOOST_TEST(get("b").version == 0);
+}
+
+// Guards against a transaction that took effect and is reported as failed when
+// its answer is lost.
+BOOST_AUTO_TEST_CASE(an_answer_lost_after_the_commit_is_recovered)
+{
+  faults({ { "drop_next", 1 } });
+  Table::CommitResult result = put("a", "one", 0);
+  BOOST_REQUIRE(result);
+  BOOST_TEST(result.value()[0] == get("a").version);
+}
+
+// Guards against a resolution that takes its own void marker for the
+// transaction's, and the reverse, when its answers are lost as well.
+BOOST_AUTO_TEST_CASE(lost_answers_of_the_resolution_are_resolved)
+{
+  faults({ { "drop_next", 3 } });
+  BOOST_TEST(put("a", "one", 0).has_value());
+  // The void marker is committed, its answer lost, and the marker found again.
+  faults({ { "delay_next", 1 }, { "delay_ms", 1'000 }, { "drop_next", 2 } });
+  Table::CommitResult voided = put("b", "one", 0);
+  BOOST_REQUIRE(!voided);
+  BOOST_TEST((voided.error().kind == TableErrorKind::Unavailable));
+}
+
+// Guards against a write that takes effect after its sender was told that it
+// never will.
+BOOST_AUTO_TEST_CASE(a_commit_that_arrives_after_it_was_voided_has_no_effect)
+{
+  faults({ { "delay_next", 1 }, { "delay_ms", 200 } });
+  Table::CommitResult result = put("a", "late", 0);
+  BOOST_REQUIRE(!result);
+  BOOST_TEST((result.error().kind == TableErrorKind::Unavailable));
+  wait_for_counter("conflicts", 1);
+  BOOST_TEST(get("a").version == 0);
+}
+
+// Guards against a version of a row that the caller never read, which would
+// let its next compare-and-set overwrite another's change.
+BOOST_AUTO_TEST_CASE(a_recovered_commit_does_not_adopt_a_later_version)
+{
+  // The lost answer to the first resolution makes time for another writer.
+  faults({ { "drop_next", 2 } });
+  options.resolution_retry = kernel::Milliseconds(2'000);
+  HttpTable patient(loop, timers, log, client, options);
+  std::optional<Table::CommitResult> result;
+  patient.commit({ { { "a", 0 } }, { { "a", "mine" } } },
+                 [&](Table::CommitResult value) { result = std::move(value); });
+  wait_for_counter("dropped_answers", 2);
+  BOOST_REQUIRE(commit({ {}, { { "a", "theirs" } } }));
+  run_until([&] { return result.has_value(); });
+  BOOST_REQUIRE(result->has_value());
+  BOOST_TEST((*result).value()[0] == 0);
+}
+
+// Guards against an outage that is reported as a lost answer or blocks a
+// caller, and against a commit that stays ambiguous once the store is back.
+BOOST_AUTO_TEST_CASE(an_outage_refuses_at_once_and_ends)
+{
+  faults({ { "down", 1 } });
+  BOOST_TEST((put("a", "one", 0).error().kind == TableErrorKind::Unavailable));
+  BOOST_TEST(!table.available());
+  faults({ { "down", 0 }, { "silent", 1 } });
+  std::optional<Table::CommitResult> result;
+  table.commit({ { { "a", 0 } }, { { "a", "one" } } },
+               [&](Table::CommitResult value) { result = std::move(value); });
+  kernel::Subscription recovery = timers.after(kernel::Milliseconds(700), [&] {
+    gateway::HttpCall call;
+    call.url = url + "/faults";
+    call.body = R"({"silent":0})";
+    client.call(call, [](const auto&) {});
+  });
+  run_until([&] { return result.has_value(); });
+  BOOST_REQUIRE(!result->has_value());
+  BOOST_TEST((result->error().kind == TableErrorKind::Unavailable));
+  BOOST_TEST(get("a").version == 0);
+  BOOST_TEST(table.available());
+}
+
+// Guards against an ambiguous commit that is resolved for ever.
+BOOST_AUTO_TEST_CASE(a_commit_stays_ambiguous_after_the_resolution_limit)
+{
+  options.timeout = kernel::Milliseconds(50);
+  options.resolution_limit = kernel::Milliseconds(200);
+  options.resolution_retry = kernel::Milliseconds(10);
+  kernel::Log quiet("test", static_cast<kernel::Severity>(9));
+  HttpTable impatient(loop, timers, quiet, client, options);
+  faults({ { "silent", 1 } });
+  Table::CommitResult result =
+    wait_for<Table::CommitResult>([&](const auto& done) {
+      impatient.commit({ {}, { { "a", "one" } } }, done);
+    });
+  BOOST_TEST((result.error().kind == TableErrorKind::Ambiguous));
+}
+
+// Guards against limits of the store that are taken for lost answers.
+BOOST_AUTO_TEST_CASE(a_rate_limit_is_certainly_not_applied)
+{
+  faults({ { "writes_per_s", 1 } });
+  std::optional<Table::CommitResult> refused;
+  for (int i = 0; i < 5 && !refused; ++i) {
+    Table::CommitResult result = put("k" + std::to_string(i), "v", 0);
+    if (!result)
+      refused = std::move(result);
+  }
+  BOOST_REQUIRE(refused);
+  BOOST_TEST((refused->error().kind == TableErrorKind::Unavailable));
+}
+
+// Guards against marker rows that pile up, and against a sweep that deletes
+// markers which a late commit still needs.
+BOOST_AUTO_TEST_CASE(the_sweep_deletes_only_rows_past_their_retention)
+{
+  constexpr int ROWS = 7;
+  for (int i = 0; i < ROWS; ++i)
+    BOOST_REQUIRE(put("k" + std::to_string(i), "v", 0));
+  TableSweepOptions keep{ .prefix = MARKER_PREFIX, .page_rows = 3 };
+  TableSweepOptions drop{ .prefix = MARKER_PREFIX,
+                          .retention = kernel::Milliseconds(-60'000),
+                          .page_rows = 3 };
+  for (const TableSweepOptions& chosen : { keep, drop }) {
+    TableSweep sweep(
+      loop, timers, log, table, chosen, marker_created_ms, [] { return true; });
+    sweep.sweep();
+    run_until([&] { return !sweep.sweeping(); });
+    if (chosen.retention.count() > 0)
+      BOOST_TEST(scan(MARKER_PREFIX).size() == ROWS);
+  }
+  // The sweep's own commits leave markers behind.
+  BOOST_TEST(scan(MARKER_PREFIX).size() < ROWS);
+  BOOST_TEST(scan("k").size() == ROWS);
+}
+
+// Guards against objects that are cut, mixed up or reported missing in an
+// outage.
+BOOST_AUTO_TEST_CASE(objects_are_stored_whole)
+{
+  HttpObjects objects(loop, client, { url });
+  using Got = tl::expected<std::string, ObjectError>;
+  std::function<Got(const std::string&)> get_object =
+    [&](const std::string& key) {
+      return wait_for<Got>([&](const auto& done) { objects.get(key, done); });
+    };
+  std::string large(1'000'000, 'x');
+  tl::expected<void, ObjectError> stored =
+    wait_for<tl::expected<void, ObjectError>>(
+      [&](const auto& done) { objects.put("a/b?c", large, done); });
+  BOOST_TEST(stored.has_value());
+  BOOST_TEST((get_object("a/b?c").value() == large));
+  BOOST_TEST((get_object("a/b").error() == ObjectError::NotFound));
+  faults({ { "down", 1 } });
+  BOOST_TEST((get_object("a/b").error() == ObjectError::Unavailable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/standins/platform_standin.cpp
@@ -0,0 +1,300 @@
+// Stand-in for the platform's table service and object store, with faults.
+// Protocol and fault switches: docs/operations.md.
+
+#include "gateway/base64.h"
+#include "gateway/http_server.h"
+
+#include <csignal>
+#include <cstdio>
+#include <fmt/format.h>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+using namespace geraniumhinge;
+using gateway::HttpRequest;
+using gateway::HttpResponse;
+using gateway::HttpServer;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t MAX_BODY_BYTES = 64UL * 1'024 * 1'024;
+constexpr std::size_t MAX_PAGE_ROWS = 1'000;
+constexpr kernel::Milliseconds RATE_WINDOW{ 1'000 };
+constexpr std::string_view OBJECTS_PREFIX = "/objects/";
+
+struct StoredRow
+{
+  std::uint64_t version = 0;
+  std::string value; ///< Base64, as it came.
+};
+
+HttpResponse
+answer(int status, const json& body)
+{
+  return { status, "application/json", body.dump(), {} };
+}
+
+class PlatformStandin
+{
+public:
+  PlatformStandin(kernel::Loop& loop, const std::string& address)
+    : timers(loop)
+    , server(
+        loop,
+        timers,
+        address,
+        MAX_BODY_BYTES,
+        [this](const HttpRequest& request, const HttpServer::Respond& respond) {
+          this->handle(request, respond);
+        })
+    , window(timers.every(RATE_WINDOW, [this] {
+      this->window_reads = 0;
+      this->window_writes = 0;
+    }))
+  {
+  }
+
+  bool listen() { return this->server.listen().has_value(); }
+  int port() const { return this->server.port(); }
+
+private:
+  void handle(const HttpRequest& request, const HttpServer::Respond& respond)
+  {
+    if (request.path == "/counters")
+      return respond(answer(200, this->counters));
+    if (request.path == "/faults")
+      return respond(this->set_faults(request));
+    int slow_ms = this->faults["slow_ms"];
+    if (slow_ms == 0)
+      return this->serve(request, respond);
+    this->later(slow_ms,
+                [this, request, respond] { this->serve(request, respond); });
+  }
+
+  void later(int delay_ms, std::function<void()> fn)
+  {
+    std::uint64_t id = ++this->last_timer;
+    this->pending[id] = this->timers.after(kernel::Milliseconds(delay_ms),
+                                           [this, id, fn = std::move(fn)] {
+                                             this->pending.erase(id);
+                                             fn();
+                                           });
+  }
+
+  HttpResponse set_faults(const HttpRequest& request)
+  {
+    if (request.method != "POST")
+      return answer(200, this->faults);
+    json change = json::parse(request.body, nullptr, false);
+    if (!change.is_object())
+      return answer(400, { { "error", "not an object" } });
+    for (const auto& item : change.items()) {
+      if (!this->faults.contains(item.key()) ||
+          !item.value().is_number_unsigned())
+        return answer(400, { { "error", item.key() } });
+    }
+    this->faults.update(change);
+    this->since_drop = 0;
+    return answer(200, this->faults);
+  }
+
+  void serve(const HttpRequest& request, const HttpServer::Respond& respond)
+  {
+    if (this->faults["silent"] > 0) {
+      this->unanswered.push_back(respond);
+      return;
+    }
+    if (this->faults["down"] > 0)
+      return respond(this->refuse(503));
+    if (request.path.starts_with(OBJECTS_PREFIX))
+      return respond(this->object(request));
+    json body = json::parse(request.body, nullptr, false);
+    try {
+      if (request.path == "/table/read")
+        return respond(this->read(body));
+      if (request.path == "/table/scan")
+        return respond(this->scan(body));
+      if (request.path == "/table/commit")
+        return this->commit(body, respond);
+    } catch (const json::exception& error) {
+      return respond(answer(400, { { "error", error.what() } }));
+    }
+    respond(answer(404, { { "error", "no such path" } }));
+  }
+
+  HttpResponse refuse(int status)
+  {
+    this->count("refused");
+    return answer(status, { { "applied", false } });
+  }
+
+  void count(const char* name, std::uint64_t amount = 1)
+  {
+    this->counters[name] = this->counters[name].get<std::uint64_t>() + amount;
+  }
+
+  bool over(const char* limit, std::uint64_t& used, std::uint64_t amount)
+  {
+    std::uint64_t most = this->faults[limit];
+    used += amount;
+    return most > 0 && used > most;
+  }
+
+  HttpResponse read(const json& body)
+  {
+    const json& keys = body.at("keys");
+    if (this->over("reads_per_s", this->window_reads, keys.size()))
+      return this->refuse(429);
+    json found = json::array();
+    for (const json& item : keys) {
+      std::string key = item;
+      StoredRow row;
+      if (this->rows.contains(key))
+        row = this->rows[key];
+      found.push_back(
+        { { "key", key }, { "version", row.version }, { "value", row.value } });
+    }
+    this->count("reads", keys.size());
+    return answer(200, { { "rows", found } });
+  }
+
+  HttpResponse scan(const json& body)
+  {
+    if (this->over("reads_per_s", this->window_reads, 1))
+      return this->refuse(429);
+    std::string prefix = body.at("prefix");
+    std::string after = body.at("after");
+    std::size_t limit =
+      std::min(body.at("limit").get<std::size_t>(), MAX_PAGE_ROWS);
+    json found = json::array();
+    auto row = after < prefix ? this->rows.lower_bound(prefix)
+                              : this->rows.upper_bound(after);
+    for (; row != this->rows.end() && row->first.starts_with(prefix) &&
+           found.size() < limit;
+         ++row)
+      found.push_back({ { "key", row->first },
+                        { "version", row->second.version },
+                        { "value", row->second.value } });
+    this->count("scans");
+    this->count("scanned_rows", found.size());
+    return answer(200, { { "rows", found } });
+  }
+
+  void commit(const json& body, const HttpServer::Respond& respond)
+  {
+    if (this->over("writes_per_s", this->window_writes, 1))
+      return respond(this->refuse(429));
+    if (this->take("delay_next")) {
+      // The commit is still on its way when its sender has lost the connection.
+      this->later(this->faults["delay_ms"],
+                  [this, body] { this->apply(body); });
+      return respond({ gateway::CLOSE_CONNECTION, "", "", {} });
+    }
+    HttpResponse result = this->apply(body);
+    std::uint64_t every = this->faults["drop_every"];
+    bool drop_this = every > 0 && ++this->since_drop % every == 0;
+    if (this->take("drop_next") || drop_this) {
+      this->count("dropped_answers");
+      result.status = gateway::CLOSE_CONNECTION;
+    }
+    respond(std::move(result));
+  }
+
+  bool take(const char* fault)
+  {
+    std::uint64_t left = this->faults[fault];
+    if (left > 0)
+      this->faults[fault] = left - 1;
+    return left > 0;
+  }
+
+  HttpResponse apply(const json& body)
+  {
+    for (const json& check : body.at("checks")) {
+      auto row = this->rows.find(check.at("key"));
+      std::uint64_t version = row == this->rows.end() ? 0 : row->second.version;
+      if (version == check.at("version").get<std::uint64_t>())
+        continue;
+      this->count("conflicts");
+      return answer(409, { { "key", check["key"] }, { "version", version } });
+    }
+    json versions = json::array();
+    for (const json& write : body.at("writes")) {
+      if (write.at("value").is_null()) {
+        this->rows.erase(write.at("key").get<std::string>());
+        versions.push_back(0);
+        continue;
+      }
+      this->rows[write.at("key")] = { ++this->last_version, write["value"] };
+      versions.push_back(this->last_version);
+    }
+    this->count("commits");
+    this->count("writes", body["writes"].size());
+    return answer(200, { { "versions", versions } });
+  }
+
+  HttpResponse object(const HttpRequest& request)
+  {
+    std::string key = request.path.substr(OBJECTS_PREFIX.size());
+    if (request.method == "PUT") {
+      this->count("object_writes");
+      this->objects[key] = request.body;
+      return answer(200, json::object());
+    }
+    this->count("object_reads");
+    auto found = this->objects.find(key);
+    if (found == this->objects.end())
+      return answer(404, { { "error", "no such object" } });
+    return { 200, "application/octet-stream", found->second, {} };
+  }
+
+  kernel::TimerService timers;
+  HttpServer server;
+  kernel::Subscription window;
+  std::map<std::uint64_t, kernel::Subscription> pending;
+  std::uint64_t last_timer = 0;
+  std::vector<HttpServer::Respond> unanswered;
+  std::map<std::string, StoredRow> rows;
+  std::map<std::string, std::string> objects;
+  // One sequence for all rows, so that a row made anew never has an old
+  // version.
+  std::uint64_t last_version = 0;
+  std::uint64_t since_drop = 0;
+  std::uint64_t window_reads = 0;
+  std::uint64_t window_writes = 0;
+  json faults = { { "down", 0 },        { "silent", 0 },
+                  { "slow_ms", 0 },     { "drop_next", 0 },
+                  { "drop_every", 0 },  { "delay_next", 0 },
+                  { "delay_ms", 0 },    { "reads_per_s", 0 },
+                  { "writes_per_s", 0 } };
+  json counters = { { "reads", 0 },           { "scans", 0 },
+                    { "scanned_rows", 0 },    { "commits", 0 },
+                    { "writes", 0 },          { "conflicts", 0 },
+                    { "dropped_answers", 0 }, { "refused", 0 },
+                    { "object_reads", 0 },    { "object_writes", 0 } };
+};
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  if (argc != 3 || std::string(argv[1]) != "--listen") {
+    fmt::print(stderr, "usage: platform_standin --listen HOST:PORT\n");
+    return 2;
+  }
+  kernel::Loop loop;
+  PlatformStandin standin(loop, argv[2]);
+  if (!standin.listen()) {
+    fmt::print(stderr, "can't listen on {}\n", argv[2]);
+    return 1;
+  }
+  fmt::print("port {}\n", standin.port());
+  std::fflush(stdout);
+  kernel::Subscription end =
+    loop.watch_signal(SIGTERM, [&loop] { loop.stop(); });
+  loop.run();
+  return 0;
+}
