--- /dev/null
+++ b/core/admit.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "core/cell.h"
+#include "core/guarantee.h"
+
+#include <cstdint>
+#include <span>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace geraniumhinge::core {
+
+/// VMs of each cell that may be lost without breaking a guarantee.
+struct Spare
+{
+  std::uint32_t servers = 1;
+};
+
+/// The guarantee that does not pack together with the others.
+struct AdmitError
+{
+  std::uint32_t guarantee = 0; ///< Index into the guarantees given.
+  NameId organisation = 0;
+  Shape shape;
+};
+
+/// Assigns a home zone to every guaranteed shape, or to every member of an
+/// `Any` shape, such that all pack at the same time with the spare withheld
+/// from each cell. Allocations are ignored, and all servers that are not lost
+/// count. Homes already given are kept when they pack, otherwise all are
+/// assigned anew.
+tl::expected<std::vector<Guarantee>, AdmitError>
+admit_guarantees(std::span<const Cell* const> fleet,
+                 std::span<const Guarantee> guarantees,
+                 const Spare& spare);
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/estimate.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "core/names.h"
+#include "core/shape.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace geraniumhinge::core {
+
+/// Run time and size of one member of a job.
+struct JobSize
+{
+  std::int64_t run_ms = 0; ///< 0 if not declared.
+  std::uint32_t cores = 0;
+  std::uint32_t memory_mb = 0;
+};
+
+/// Corrects declared sizes and run times by organisation and job class from
+/// usage that arrives with a lag. Declarations are off by up to ten times.
+class Estimator
+{
+public:
+  /// Records a finished job.
+  void observe_run(NameId organisation,
+                   const std::string& job_class,
+                   std::int64_t declared_ms,
+                   std::int64_t actual_ms);
+  /// Records the usage of a running job's member.
+  void observe_usage(NameId organisation,
+                     const std::string& job_class,
+                     const JobSize& declared,
+                     const JobSize& used);
+
+  /// Corrected sizes. Cores and memory are never below the declared ones:
+  /// they are limits that the caller relies on.
+  JobSize estimate(NameId organisation,
+                   const std::string& job_class,
+                   const JobSize& declared) const;
+
+  /// Expected whole run time of a job that has run for `elapsed_ms`: doubled
+  /// as long as the job outlives its estimate.
+  static std::int64_t outlived(std::int64_t estimate_ms,
+                               std::int64_t elapsed_ms);
+
+private:
+  struct History
+  {
+    std::vector<double> run_ms; // Latest actual run times.
+    std::vector<double> ratios; // Actual over declared run time.
+    double cores_ratio = 0;     // Used over declared, highest recent.
+    double memory_ratio = 0;
+    std::size_t next = 0;
+  };
+  std::map<std::pair<NameId, std::string>, History> histories;
+};
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/fragmentation.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "core/place.h"
+#include "core/shape.h"
+
+#include <cstdint>
+#include <span>
+
+namespace geraniumhinge::core {
+
+struct Fragmentation
+{
+  std::uint32_t free_accelerators = 0;
+  /// Free accelerators that cannot serve a shape, averaged over the shapes by
+  /// their weight.
+  double unservable = 0;
+
+  double share() const
+  {
+    return this->free_accelerators == 0
+             ? 0.0
+             : this->unservable / this->free_accelerators;
+  }
+};
+
+/// Share of free accelerators on ready servers that cannot serve the given
+/// guaranteed and recently requested shapes. An accelerator serves a shape if
+/// it is part of a largest set of whole shapes that fits its server, rack or
+/// zone.
+Fragmentation
+fragmentation(std::span<const CellState> cells,
+              std::span<const WeightedShape> shapes);
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/quarantine.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/names.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace geraniumhinge::core {
+
+struct QuarantineLimits
+{
+  /// Different jobs that must fail on a server before it is quarantined.
+  std::uint32_t jobs_per_server = 3;
+  /// Different servers that a job must fail on before it is stopped.
+  std::uint32_t servers_per_job = 3;
+  /// Failures older than this are forgotten.
+  std::int64_t memory_ms = 3'600'000;
+  /// First quarantine of a server; doubles at each failed probe.
+  std::int64_t first_quarantine_ms = 60'000;
+  std::int64_t longest_quarantine_ms = 3'600'000;
+};
+
+enum class ServerTrust : std::uint8_t
+{
+  Trusted,
+  Quarantined,
+  Probing, ///< One job may be tried; its result decides.
+};
+
+/// Tells faulty servers from faulty jobs: failures count against a server
+/// only across several jobs, and against a job only across several servers.
+class FailureTracker
+{
+public:
+  explicit FailureTracker(const QuarantineLimits& limits);
+
+  void failed(NameId server, const std::string& job, std::int64_t now_ms);
+  void succeeded(NameId server, const std::string& job, std::int64_t now_ms);
+
+  ServerTrust server_trust(NameId server, std::int64_t now_ms) const;
+  /// Whether the job failed on enough servers to be given up.
+  bool job_is_faulty(const std::string& job, std::int64_t now_ms) const;
+  /// Drops what is older than the memory of the limits.
+  void expire(std::int64_t now_ms);
+
+private:
+  struct Failure
+  {
+    NameId server = 0;
+    std::string job;
+    std::int64_t at_ms = 0;
+  };
+  struct Quarantine
+  {
+    std::int64_t until_ms = 0;
+    std::int64_t length_ms = 0;
+  };
+  bool suspicious(NameId server, std::int64_t now_ms) const;
+
+  QuarantineLimits limits;
+  std::vector<Failure> failures;
+  std::unordered_map<NameId, Quarantine> quarantines;
+};
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/shape.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <string_view>
+
+namespace geraniumhinge::core {
+
+/// How close the members of a shape must be to each other, closest first.
+enum class Adjacency : std::uint8_t
+{
+  Server,
+  Rack,
+  Zone,
+  Any,
+};
+inline constexpr std::array<std::string_view, 4> ADJACENCY_NAMES = { "server",
+                                                                     "rack",
+                                                                     "zone",
+                                                                     "any" };
+
+/// Limits of the schema.
+inline constexpr std::uint32_t MAX_MEMBERS = 128;
+inline constexpr std::uint32_t MAX_ACCELERATORS = 64; // Per server.
+
+/// Resources of a job or a guarantee. All amounts are for one member; each
+/// member also takes one slot.
+struct Shape
+{
+  std::uint32_t members = 1;
+  std::uint32_t accelerators = 0;
+  std::uint32_t cores = 0;
+  std::uint32_t memory_mb = 0;
+  Adjacency adjacency = Adjacency::Any;
+
+  friend auto operator<=>(const Shape&, const Shape&) = default;
+};
+
+inline std::uint32_t
+total_accelerators(const Shape& shape)
+{
+  return shape.members * shape.accelerators;
+}
+
+/// Whether a job of shape `wanted` can run on one guaranteed shape `held`.
+bool
+covers(const Shape& held, const Shape& wanted);
+
+/// A shape with its weight among the guaranteed and recently requested ones.
+struct WeightedShape
+{
+  Shape shape;
+  double weight = 1.0;
+};
+
+} // namespace geraniumhinge::core
