Add the entry's settings, membership, fleet view and cell rows

The entry program needs its view of entries, backend servers and cells before it can place anything. Cell updates of one zone are queued inside a process, so that version conflicts arise only between entries. Heartbeats never write rows: the registrar commits only changes of members, batched.

--- /dev/null
+++ b/entry/events.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "kernel/event.h"
+
+namespace geraniumhinge::entry {
+
+using kernel::EventInfo;
+using kernel::Severity;
+
+inline constexpr EventInfo ENTRY_READY{
+  600,
+  Severity::Info,
+  "entry_ready",
+  "The entry has read the store and accepts calls.",
+  "None."
+};
+inline constexpr EventInfo ENTRY_DRAINING{
+  601,
+  Severity::Info,
+  "entry_draining",
+  "The entry got SIGTERM, is unready and finishes its work in flight.",
+  "None."
+};
+inline constexpr EventInfo ENTRY_LISTEN_FAILED{
+  602,
+  Severity::Error,
+  "entry_listen_failed",
+  "A listen address can't be used.",
+  "Check that the address belongs to this VM and that its port is free."
+};
+inline constexpr EventInfo ENTRY_DOWN{
+  603,
+  Severity::Warning,
+  "entry_down",
+  "An entry has sent no heartbeat within the limit.",
+  "Check the VM of the entry if it was not replaced on purpose."
+};
+inline constexpr EventInfo ENTRY_LIVE{ 604,
+                                       Severity::Info,
+                                       "entry_live",
+                                       "An entry has joined or is heard again.",
+                                       "None." };
+inline constexpr EventInfo SERVER_REGISTERED{
+  605,
+  Severity::Info,
+  "server_registered",
+  "Changes of backend servers were committed to the row of their cell.",
+  "None."
+};
+inline constexpr EventInfo SERVER_LOST{
+  606,
+  Severity::Warning,
+  "server_lost",
+  "A backend server has been silent for the limit.",
+  "Check the VM of the backend server."
+};
+inline constexpr EventInfo STORE_UNAVAILABLE{
+  607,
+  Severity::Warning,
+  "store_unavailable",
+  "The table service did not answer; the step is tried again.",
+  "Check the table service if this persists."
+};
+inline constexpr EventInfo JOB_ACCEPTED{ 608,
+                                         Severity::Info,
+                                         "job_accepted",
+                                         "A job was recorded.",
+                                         "None." };
+inline constexpr EventInfo JOB_STARTED{
+  609,
+  Severity::Info,
+  "job_started",
+  "Every member of a generation of a job has its start message.",
+  "None."
+};
+inline constexpr EventInfo JOB_STOPPING{
+  610,
+  Severity::Info,
+  "job_stopping",
+  "The members of a generation are being stopped.",
+  "Check the backend servers if the purpose is a lost member."
+};
+inline constexpr EventInfo JOB_DONE{ 611,
+                                     Severity::Info,
+                                     "job_done",
+                                     "A job has its final outcome.",
+                                     "None." };
+inline constexpr EventInfo JOB_TAKEN_OVER{
+  612,
+  Severity::Info,
+  "job_taken_over",
+  "This entry drives a job that another entry accepted.",
+  "None."
+};
+inline constexpr EventInfo COMMIT_CONFLICT{
+  613,
+  Severity::Debug,
+  "commit_conflict",
+  "Another entry changed a row first; the step is decided again.",
+  "None."
+};
+inline constexpr EventInfo LEASE_LAPSE_ASSUMED{
+  614,
+  Severity::Warning,
+  "lease_lapse_assumed",
+  "A member that could not be reached counts as stopped because its lease has "
+  "expired.",
+  "Check the VM of the backend server."
+};
+inline constexpr EventInfo RECLAIM_STARTED{
+  615,
+  Severity::Info,
+  "reclaim_started",
+  "A job is stopped so that a guarantee can be served.",
+  "None."
+};
+inline constexpr EventInfo ANSWER_NOT_RECORDED{
+  616,
+  Severity::Warning,
+  "answer_not_recorded",
+  "The answer of a non-idempotent request could not be recorded yet.",
+  "Check the table service."
+};
+inline constexpr EventInfo ROW_MALFORMED{
+  617,
+  Severity::Error,
+  "row_malformed",
+  "A row of the table service can't be parsed and is left alone.",
+  "Check which program version wrote the row."
+};
+inline constexpr EventInfo GUARANTEE_BROKEN{
+  618,
+  Severity::Error,
+  "guarantee_broken",
+  "The unused guarantees of a cell no longer pack.",
+  "Replace lost VMs or lower the guarantees named in the event."
+};
+
+inline constexpr EventInfo ENTRY_EVENTS[] = {
+  ENTRY_READY,      ENTRY_DRAINING,      ENTRY_LISTEN_FAILED,
+  ENTRY_DOWN,       ENTRY_LIVE,          SERVER_REGISTERED,
+  SERVER_LOST,      STORE_UNAVAILABLE,   JOB_ACCEPTED,
+  JOB_STARTED,      JOB_STOPPING,        JOB_DONE,
+  JOB_TAKEN_OVER,   COMMIT_CONFLICT,     LEASE_LAPSE_ASSUMED,
+  RECLAIM_STARTED,  ANSWER_NOT_RECORDED, ROW_MALFORMED,
+  GUARANTEE_BROKEN,
+};
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/membership.cpp
@@ -0,0 +1,432 @@
+#include "entry/membership.h"
+
+#include "entry/events.h"
+#include "entry/ranking.h"
+#include "entry/rows.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+constexpr std::size_t MAX_ENTRIES = 1000;
+constexpr std::size_t HEARTBEAT_TARGETS = 3;
+// Finds silence within 5% of the limit of 1 s.
+constexpr kernel::Milliseconds SILENCE_CHECK{ 50 };
+
+} // namespace
+
+Membership::Membership(kernel::Loop& loop,
+                       kernel::TimerService& timers,
+                       const kernel::Log& log,
+                       platform::Table& table,
+                       Transport transport,
+                       const EntrySettings& settings,
+                       v1::EntryRow self)
+  : Task(loop, "membership")
+  , timers(timers)
+  , log(log)
+  , table(table)
+  , transport(std::move(transport))
+  , settings(settings)
+  , own(std::move(self))
+{
+}
+
+void
+Membership::start(std::function<void()> joined)
+{
+  this->table.scan(
+    ENTRY_PREFIX,
+    "",
+    MAX_ENTRIES,
+    this->guarded([this, joined](platform::Table::ReadResult result) {
+      if (!result) {
+        this->retry_start(joined);
+        return;
+      }
+      this->apply_rows(*result);
+      this->write_own_row(joined);
+    }));
+}
+
+void
+Membership::retry_start(std::function<void()> joined)
+{
+  this->log.write(STORE_UNAVAILABLE, { { "step", "write_entry_row" } });
+  this->retry_timer = this->timers.after(
+    this->settings.store_retry,
+    [this, joined = std::move(joined)] { this->start(joined); });
+}
+
+void
+Membership::write_own_row(std::function<void()> joined)
+{
+  platform::Transaction transaction;
+  transaction.checks.push_back(
+    { entry_key(this->own.name()), this->own_version });
+  transaction.writes.push_back(
+    write_row(entry_key(this->own.name()), this->own));
+  this->table.commit(
+    std::move(transaction),
+    this->guarded([this, joined](platform::Table::CommitResult result) {
+      if (!result) {
+        this->retry_start(joined);
+        return;
+      }
+      this->own_version = result->front();
+      this->heartbeat_timer = this->timers.every(
+        this->settings.heartbeat, [this] { this->send_heartbeats(); });
+      this->silence_timer =
+        this->timers.every(SILENCE_CHECK, [this] { this->tick(); });
+      this->poll_timer =
+        this->timers.every(this->settings.entry_poll, [this] { this->poll(); });
+      this->heartbeat_all();
+      joined();
+    }));
+}
+
+void
+Membership::poll()
+{
+  if (this->polling)
+    return;
+  this->polling = true;
+  this->table.scan(ENTRY_PREFIX,
+                   "",
+                   MAX_ENTRIES,
+                   this->guarded([this](platform::Table::ReadResult result) {
+                     this->polling = false;
+                     if (!result)
+                       return;
+                     this->apply_rows(*result);
+                     // Another entry deletes the row of one that was paused for
+                     // long.
+                     if (this->own_version == 0)
+                       this->write_own_row([] {});
+                     // Entries that wrongly removed this one hear it again.
+                     this->heartbeat_all();
+                     this->delete_old_rows(kernel::boot_ms());
+                   }));
+}
+
+void
+Membership::apply_rows(const std::vector<platform::Row>& rows)
+{
+  std::int64_t now = kernel::boot_ms();
+  std::vector<std::string> gone;
+  for (const auto& [name, peer] : this->others) {
+    bool present =
+      std::any_of(rows.begin(), rows.end(), [&](const platform::Row& row) {
+        return row.key == entry_key(name);
+      });
+    if (!present)
+      gone.push_back(name);
+  }
+  for (const std::string& name : gone)
+    this->others.erase(name);
+  this->own_version = 0;
+  for (const platform::Row& row : rows)
+    this->apply_row(row, now);
+  this->changed();
+}
+
+void
+Membership::apply_row(const platform::Row& row, std::int64_t now)
+{
+  std::optional<v1::EntryRow> parsed = parse_row<v1::EntryRow>(row);
+  if (!parsed) {
+    this->log.write(ROW_MALFORMED, { { "key", row.key } });
+    return;
+  }
+  if (parsed->name() == this->own.name()) {
+    this->own_version = row.version;
+    return;
+  }
+  PeerEntry& peer = this->others[parsed->name()];
+  bool same = peer.row.incarnation() == parsed->incarnation();
+  peer.version = row.version;
+  if (same)
+    return;
+  peer = PeerEntry{};
+  peer.version = row.version;
+  peer.row = *parsed;
+  peer.heard_ms = now;
+  this->log.write(ENTRY_LIVE, { { "entry", parsed->name() } });
+}
+
+std::vector<std::string>
+Membership::successors(const std::string& name) const
+{
+  std::vector<std::string> names;
+  if (name != this->own.name())
+    names.push_back(this->own.name());
+  for (const auto& [other, peer] : this->others) {
+    if (other != name && peer.live)
+      names.push_back(other);
+  }
+  std::vector<std::string> order = ranked(name, names);
+  if (order.size() > HEARTBEAT_TARGETS)
+    order.resize(HEARTBEAT_TARGETS);
+  return order;
+}
+
+void
+Membership::send_heartbeat(const std::string& address)
+{
+  v1::Envelope envelope;
+  envelope.mutable_entry_heartbeat()->set_ready(this->ready);
+  envelope.mutable_entry_heartbeat()->set_draining(this->draining);
+  this->transport.send(address, std::move(envelope));
+}
+
+void
+Membership::send_heartbeats()
+{
+  for (const std::string& name : this->successors(this->own.name()))
+    this->send_heartbeat(this->others.at(name).row.peer_address());
+}
+
+void
+Membership::heartbeat_all()
+{
+  for (const auto& [name, peer] : this->others)
+    this->send_heartbeat(peer.row.peer_address());
+}
+
+void
+Membership::update_expectations()
+{
+  std::int64_t now = kernel::boot_ms();
+  for (auto& [name, peer] : this->others) {
+    std::vector<std::string> targets = this->successors(name);
+    bool expected = peer.live && std::find(targets.begin(),
+                                           targets.end(),
+                                           this->own.name()) != targets.end();
+    if (expected && !peer.expected)
+      peer.heard_ms = std::max(peer.heard_ms, now);
+    peer.expected = expected;
+  }
+}
+
+void
+Membership::tick()
+{
+  this->check_silence(kernel::boot_ms());
+}
+
+void
+Membership::check_silence(std::int64_t now)
+{
+  std::vector<PeerEntry*> silent;
+  for (auto& [name, peer] : this->others) {
+    if (peer.live && peer.expected &&
+        now - peer.heard_ms >= this->settings.heartbeat_limit.count())
+      silent.push_back(&peer);
+  }
+  for (PeerEntry* peer : silent) {
+    v1::Envelope envelope;
+    envelope.mutable_entry_down()->set_entry(peer->row.name());
+    envelope.mutable_entry_down()->set_incarnation(peer->row.incarnation());
+    for (const auto& [name, other] : this->others)
+      this->transport.send(other.row.peer_address(), envelope);
+    this->mark_down(*peer);
+  }
+  if (!silent.empty())
+    this->changed();
+}
+
+void
+Membership::mark_down(PeerEntry& peer)
+{
+  peer.live = false;
+  peer.dead_ms = kernel::boot_ms();
+  this->log.write(ENTRY_DOWN, { { "entry", peer.row.name() } });
+}
+
+void
+Membership::handle(const v1::Envelope& envelope)
+{
+  if (envelope.has_entry_heartbeat())
+    this->on_heartbeat(envelope);
+  else if (envelope.has_entry_down())
+    this->on_down(envelope.entry_down());
+}
+
+void
+Membership::on_heartbeat(const v1::Envelope& envelope)
+{
+  std::map<std::string, PeerEntry>::iterator found =
+    this->others.find(envelope.sender());
+  bool known = found != this->others.end() &&
+               found->second.row.incarnation() == envelope.sender_incarnation();
+  if (!known) {
+    this->poll();
+    return;
+  }
+  PeerEntry& peer = found->second;
+  peer.heard_ms = kernel::boot_ms();
+  peer.ready = envelope.entry_heartbeat().ready();
+  bool was_draining = peer.draining;
+  bool was_live = peer.live;
+  peer.draining = envelope.entry_heartbeat().draining();
+  peer.live = true;
+  if (!was_live)
+    this->log.write(ENTRY_LIVE, { { "entry", peer.row.name() } });
+  if (!was_live || peer.draining != was_draining)
+    this->changed();
+}
+
+void
+Membership::on_down(const v1::EntryDown& down)
+{
+  if (down.entry() == this->own.name()) {
+    if (down.incarnation() == this->own.incarnation())
+      this->heartbeat_all();
+    return;
+  }
+  std::map<std::string, PeerEntry>::iterator found =
+    this->others.find(down.entry());
+  bool applies = found != this->others.end() && found->second.live &&
+                 found->second.row.incarnation() == down.incarnation();
+  if (!applies)
+    return;
+  this->mark_down(found->second);
+  this->changed();
+}
+
+bool
+Membership::deletes_rows() const
+{
+  std::vector<std::string> names = this->live_names();
+  return !names.empty() && names.front() == this->own.name();
+}
+
+void
+Membership::delete_old_rows(std::int64_t now)
+{
+  if (!this->deletes_rows())
+    return;
+  for (const auto& [name, peer] : this->others) {
+    bool old =
+      !peer.live && now - peer.dead_ms >= this->settings.dead_row_age.count();
+    if (!old)
+      continue;
+    platform::Transaction transaction;
+    transaction.checks.push_back({ entry_key(name), peer.version });
+    transaction.writes.push_back(delete_row(entry_key(name)));
+    this->table.commit(std::move(transaction),
+                       [](const platform::Table::CommitResult&) {});
+  }
+}
+
+void
+Membership::drain()
+{
+  this->draining = true;
+  this->ready = false;
+  this->heartbeat_all();
+  this->changed();
+}
+
+void
+Membership::leave(std::function<void()> done)
+{
+  this->heartbeat_timer.reset();
+  this->silence_timer.reset();
+  this->poll_timer.reset();
+  platform::Transaction transaction;
+  transaction.checks.push_back(
+    { entry_key(this->own.name()), this->own_version });
+  transaction.writes.push_back(delete_row(entry_key(this->own.name())));
+  this->table.commit(
+    std::move(transaction),
+    [done = std::move(done)](const platform::Table::CommitResult&) { done(); });
+}
+
+std::vector<std::string>
+Membership::live_names() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, peer] : this->others) {
+    if (peer.live && !peer.draining)
+      names.push_back(name);
+  }
+  if (!this->draining)
+    names.push_back(this->own.name());
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::vector<v1::EntryRow>
+Membership::live_rows() const
+{
+  std::vector<v1::EntryRow> rows;
+  for (const std::string& name : this->live_names()) {
+    if (name == this->own.name())
+      rows.push_back(this->own);
+    else
+      rows.push_back(this->others.at(name).row);
+  }
+  return rows;
+}
+
+const v1::EntryRow*
+Membership::find_live(const std::string& name) const
+{
+  if (name == this->own.name())
+    return &this->own;
+  std::map<std::string, PeerEntry>::const_iterator found =
+    this->others.find(name);
+  if (found == this->others.end() || !found->second.live)
+    return nullptr;
+  return &found->second.row;
+}
+
+bool
+Membership::is_live(const std::string& name, std::uint64_t incarnation) const
+{
+  const v1::EntryRow* row = this->find_live(name);
+  return row != nullptr && row->incarnation() == incarnation;
+}
+
+std::string
+Membership::preferred_entry(const std::string& zone) const
+{
+  return first_ranked(zone, this->live_names());
+}
+
+std::string
+Membership::driver_of(const std::string& job,
+                      const std::string& accepted_by) const
+{
+  std::vector<std::string> names = this->live_names();
+  if (std::find(names.begin(), names.end(), accepted_by) != names.end())
+    return accepted_by;
+  return first_ranked(job, names);
+}
+
+std::string
+Membership::backup_of(const std::string& job, const std::string& driver) const
+{
+  std::vector<std::string> names = this->live_names();
+  std::erase(names, driver);
+  return first_ranked(job, names);
+}
+
+void
+Membership::on_change(std::function<void()> fn)
+{
+  this->listeners.push_back(std::move(fn));
+}
+
+void
+Membership::changed()
+{
+  this->update_expectations();
+  for (const std::function<void()>& listener : this->listeners)
+    listener();
+}
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/membership.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "entry/settings.h"
+#include "entry/transport.h"
+#include "kernel/log.h"
+#include "kernel/task.h"
+#include "kernel/timer.h"
+#include "platform/table.h"
+
+#include "geraniumhinge/v1/state.pb.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace geraniumhinge::entry {
+
+/// Another entry as this one knows it.
+struct PeerEntry
+{
+  v1::EntryRow row;
+  std::uint64_t version = 0; ///< Of its row.
+  bool live = true;
+  bool ready = false;
+  bool draining = false;
+  bool expected = false;     ///< It sends its heartbeats to this entry.
+  std::int64_t heard_ms = 0; ///< Last heartbeat, or start of the expectation.
+  std::int64_t dead_ms = 0;
+};
+
+/// The entries: their rows, the heartbeats between them and the live set.
+/// Only soft ownership depends on it, so views may differ for a while.
+class Membership : public kernel::Task
+{
+public:
+  Membership(kernel::Loop& loop,
+             kernel::TimerService& timers,
+             const kernel::Log& log,
+             platform::Table& table,
+             Transport transport,
+             const EntrySettings& settings,
+             v1::EntryRow self);
+
+  /// Writes the own row and reads the others, tries until the store answers,
+  /// then starts the heartbeats.
+  void start(std::function<void()> joined);
+
+  /// Handles EntryHeartbeat and EntryDown.
+  void handle(const v1::Envelope& envelope);
+
+  /// Tells all entries that this one takes no new work.
+  void drain();
+  /// Deletes the own row.
+  void leave(std::function<void()> done);
+
+  void set_ready(bool ready) { this->ready = ready; }
+  bool is_draining() const { return this->draining; }
+
+  /// Names of the live entries that take work, in order.
+  std::vector<std::string> live_names() const;
+  /// Rows of the live entries that take work.
+  std::vector<v1::EntryRow> live_rows() const;
+  /// The row of a live entry, or null.
+  const v1::EntryRow* find_live(const std::string& name) const;
+  const v1::EntryRow& self() const { return this->own; }
+  const std::map<std::string, PeerEntry>& peers() const { return this->others; }
+
+  /// Whether a process that wrote `incarnation` into a row still lives.
+  bool is_live(const std::string& name, std::uint64_t incarnation) const;
+
+  /// The entry that handles a cell by preference.
+  std::string preferred_entry(const std::string& zone) const;
+  /// The entry that drives a job accepted by `accepted_by`.
+  std::string driver_of(const std::string& job,
+                        const std::string& accepted_by) const;
+  /// The entry that takes over if the driver of a job goes down, or empty.
+  std::string backup_of(const std::string& job,
+                        const std::string& driver) const;
+
+  /// Calls `fn` after the live set has changed.
+  void on_change(std::function<void()> fn);
+
+private:
+  void write_own_row(std::function<void()> joined);
+  void retry_start(std::function<void()> joined);
+  void poll();
+  void apply_rows(const std::vector<platform::Row>& rows);
+  void apply_row(const platform::Row& row, std::int64_t now);
+  void tick();
+  void send_heartbeats();
+  void heartbeat_all();
+  void send_heartbeat(const std::string& address);
+  void update_expectations();
+  void check_silence(std::int64_t now);
+  void mark_down(PeerEntry& peer);
+  void on_heartbeat(const v1::Envelope& envelope);
+  void on_down(const v1::EntryDown& down);
+  void delete_old_rows(std::int64_t now);
+  bool deletes_rows() const;
+  std::vector<std::string> successors(const std::string& name) const;
+  void changed();
+
+  kernel::TimerService& timers;
+  const kernel::Log& log;
+  platform::Table& table;
+  Transport transport;
+  const EntrySettings& settings;
+  v1::EntryRow own;
+  std::uint64_t own_version = 0;
+  bool ready = false;
+  bool draining = false;
+  bool polling = false;
+  std::map<std::string, PeerEntry> others;
+  std::vector<std::function<void()>> listeners;
+  kernel::Subscription heartbeat_timer;
+  kernel::Subscription silence_timer;
+  kernel::Subscription poll_timer;
+  kernel::Subscription retry_timer;
+};
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/ranking.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "core/route.h"
+
+#include <string>
+#include <vector>
+
+namespace geraniumhinge::entry {
+
+/// All names in the rendezvous order of `key`.
+inline std::vector<std::string>
+ranked(const std::string& key, const std::vector<std::string>& names)
+{
+  std::vector<std::string> order;
+  for (std::size_t index : core::rendezvous_order(key, names, names.size()))
+    order.push_back(names[index]);
+  return order;
+}
+
+/// The preferred name for `key`, or empty if there is none.
+inline std::string
+first_ranked(const std::string& key, const std::vector<std::string>& names)
+{
+  std::optional<std::size_t> index = core::rendezvous(key, names);
+  return index ? names[*index] : std::string();
+}
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/registrar.cpp
@@ -0,0 +1,206 @@
+#include "entry/registrar.h"
+
+#include "entry/events.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+constexpr kernel::Milliseconds SILENCE_CHECK{ 500 };
+
+v1::Member*
+find_member(v1::CellRow& row, const std::string& server)
+{
+  for (v1::Member& member : *row.mutable_members()) {
+    if (member.server() == server)
+      return &member;
+  }
+  return nullptr;
+}
+
+/// Puts the members into the row; false if it has them all already.
+bool
+merge(v1::CellRow& row, const std::map<std::string, v1::Member>& members)
+{
+  bool changed = false;
+  for (const auto& [server, member] : members) {
+    v1::Member* present = find_member(row, server);
+    if (present != nullptr &&
+        present->SerializeAsString() == member.SerializeAsString())
+      continue;
+    if (present == nullptr)
+      present = row.add_members();
+    *present = member;
+    changed = true;
+  }
+  return changed;
+}
+
+/// The member as its agent announced it, with the state to register.
+v1::Member
+announced(const ServerView& view)
+{
+  v1::Member member = view.member;
+  member.set_state(view.leaving ? v1::SERVER_STATE_LEAVING
+                                : v1::SERVER_STATE_READY);
+  return member;
+}
+
+} // namespace
+
+Registrar::Registrar(kernel::Loop& loop,
+                     kernel::TimerService& timers,
+                     const kernel::Log& log,
+                     const EntrySettings& settings,
+                     Membership& membership,
+                     Fleet& fleet,
+                     Cells& cells)
+  : Task(loop, "registrar")
+  , timers(timers)
+  , log(log)
+  , settings(settings)
+  , membership(membership)
+  , fleet(fleet)
+  , cells(cells)
+{
+}
+
+void
+Registrar::start()
+{
+  this->watching_since_ms = kernel::boot_ms();
+  this->fleet.on_announcement(
+    [this](const std::string& server) { this->check(server); });
+  this->membership.on_change([this] { this->check_all(); });
+  this->silence_timer =
+    this->timers.every(SILENCE_CHECK, [this] { this->check_silence(); });
+  this->check_all();
+}
+
+bool
+Registrar::owns(const std::string& zone) const
+{
+  return this->membership.preferred_entry(zone) ==
+         this->membership.self().name();
+}
+
+const v1::Member*
+Registrar::registered(const std::string& zone, const std::string& server) const
+{
+  CellMap::const_iterator cell = this->cells.all().find(zone);
+  if (cell == this->cells.all().end())
+    return nullptr;
+  for (const v1::Member& member : cell->second.row.members()) {
+    if (member.server() == server)
+      return &member;
+  }
+  return nullptr;
+}
+
+void
+Registrar::check(const std::string& server)
+{
+  const ServerView* view = this->fleet.find(server);
+  if (view == nullptr || view->heard_ms == 0 || this->watching_since_ms == 0)
+    return;
+  const v1::Member* present = this->registered(view->zone, server);
+  // A server that is marked lost but heard here is alive, whoever marked it.
+  bool wrongly_lost = present != nullptr &&
+                      present->state() == v1::SERVER_STATE_LOST &&
+                      present->incarnation() == view->member.incarnation();
+  if (!this->owns(view->zone) && !wrongly_lost)
+    return;
+  v1::Member member = announced(*view);
+  bool same = present != nullptr &&
+              present->SerializeAsString() == member.SerializeAsString();
+  if (!same)
+    this->queue(view->zone, std::move(member));
+}
+
+void
+Registrar::check_all()
+{
+  std::int64_t oldest =
+    kernel::boot_ms() - this->settings.server_silence.count();
+  for (const auto& [server, view] : this->fleet.servers()) {
+    if (view.heard_ms > oldest)
+      this->check(server);
+  }
+}
+
+void
+Registrar::check_silence()
+{
+  std::int64_t now = kernel::boot_ms();
+  for (const auto& [zone, cell] : this->cells.all()) {
+    if (!this->owns(zone)) {
+      this->owned_since_ms.erase(zone);
+      continue;
+    }
+    std::int64_t since = this->owned_since_ms.emplace(zone, now).first->second;
+    for (const v1::Member& member : cell.row.members()) {
+      const ServerView* view = this->fleet.find(member.server());
+      std::int64_t heard = view == nullptr ? 0 : view->heard_ms;
+      bool silent =
+        now - std::max(heard, since) >= this->settings.server_silence.count();
+      if (!silent || member.state() == v1::SERVER_STATE_LOST)
+        continue;
+      v1::Member lost = member;
+      lost.set_state(v1::SERVER_STATE_LOST);
+      this->log.write(SERVER_LOST, { { "server", member.server() } });
+      this->queue(zone, std::move(lost));
+    }
+  }
+}
+
+void
+Registrar::queue(const std::string& zone, v1::Member member)
+{
+  std::string server = member.server();
+  this->pending[zone][server] = std::move(member);
+  if (!this->batch_timer.active())
+    this->batch_timer = this->timers.after(this->settings.registration_batch,
+                                           [this] { this->flush(); });
+}
+
+void
+Registrar::flush()
+{
+  this->batch_timer.reset();
+  std::vector<std::string> zones;
+  for (const auto& [zone, members] : this->pending)
+    zones.push_back(zone);
+  for (const std::string& zone : zones) {
+    if (!this->committing.contains(zone))
+      this->commit(zone);
+  }
+}
+
+void
+Registrar::commit(const std::string& zone)
+{
+  std::map<std::string, v1::Member> members = std::move(this->pending[zone]);
+  this->pending.erase(zone);
+  this->committing.insert(zone);
+  std::size_t count = members.size();
+  CellUpdate update;
+  update.zones = { zone };
+  update.change = [zone, members = std::move(members)](CellMap& cells) {
+    return merge(cells.at(zone).row, members);
+  };
+  this->cells.update(
+    std::move(update),
+    this->guarded([this, zone, count](Cells::UpdateResult result) {
+      this->committing.erase(zone);
+      if (result)
+        this->log.write(SERVER_REGISTERED,
+                        { { "zone", zone }, { "servers", count } });
+      // After a failure the next heartbeat or silence check tries again.
+      if (!this->pending.empty())
+        this->flush();
+    }));
+}
+
+} // namespace geraniumhinge::entry
