Add the driver, scheduler and takeover of jobs

A job needs one state machine whose every step is a compare-and-set on its row, so that a second driver is refused by the table and a takeover needs no wait. Asking the old driver first was ruled out: it may be paused. Stops of any origin go through one batched task that changes rows and notifies the driver, so that a burst of cancellations is one transaction.

--- /dev/null
+++ b/entry/allocations.cpp
@@ -0,0 +1,156 @@
+#include "entry/allocations.h"
+
+#include "core/witness.h"
+#include "entry/convert.h"
+
+#include <algorithm>
+#include <set>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+const v1::Member*
+find_ready(const v1::CellRow& row, const v1::MemberPlacement& placement)
+{
+  for (const v1::Member& member : row.members()) {
+    bool same = member.server() == placement.server() &&
+                member.incarnation() == placement.incarnation();
+    if (same && member.state() == v1::SERVER_STATE_READY)
+      return &member;
+  }
+  return nullptr;
+}
+
+struct Used
+{
+  std::uint64_t accelerators = 0;
+  std::uint32_t slots = 0;
+  std::uint32_t cores = 0;
+  std::uint32_t memory_mb = 0;
+};
+
+Used
+used_on(const v1::CellRow& row, const std::string& server)
+{
+  Used used;
+  for (const v1::Allocation& allocation : row.allocations()) {
+    if (allocation.server() != server)
+      continue;
+    used.accelerators |= allocation.accelerators();
+    ++used.slots;
+    used.cores += allocation.cores();
+    used.memory_mb += allocation.memory_mb();
+  }
+  return used;
+}
+
+bool
+fits(const v1::Member& server,
+     const Used& used,
+     const v1::MemberPlacement& placement,
+     const v1::Shape& shape)
+{
+  std::uint64_t installed = core::accelerator_mask(server.accelerators());
+  bool accelerators_free =
+    (placement.accelerators() & used.accelerators) == 0 &&
+    (placement.accelerators() & ~installed) == 0;
+  return accelerators_free && used.slots < server.slots() &&
+         used.cores + shape.cores() <= server.cores() &&
+         used.memory_mb + shape.memory_mb() <= server.memory_mb();
+}
+
+v1::Allocation
+make_allocation(const v1::JobRow& job, int member, bool guaranteed)
+{
+  const v1::MemberPlacement& placement = job.members(member);
+  const v1::Shape& shape = job.job().spec().shape();
+  v1::Allocation allocation;
+  allocation.set_job(job.job().id());
+  allocation.set_generation(job.job().generation());
+  allocation.set_member(member);
+  allocation.set_server(placement.server());
+  allocation.set_accelerators(placement.accelerators());
+  allocation.set_cores(shape.cores());
+  allocation.set_memory_mb(shape.memory_mb());
+  allocation.set_organisation(job.job().organisation());
+  allocation.set_preemptible(!guaranteed);
+  allocation.set_guaranteed(guaranteed);
+  allocation.set_started_ms(job.job().started_ms());
+  return allocation;
+}
+
+bool
+add_member(CellMap& cells, const v1::JobRow& job, int index, bool guaranteed)
+{
+  const v1::MemberPlacement& placement = job.members(index);
+  v1::CellRow& row = cells.at(placement.zone()).row;
+  const v1::Member* server = find_ready(row, placement);
+  if (server == nullptr)
+    return false;
+  Used used = used_on(row, placement.server());
+  if (!fits(*server, used, placement, job.job().spec().shape()))
+    return false;
+  *row.add_allocations() = make_allocation(job, index, guaranteed);
+  return true;
+}
+
+bool
+never_withheld(const std::string&)
+{
+  return false;
+}
+
+} // namespace
+
+bool
+witness_holds(const v1::CellRow& row, const v1::Configuration& configuration)
+{
+  core::Names names;
+  core::Cell cell = to_core(names, row, never_withheld);
+  std::vector<core::Guarantee> guarantees = to_core(names, configuration);
+  std::vector<core::HomedGuarantee> homed =
+    core::homed_in(cell.zone, guarantees);
+  return core::find_witness(cell, homed).has_value();
+}
+
+bool
+add_allocations(CellMap& cells,
+                const v1::JobRow& job,
+                bool guaranteed,
+                const v1::Configuration& configuration)
+{
+  for (int index = 0; index < job.members_size(); ++index) {
+    if (!add_member(cells, job, index, guaranteed))
+      return false;
+  }
+  return std::all_of(cells.begin(), cells.end(), [&](const auto& cell) {
+    return witness_holds(cell.second.row, configuration);
+  });
+}
+
+void
+remove_allocations(CellMap& cells, const std::string& job)
+{
+  for (auto& [zone, view] : cells) {
+    google::protobuf::RepeatedPtrField<v1::Allocation>* allocations =
+      view.row.mutable_allocations();
+    allocations->erase(
+      std::remove_if(
+        allocations->begin(),
+        allocations->end(),
+        [&](const v1::Allocation& row) { return row.job() == job; }),
+      allocations->end());
+  }
+}
+
+std::vector<std::string>
+zones_of(const v1::JobRow& job)
+{
+  std::set<std::string> zones;
+  for (const v1::MemberPlacement& member : job.members())
+    zones.insert(member.zone());
+  return { zones.begin(), zones.end() };
+}
+
+} // namespace geraniumhinge::entry
--- a/entry/cells.cpp
+++ b/entry/cells.cpp
@@ -75,7 +75,7 @@
 }
 
 void
-Cells::refresh(std::function<void(bool)> done)
+Cells::refresh(const std::function<void(bool)>& done)
 {
   this->table.scan(
     CELL_PREFIX,
@@ -201,9 +201,9 @@
   this->table.commit(
     std::move(transaction),
     this->guarded([this, pending, changed = std::move(changed)](
-                    platform::Table::CommitResult result) mutable {
+                    const platform::Table::CommitResult& result) {
       if (result)
-        this->committed(pending, std::move(changed), *result);
+        this->committed(pending, changed, *result);
       else
         this->failed(pending, result.error());
     }));
@@ -211,16 +211,16 @@
 
 void
 Cells::committed(const PendingPtr& pending,
-                 CellMap changed,
+                 const CellMap& changed,
                  const std::vector<std::uint64_t>& versions)
 {
   std::size_t rest = pending->update.rest.writes.size();
   std::size_t index = rest;
-  for (auto& [zone, view] : changed) {
-    view.version = versions[index++];
+  for (const auto& [zone, view] : changed) {
+    std::uint64_t version = versions[index++];
     CellView& own = this->cells[zone];
-    if (own.version < view.version)
-      own = std::move(view);
+    if (own.version < version)
+      own = CellView{ view.row, version };
   }
   this->metrics.counter("entry_cell_commits_total").add();
   this->finish(pending,
@@ -269,11 +269,11 @@
 }
 
 void
-Cells::finish(const PendingPtr& pending, UpdateResult result)
+Cells::finish(const PendingPtr& pending, const UpdateResult& result)
 {
   for (const std::string& zone : pending->update.zones)
     this->busy.erase(zone);
-  pending->done(std::move(result));
+  pending->done(result);
   this->run_queue();
 }
 
--- a/entry/cells.h
+++ b/entry/cells.h
@@ -61,7 +61,7 @@
 public:
   /// New versions of the rows written by `CellUpdate::rest`, in order.
   using UpdateResult = tl::expected<std::vector<std::uint64_t>, UpdateError>;
-  using UpdateDone = std::function<void(UpdateResult)>;
+  using UpdateDone = std::function<void(const UpdateResult&)>;
 
   Cells(kernel::Loop& loop,
         kernel::TimerService& timers,
@@ -76,7 +76,7 @@
   const CellMap& all() const { return this->cells; }
 
   /// Reads all cells anew; calls back with whether the store answered.
-  void refresh(std::function<void(bool)> done);
+  void refresh(const std::function<void(bool)>& done);
 
   /// Commits a change. Updates of one zone are queued in this process, so that
   /// they conflict only with other entries.
@@ -102,11 +102,11 @@
   void attempt(const PendingPtr& pending);
   void commit(const PendingPtr& pending, CellMap changed);
   void committed(const PendingPtr& pending,
-                 CellMap changed,
+                 const CellMap& changed,
                  const std::vector<std::uint64_t>& versions);
   void failed(const PendingPtr& pending, const platform::TableError& error);
   void reread(const PendingPtr& pending);
-  void finish(const PendingPtr& pending, UpdateResult result);
+  void finish(const PendingPtr& pending, const UpdateResult& result);
   void changed() const;
 
   kernel::TimerService& timers;
--- a/entry/membership.cpp
+++ b/entry/membership.cpp
@@ -5,6 +5,7 @@
 #include "entry/rows.h"
 
 #include <algorithm>
+#include <set>
 
 namespace geraniumhinge::entry {
 
@@ -35,7 +36,7 @@
 }
 
 void
-Membership::start(std::function<void()> joined)
+Membership::start(const std::function<void()>& joined)
 {
   this->table.scan(
     ENTRY_PREFIX,
@@ -52,16 +53,16 @@
 }
 
 void
-Membership::retry_start(std::function<void()> joined)
+Membership::retry_start(const std::function<void()>& joined)
 {
   this->log.write(STORE_UNAVAILABLE, { { "step", "write_entry_row" } });
   this->retry_timer = this->timers.after(
     this->settings.store_retry,
-    [this, joined = std::move(joined)] { this->start(joined); });
+    [this, joined] { this->start(joined); });
 }
 
 void
-Membership::write_own_row(std::function<void()> joined)
+Membership::write_own_row(const std::function<void()>& joined)
 {
   platform::Transaction transaction;
   transaction.checks.push_back(
@@ -116,12 +117,11 @@
 {
   std::int64_t now = kernel::boot_ms();
   std::vector<std::string> gone;
+  std::set<std::string> present;
+  for (const platform::Row& row : rows)
+    present.insert(row.key);
   for (const auto& [name, peer] : this->others) {
-    bool present =
-      std::any_of(rows.begin(), rows.end(), [&](const platform::Row& row) {
-        return row.key == entry_key(name);
-      });
-    if (!present)
+    if (!present.contains(entry_key(name)))
       gone.push_back(name);
   }
   for (const std::string& name : gone)
--- a/entry/membership.h
+++ b/entry/membership.h
@@ -44,7 +44,7 @@
 
   /// Writes the own row and reads the others, tries until the store answers,
   /// then starts the heartbeats.
-  void start(std::function<void()> joined);
+  void start(const std::function<void()>& joined);
 
   /// Handles EntryHeartbeat and EntryDown.
   void handle(const v1::Envelope& envelope);
@@ -82,8 +82,8 @@
   void on_change(std::function<void()> fn);
 
 private:
-  void write_own_row(std::function<void()> joined);
-  void retry_start(std::function<void()> joined);
+  void write_own_row(const std::function<void()>& joined);
+  void retry_start(const std::function<void()>& joined);
   void poll();
   void apply_rows(const std::vector<platform::Row>& rows);
   void apply_row(const platform::Row& row, std::int64_t now);
--- a/entry/registrar.cpp
+++ b/entry/registrar.cpp
@@ -192,7 +192,7 @@
   };
   this->cells.update(
     std::move(update),
-    this->guarded([this, zone, count](Cells::UpdateResult result) {
+    this->guarded([this, zone, count](const Cells::UpdateResult& result) {
       this->committing.erase(zone);
       if (result)
         this->log.write(SERVER_REGISTERED,
--- /dev/null
+++ b/entry/scheduler.cpp
@@ -0,0 +1,339 @@
+#include "entry/scheduler.h"
+
+#include "core/estimate.h"
+#include "entry/events.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+// Jobs of at least this many accelerators get a reservation when they wait.
+constexpr std::uint32_t LARGE_JOB_ACCELERATORS = 8;
+// A victim is asked again after this time if it has not ended.
+constexpr std::int64_t RECLAIM_REPEAT_MS = 2'000;
+
+} // namespace
+
+Scheduler::Scheduler(const DriverContext& context,
+                     DriverTable& drivers,
+                     Stopper& stopper)
+  : Task(context.loop, "scheduler")
+  , context(context)
+  , drivers(drivers)
+  , stopper(stopper)
+  , queue(core::QueueOrder::ResponseRatio)
+  , failures(core::QuarantineLimits{})
+{
+  this->context.cells.on_change([this] { this->wake(); });
+}
+
+void
+Scheduler::start()
+{
+  this->timer =
+    this->context.timers.every(this->context.settings.schedule_period, [this] {
+      if (this->queue.size() != 0)
+        this->refresh_blocked();
+    });
+}
+
+void
+Scheduler::enqueue(Driver& driver)
+{
+  const v1::Job& job = driver.row().job();
+  core::QueueEntry entry;
+  entry.job = job.id();
+  entry.organisation = this->names.id(job.organisation());
+  entry.shape = to_core(job.spec().shape());
+  entry.urgent = job.spec().urgent();
+  entry.use_guarantee = job.spec().use_guarantee();
+  entry.preemptible = !entry.use_guarantee;
+  entry.submitted_ms = job.submitted_ms();
+  entry.expected_run_ms =
+    std::int64_t{ job.spec().declared_run_time_s() } * 1'000;
+  // Accepted jobs are never refused here; submission checks the limit.
+  static_cast<void>(this->queue.push(
+    std::move(entry), std::numeric_limits<std::uint32_t>::max()));
+  this->wake();
+}
+
+void
+Scheduler::dequeue(Driver& driver)
+{
+  this->queue.remove(driver.job());
+}
+
+std::size_t
+Scheduler::queued(const std::string& organisation)
+{
+  return this->queue.size(this->names.id(organisation));
+}
+
+void
+Scheduler::observe(const std::string& server, const std::string& job, bool ok)
+{
+  std::int64_t now = kernel::boot_ms();
+  if (ok)
+    this->failures.succeeded(this->names.id(server), job, now);
+  else
+    this->failures.failed(this->names.id(server), job, now);
+  this->failures.expire(now);
+}
+
+bool
+Scheduler::withheld(const std::string& server)
+{
+  const ServerView* view = this->context.fleet.find(server);
+  std::int64_t now = kernel::boot_ms();
+  bool usable = view != nullptr && this->context.fleet.usable(*view, now);
+  return !usable || this->failures.server_trust(this->names.id(server), now) ==
+                      core::ServerTrust::Quarantined;
+}
+
+Snapshot
+Scheduler::snapshot()
+{
+  return make_snapshot(
+    this->names,
+    this->context.cells.all(),
+    this->context.config(),
+    [this](const std::string& server) { return this->withheld(server); });
+}
+
+bool
+Scheduler::is_impossible(const v1::Shape& shape)
+{
+  Snapshot snapshot = this->snapshot();
+  return !core::fits_empty_fleet(snapshot.states(), to_core(shape));
+}
+
+void
+Scheduler::wake()
+{
+  if (this->awake || this->queue.size() == 0)
+    return;
+  this->awake = true;
+  this->post([this] { this->pass(); });
+}
+
+void
+Scheduler::refresh_blocked()
+{
+  this->wake();
+  if (this->refreshing)
+    return;
+  // What blocks a job may have ended through another entry.
+  this->refreshing = true;
+  this->context.cells.refresh([this](bool) { this->refreshing = false; });
+}
+
+void
+Scheduler::pass()
+{
+  this->awake = false;
+  std::int64_t started = kernel::boot_us();
+  Snapshot snapshot = this->snapshot();
+  this->policy.typical = guaranteed_shapes(this->context.config());
+  this->take_uncommitted(snapshot);
+  this->reserve(snapshot);
+  this->place_queued(snapshot);
+  this->context.metrics.gauge("entry_jobs_queued")
+    .set(static_cast<double>(this->queue.size()));
+  this->context.metrics.summary("entry_schedule_pass_ms")
+    .observe(static_cast<double>(kernel::boot_us() - started) / 1'000);
+}
+
+void
+Scheduler::take_uncommitted(Snapshot& snapshot)
+{
+  for (const auto& [job, driver] : this->drivers.all()) {
+    const JobPlacement* placement = driver->uncommitted();
+    if (placement == nullptr)
+      continue;
+    const v1::Job& row = driver->row().job();
+    for (const v1::MemberPlacement& member : placement->members) {
+      for (std::size_t cell = 0; cell < snapshot.cells.size(); ++cell) {
+        const v1::CellRow& cell_row = *snapshot.rows[cell];
+        if (cell_row.zone() != member.zone())
+          continue;
+        for (int server = 0; server < cell_row.members_size(); ++server) {
+          if (cell_row.members(server).server() != member.server())
+            continue;
+          core::Allocation held;
+          held.job = job;
+          held.server = server;
+          held.accelerators = member.accelerators();
+          held.cores = row.spec().shape().cores();
+          held.memory_mb = row.spec().shape().memory_mb();
+          held.organisation = this->names.id(row.organisation());
+          held.preemptible = !placement->guaranteed;
+          held.guaranteed = placement->guaranteed;
+          snapshot.cells[cell].allocations.push_back(std::move(held));
+        }
+      }
+    }
+  }
+}
+
+std::vector<core::OrganisationShare>
+Scheduler::shares(const Snapshot& snapshot)
+{
+  std::map<core::NameId, std::uint32_t> used;
+  for (const core::Cell& cell : snapshot.cells) {
+    for (const core::Allocation& allocation : cell.allocations) {
+      if (!allocation.guaranteed)
+        used[allocation.organisation] +=
+          __builtin_popcountll(allocation.accelerators);
+    }
+  }
+  std::vector<core::OrganisationShare> shares;
+  for (const v1::Organisation& row : this->context.config().organisations()) {
+    core::NameId id = this->names.id(row.name());
+    shares.push_back({ id,
+                       std::max(row.limits().weight(), 1U),
+                       used[id],
+                       row.limits().max_running_accelerators() });
+  }
+  return shares;
+}
+
+core::Demand
+Scheduler::demand_of(const core::QueueEntry& entry)
+{
+  core::Demand demand;
+  demand.job = entry.job;
+  demand.organisation = entry.organisation;
+  demand.shape = entry.shape;
+  demand.use_guarantee = entry.use_guarantee;
+  demand.preemptible = entry.preemptible;
+  Driver* driver = this->drivers.find(entry.job);
+  if (driver != nullptr) {
+    for (const std::string& server : driver->avoided())
+      demand.avoid.push_back(this->names.id(server));
+  }
+  return demand;
+}
+
+void
+Scheduler::reserve(const Snapshot& snapshot)
+{
+  this->reservation.reset();
+  const core::QueueEntry* large =
+    this->queue.oldest_large(LARGE_JOB_ACCELERATORS);
+  if (large == nullptr)
+    return;
+  std::vector<core::ExpectedEnd> ends;
+  std::int64_t now = kernel::unix_ms();
+  for (const auto& [job, driver] : this->drivers.all()) {
+    const v1::Job& row = driver->row().job();
+    std::int64_t run =
+      std::int64_t{ row.spec().declared_run_time_s() } * 1'000;
+    if (row.state() != v1::JOB_STATE_RUNNING || run == 0)
+      continue;
+    std::int64_t elapsed = now - row.started_ms();
+    ends.push_back(
+      { job, row.started_ms() + core::Estimator::outlived(run, elapsed) });
+  }
+  this->reservation = core::reserve(
+    snapshot.states(), this->demand_of(*large), this->policy, ends, now);
+}
+
+void
+Scheduler::place_queued(Snapshot& snapshot)
+{
+  std::vector<core::QueueEntry> entries;
+  for (const core::QueueEntry* entry :
+       this->queue.order(this->shares(snapshot), kernel::unix_ms()))
+    entries.push_back(*entry);
+  // A shape that found no place finds none later in the pass either.
+  std::set<std::pair<core::Shape, bool>> blocked;
+  for (const core::QueueEntry& entry : entries) {
+    if (!entry.use_guarantee && blocked.contains({ entry.shape, false }))
+      continue;
+    if (!this->place_one(snapshot, entry) && !entry.use_guarantee &&
+        this->demand_of(entry).avoid.empty())
+      blocked.insert({ entry.shape, false });
+  }
+}
+
+bool
+Scheduler::place_one(Snapshot& snapshot, const core::QueueEntry& entry)
+{
+  Driver* driver = this->drivers.find(entry.job);
+  if (driver == nullptr || driver->state() != DriverState::Queued)
+    return true;
+  core::Demand demand = this->demand_of(entry);
+  std::span<const core::PlacedMember> reserved;
+  bool reserves = this->reservation && this->reservation->job != entry.job &&
+                  !entry.urgent && !entry.use_guarantee &&
+                  !core::may_backfill(
+                    *this->reservation, entry, kernel::unix_ms());
+  if (reserves)
+    reserved = this->reservation->placement.members;
+  std::int64_t started = kernel::boot_us();
+  std::vector<core::CellState> states = snapshot.states();
+  tl::expected<core::Placement, core::PlaceError> placement =
+    core::place(states, demand, this->policy, reserved);
+  // A job beyond its organisation's guarantee competes like any other.
+  bool beyond =
+    !placement && placement.error() == core::PlaceError::NoUnusedGuarantee;
+  if (beyond) {
+    demand.use_guarantee = false;
+    demand.preemptible = true;
+    placement = core::place(states, demand, this->policy, reserved);
+  }
+  this->context.metrics.summary("entry_place_ms")
+    .observe(static_cast<double>(kernel::boot_us() - started) / 1'000);
+  if (placement) {
+    this->hand_over(snapshot, *driver, demand, *placement);
+    return true;
+  }
+  if (demand.use_guarantee)
+    this->reclaim(snapshot, demand);
+  return false;
+}
+
+void
+Scheduler::hand_over(Snapshot& snapshot,
+                     Driver& driver,
+                     const core::Demand& demand,
+                     const core::Placement& placement)
+{
+  JobPlacement result;
+  result.members = member_placements(snapshot, placement);
+  result.guaranteed = placement.guaranteed;
+  snapshot.take(demand, placement);
+  this->context.metrics.counter("entry_placements_total").add();
+  driver.place(std::move(result));
+}
+
+void
+Scheduler::reclaim(const Snapshot& snapshot, const core::Demand& demand)
+{
+  const EntrySettings& settings = this->context.settings;
+  core::ReclaimTimes times{ settings.checkpoint_limit.count(),
+                            settings.stop_grace.count(),
+                            settings.lease_period.count() };
+  std::int64_t now = kernel::unix_ms();
+  tl::expected<core::ReclaimPlan, core::PlaceError> plan = core::plan_reclaim(
+    snapshot.states(), demand, this->policy, times, now);
+  if (!plan)
+    return;
+  std::erase_if(this->reclaimed_ms, [now](const auto& request) {
+    return now - request.second >= RECLAIM_REPEAT_MS;
+  });
+  for (const core::Victim& victim : plan->victims) {
+    if (!this->reclaimed_ms.emplace(victim.job, now).second)
+      continue;
+    this->context.log.write(
+      RECLAIM_STARTED,
+      { { "job", demand.job }, { "victim", victim.job } });
+    this->context.metrics.counter("entry_reclaims_total").add();
+    this->stopper.request(victim.job, v1::STOP_PURPOSE_RECLAIM);
+  }
+}
+
+} // namespace geraniumhinge::entry
