Add the harness of the system tests and the settings of both deployments

Cause: the fault tests need whole deployments of real processes. Change: tests/support starts the stand-ins, entries and agents of one deployment on free loopback ports with settings in a temporary folder, calls the schema, reads the journals of the backend servers and ends every process by its id. A relay stands between entries and store and between each agent and its backend server. examples/ has the settings of one entry and one agent and the list of processes of each deployment. Ruled out: relays between our own processes, since a process announces the address that it listens on.

--- /dev/null
+++ b/tests/support/caller.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "tests/support/client.h"
+
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace geraniumhinge::tests {
+
+using JobResult = tl::expected<v1::Job, Failure>;
+using RunResult = tl::expected<v1::RunResponse, Failure>;
+
+/// What a job of a test asks for.
+struct JobPlan
+{
+  std::string request_id;
+  std::uint32_t members = 1;
+  std::uint32_t accelerators = 1;
+  v1::Adjacency adjacency = v1::ADJACENCY_ANY;
+  int run_ms = 100;
+  std::string output = "done";
+  int exit_code = 0;
+  bool idempotent = true;
+  bool urgent = false;
+  bool use_guarantee = false;
+};
+
+/// Input of the backend servers' stand-in.
+std::string
+work_input(int run_ms, const std::string& output, int exit_code = 0);
+
+/// A caller of one organisation.
+class Caller
+{
+public:
+  explicit Caller(Client client)
+    : client(std::move(client))
+  {
+  }
+
+  JobResult submit(const JobPlan& plan) const;
+  JobResult get(const std::string& job) const;
+  JobResult cancel(const std::string& job) const;
+  /// Waits for the job's outcome, through any entry and over lost answers.
+  JobResult wait(const std::string& job, kernel::Milliseconds limit) const;
+  RunResult run(const std::string& request_id,
+                bool idempotent,
+                const std::string& input,
+                kernel::Milliseconds timeout) const;
+
+private:
+  Client client;
+};
+
+/// Makes changes of the configuration, each on the version that it read first;
+/// a change that is stale is made again.
+class Operator
+{
+public:
+  explicit Operator(Client client)
+    : client(std::move(client))
+  {
+  }
+
+  std::uint64_t version() const;
+  /// Creates an organisation with wide limits. Returns the version, or 0.
+  std::uint64_t create(const std::string& organisation) const;
+  std::uint64_t assign(const std::string& caller,
+                       const std::string& organisation,
+                       const std::string& token) const;
+  tl::expected<std::uint64_t, Failure> guarantee(
+    const std::string& organisation,
+    const v1::Guarantee& guarantee) const;
+  tl::expected<std::uint64_t, Failure> limit(const std::string& organisation,
+                                             const v1::Limits& limits) const;
+  const Client& calls() const { return this->client; }
+
+private:
+  template<typename Request>
+  tl::expected<std::uint64_t, Failure> change(const std::string& method,
+                                              Request request) const;
+
+  Client client;
+};
+
+v1::Limits
+wide_limits();
+
+v1::Guarantee
+make_guarantee(std::uint32_t count,
+               std::uint32_t members,
+               std::uint32_t accelerators,
+               v1::Adjacency adjacency);
+
+} // namespace geraniumhinge::tests
--- /dev/null
+++ b/tests/support/client.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "gateway/unary_error.h"
+#include "tests/support/http.h"
+
+#include "geraniumhinge/v1/scheduler.pb.h"
+
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace geraniumhinge::tests {
+
+/// A call that has no result: the error of the system, or no whole answer.
+struct Failure
+{
+  bool answered = false;
+  v1::ErrorDetail detail;
+  std::string message;
+};
+
+/// Calls methods of the schema with one bearer token. May be used from several
+/// threads at once.
+class Client
+{
+public:
+  /// `addresses` are tried in turn, as a balancer does, until one accepts the
+  /// connection and answers.
+  Client(std::vector<std::string> addresses, std::string token);
+
+  template<typename Response, typename Request>
+  tl::expected<Response, Failure> call(
+    const std::string& method,
+    const Request& request,
+    kernel::Milliseconds timeout = kernel::Milliseconds(5'000)) const
+  {
+    tl::expected<std::string, Failure> body =
+      this->post(method, request.SerializeAsString(), timeout);
+    if (!body)
+      return tl::unexpected(body.error());
+    Response response;
+    if (!response.ParseFromString(*body))
+      return tl::unexpected(Failure{ true, {}, "malformed response" });
+    return response;
+  }
+
+private:
+  tl::expected<std::string, Failure> post(const std::string& method,
+                                          const std::string& body,
+                                          kernel::Milliseconds timeout) const;
+
+  std::vector<std::string> addresses;
+  std::string token;
+};
+
+} // namespace geraniumhinge::tests
--- /dev/null
+++ b/tests/support/deployment.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "tests/support/client.h"
+#include "tests/support/journal.h"
+#include "tests/support/process.h"
+#include "tests/support/relay.h"
+#include "tests/support/settings.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace geraniumhinge::tests {
+
+/// An entry of a running deployment.
+struct EntryNode
+{
+  EntryPlan plan;
+  std::string http_address;
+  std::string peer_address;
+  std::string settings_path;
+  std::unique_ptr<Process> process; ///< None before the start.
+};
+
+/// An agent and its backend server. They are linked by a relay.
+struct ServerNode
+{
+  ServerPlan plan;
+  std::string backend_address;
+  std::string peer_address;
+  std::string http_address;
+  std::string settings_path;
+  std::unique_ptr<Relay> relay;
+  std::unique_ptr<Process> backend;
+  std::unique_ptr<Process> agent;
+};
+
+/// Runs the processes of one deployment on loopback, with settings in a
+/// temporary folder. All of them end with this object; the folder stays if
+/// GERANIUMHINGE_KEEP is set.
+class Deployment
+{
+public:
+  /// Starts nothing yet.
+  explicit Deployment(DeploymentPlan plan);
+  ~Deployment();
+  Deployment(const Deployment&) = delete;
+  Deployment& operator=(const Deployment&) = delete;
+
+  /// Starts everything and waits until each entry is ready and knows every
+  /// backend server. Returns whether it came to that.
+  bool start();
+
+  void start_store();
+  void start_entry(std::size_t index);
+  void start_backend(std::size_t index);
+  void start_agent(std::size_t index);
+  /// Ends a process with SIGKILL and starts a new one.
+  void replace_entry(std::size_t index);
+  void replace_agent(std::size_t index);
+
+  std::vector<EntryNode>& entries() { return this->entry_nodes; }
+  std::vector<ServerNode>& servers() { return this->server_nodes; }
+  Process& store() { return *this->store_process; }
+  /// Between the entries and the store.
+  Relay& store_relay() { return *this->store_link; }
+
+  /// Sets fault switches of the platform's stand-in, such as {"down": 1}.
+  bool set_store_faults(const nlohmann::json& faults) const;
+  bool set_backend_faults(std::size_t index,
+                          const nlohmann::json& faults) const;
+  nlohmann::json store_counters() const;
+
+  bool is_ready(std::size_t entry) const;
+  /// Status as one entry has it; none if it does not answer.
+  std::optional<v1::GetStatusResponse> status(std::size_t entry) const;
+  /// Servers that one entry shows in this state.
+  std::size_t count_servers(std::size_t entry, v1::ServerState state) const;
+  std::size_t server_index(const std::string& name) const;
+
+  /// Client of the operator, or of a caller by its token. Uses all entries in
+  /// turn, or only one.
+  Client operator_client() const;
+  Client operator_client(std::size_t entry) const;
+  Client client(const std::string& token) const;
+  Client client(const std::string& token, std::size_t entry) const;
+
+  /// Journals of all backend servers, in time order.
+  std::vector<JournalEvent> journal() const;
+
+  const std::string& folder() const { return this->path; }
+
+private:
+  std::vector<std::string> http_addresses() const;
+  void write_entry_settings(EntryNode& node);
+  void write_agent_settings(ServerNode& node);
+
+  DeploymentPlan plan;
+  std::string path;
+  std::string store_address;
+  std::unique_ptr<Process> store_process;
+  std::unique_ptr<Relay> store_link;
+  std::vector<EntryNode> entry_nodes;
+  std::vector<ServerNode> server_nodes;
+};
+
+} // namespace geraniumhinge::tests
--- /dev/null
+++ b/tests/support/ports.cpp
@@ -0,0 +1,51 @@
+#include "tests/support/ports.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace geraniumhinge::tests {
+
+namespace {
+
+// Below the range that the kernel gives to outgoing connections, which would
+// otherwise take a port between this call and its use.
+constexpr int FIRST_PORT = 12'000;
+constexpr int LAST_PORT = 32'000;
+constexpr int TRIES = 1'000;
+
+bool
+is_free(int port)
+{
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  int result =
+    bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  close(fd);
+  return result == 0;
+}
+
+} // namespace
+
+std::string
+free_address()
+{
+  static std::mt19937 random{ std::random_device{}() };
+  static std::set<int> given;
+  std::uniform_int_distribution<int> ports(FIRST_PORT, LAST_PORT);
+  for (int i = 0; i < TRIES; i++) {
+    int port = ports(random);
+    if (is_free(port) && given.insert(port).second)
+      return "127.0.0.1:" + std::to_string(port);
+  }
+  throw std::runtime_error("no free port");
+}
+
+} // namespace geraniumhinge::tests
--- /dev/null
+++ b/tests/support/settings.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace geraniumhinge::tests {
+
+struct EntryPlan
+{
+  std::string name;
+  std::string zone;
+};
+
+struct ServerPlan
+{
+  std::string name;
+  std::string zone;
+  std::string rack;
+};
+
+/// What a deployment consists of, with the settings that its processes share.
+struct DeploymentPlan
+{
+  std::string name;
+  std::vector<EntryPlan> entries;
+  std::vector<ServerPlan> servers;
+  std::vector<std::string> organisations;
+  nlohmann::json entry_settings;
+  nlohmann::json agent_settings;
+};
+
+/// Reads examples/<name>/: deployment.json, entry.json and agent.json.
+DeploymentPlan
+load_plan(const std::string& name);
+
+/// A small fleet with short periods, for tests: `zones` availability zones
+/// with one rack each of `per_rack` backend servers.
+DeploymentPlan
+small_plan(std::size_t entries, std::size_t zones, std::size_t per_rack);
+
+/// SHA-256 of a token in lower-case hex, as the settings and the configuration
+/// have it.
+std::string
+token_digest(const std::string& token);
+
+void
+write_json(const std::string& path, const nlohmann::json& value);
+
+} // namespace geraniumhinge::tests
