Add short requests, the callers' job methods and the status

Idempotent runs hedge after the attempt timeout instead of giving the first server up: a slow answer is still an answer, and the retry budget bounds the extra load. Non-idempotent runs commit the attempt row first and replace an attempt only after its agent confirms that it never ran. A NOT_RUN outcome deletes the row, since recording it would make every later try fail.

--- a/entry/allocations.cpp
+++ b/entry/allocations.cpp
@@ -135,12 +135,12 @@
   for (auto& [zone, view] : cells) {
     google::protobuf::RepeatedPtrField<v1::Allocation>* allocations =
       view.row.mutable_allocations();
-    allocations->erase(
-      std::remove_if(
-        allocations->begin(),
-        allocations->end(),
-        [&](const v1::Allocation& row) { return row.job() == job; }),
-      allocations->end());
+    allocations->erase(std::remove_if(allocations->begin(),
+                                      allocations->end(),
+                                      [&](const v1::Allocation& row) {
+                                        return row.job() == job;
+                                      }),
+                       allocations->end());
   }
 }
 
--- /dev/null
+++ b/entry/calls.cpp
@@ -0,0 +1,134 @@
+#include "entry/calls.h"
+
+#include "entry/request_checks.h"
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+gateway::CallError
+not_ready()
+{
+  gateway::CallError error = gateway::call_error(
+    v1::ERROR_KIND_NOT_READY, "this entry has not read the store yet");
+  error.detail.set_outcome(v1::OUTCOME_NOT_RUN);
+  return error;
+}
+
+} // namespace
+
+Calls::Calls(ConfigStore& config,
+             JobApi& jobs,
+             Router& router,
+             std::function<bool()> ready)
+  : config(config)
+  , jobs(jobs)
+  , router(router)
+  , ready(std::move(ready))
+{
+}
+
+tl::expected<Principal, gateway::CallError>
+Calls::caller_of(const std::string& token) const
+{
+  if (!this->ready())
+    return tl::unexpected(not_ready());
+  tl::expected<Principal, gateway::CallError> principal =
+    this->config.authenticate(token);
+  if (principal && principal->organisation.empty())
+    return tl::unexpected(
+      gateway::call_error(v1::ERROR_KIND_PERMISSION_DENIED,
+                          "the method is for callers of an organisation"));
+  return principal;
+}
+
+template<typename Request, typename Response>
+void
+Calls::add(gateway::UnaryRouter& unary,
+           const std::string& name,
+           std::function<void(const Principal&,
+                              const kernel::TraceContext&,
+                              Request,
+                              Answer<Response>)> handler)
+{
+  unary.add<Request, Response>(
+    name,
+    [this, handler = std::move(handler)](const gateway::CallContext& context,
+                                         Request request,
+                                         Answer<Response> answer) {
+      tl::expected<Principal, gateway::CallError> caller =
+        this->caller_of(context.token);
+      if (!caller) {
+        answer(tl::unexpected(caller.error()));
+        return;
+      }
+      std::optional<gateway::CallError> fault = check(request);
+      if (fault)
+        answer(tl::unexpected(*fault));
+      else
+        handler(*caller, context.trace, std::move(request), std::move(answer));
+    });
+}
+
+void
+Calls::add_to(gateway::UnaryRouter& unary)
+{
+  using Trace = kernel::TraceContext;
+  this->add<v1::RunRequest, v1::RunResponse>(
+    unary,
+    "Run",
+    [this](const Principal& caller,
+           const Trace& trace,
+           v1::RunRequest request,
+           Answer<v1::RunResponse> answer) {
+      this->router.run(
+        caller.organisation, trace, std::move(request), std::move(answer));
+    });
+  this->add<v1::SubmitJobRequest, v1::SubmitJobResponse>(
+    unary,
+    "SubmitJob",
+    [this](const Principal& caller,
+           const Trace& trace,
+           v1::SubmitJobRequest request,
+           Answer<v1::SubmitJobResponse> answer) {
+      this->jobs.submit(caller, trace, std::move(request), std::move(answer));
+    });
+  this->add<v1::GetJobRequest, v1::Job>(
+    unary,
+    "GetJob",
+    [this](const Principal& caller,
+           const Trace&,
+           const v1::GetJobRequest& request,
+           Answer<v1::Job> answer) {
+      this->jobs.get(caller, request.id(), std::move(answer));
+    });
+  this->add<v1::WaitJobRequest, v1::Job>(
+    unary,
+    "WaitJob",
+    [this](const Principal& caller,
+           const Trace&,
+           const v1::WaitJobRequest& request,
+           Answer<v1::Job> answer) {
+      this->jobs.wait(caller, request, std::move(answer));
+    });
+  this->add<v1::ListJobsRequest, v1::ListJobsResponse>(
+    unary,
+    "ListJobs",
+    [this](const Principal& caller,
+           const Trace&,
+           const v1::ListJobsRequest& request,
+           Answer<v1::ListJobsResponse> answer) {
+      this->jobs.list(caller, request, std::move(answer));
+    });
+  this->add<v1::CancelJobRequest, v1::Job>(
+    unary,
+    "CancelJob",
+    [this](const Principal& caller,
+           const Trace&,
+           const v1::CancelJobRequest& request,
+           Answer<v1::Job> answer) {
+      this->jobs.cancel(caller, request.id(), std::move(answer));
+    });
+}
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/calls.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "entry/config_store.h"
+#include "entry/jobs.h"
+#include "entry/router.h"
+#include "gateway/unary.h"
+
+#include <functional>
+
+namespace geraniumhinge::entry {
+
+/// Adds the callers' methods to a unary router: who calls, whether this entry
+/// is ready, and whether the request is valid is checked before each.
+class Calls
+{
+public:
+  Calls(ConfigStore& config,
+        JobApi& jobs,
+        Router& router,
+        std::function<bool()> ready);
+
+  void add_to(gateway::UnaryRouter& unary);
+
+private:
+  template<typename Response>
+  using Answer = gateway::UnaryRouter::Answer<Response>;
+
+  /// Adds a method whose handler runs for a caller of an organisation.
+  template<typename Request, typename Response>
+  void add(gateway::UnaryRouter& unary,
+           const std::string& name,
+           std::function<void(const Principal&,
+                              const kernel::TraceContext&,
+                              Request,
+                              Answer<Response>)> handler);
+  tl::expected<Principal, gateway::CallError> caller_of(
+    const std::string& token) const;
+
+  ConfigStore& config;
+  JobApi& jobs;
+  Router& router;
+  std::function<bool()> ready;
+};
+
+} // namespace geraniumhinge::entry
--- a/entry/driver.cpp
+++ b/entry/driver.cpp
@@ -8,9 +8,7 @@
 
 namespace geraniumhinge::entry {
 
-Driver::Driver(const DriverContext& context,
-               DriverHooks hooks,
-               std::string job)
+Driver::Driver(const DriverContext& context, DriverHooks hooks, std::string job)
   : Task(context.loop, "driver")
   , context(context)
   , hooks(std::move(hooks))
@@ -99,6 +97,11 @@
 void
 Driver::adopt(v1::JobRow row, std::uint64_t version)
 {
+  // The write took effect, but the row has another value by now.
+  if (version == 0) {
+    this->load();
+    return;
+  }
   bool same_generation =
     this->current.job().generation() == row.job().generation() &&
     this->members.size() == static_cast<std::size_t>(row.members_size());
@@ -165,9 +168,8 @@
 {
   bool placing = !this->placement.members.empty();
   const std::string& address =
-    placing
-      ? this->placement.members[member].agent_address()
-      : this->current.members(static_cast<int>(member)).agent_address();
+    placing ? this->placement.members[member].agent_address()
+            : this->current.members(static_cast<int>(member)).agent_address();
   this->context.transport.request(
     address, std::move(envelope), timeout, this->in_step(std::move(done)));
 }
--- a/entry/driver.h
+++ b/entry/driver.h
@@ -40,6 +40,7 @@
   std::function<const v1::Configuration&()> config;
   std::function<std::uint64_t()> config_row_version;
   std::function<void()> config_stale; ///< A commit found a newer version.
+  std::function<bool()> draining;     ///< No new step may begin.
 };
 
 struct DriverHooks
@@ -48,7 +49,8 @@
   std::function<void(Driver&)> dequeue;  ///< It does no longer.
   std::function<void(Driver&)> finished; ///< Its row is final or gone.
   /// A member's task ended on a server, for quarantine.
-  std::function<void(const std::string& server, const std::string& job, bool ok)>
+  std::function<
+    void(const std::string& server, const std::string& job, bool ok)>
     observed;
 };
 
--- a/entry/driver_run.cpp
+++ b/entry/driver_run.cpp
@@ -105,8 +105,8 @@
 void
 Driver::check_members()
 {
-  bool active = this->phase == DriverState::Running ||
-                this->phase == DriverState::Starting;
+  bool active =
+    this->phase == DriverState::Running || this->phase == DriverState::Starting;
   if (!active)
     return;
   for (int index = 0; index < this->current.members_size(); ++index) {
@@ -114,8 +114,7 @@
     if (this->members[index].done)
       continue;
     const v1::Member* member = find_member(this->context.cells.all(), placed);
-    bool lost = member == nullptr ||
-                member->state() == v1::SERVER_STATE_LOST ||
+    bool lost = member == nullptr || member->state() == v1::SERVER_STATE_LOST ||
                 member->incarnation() != placed.incarnation();
     if (lost) {
       this->stop(v1::STOP_PURPOSE_MEMBER_LOST);
@@ -152,8 +151,8 @@
 {
   MemberTrack& track = this->members[member];
   if (this->phase == DriverState::Stopping) {
-    v1::MemberState state = done.ran() ? v1::MEMBER_STATE_STOPPED
-                                       : v1::MEMBER_STATE_NEVER_STARTED;
+    v1::MemberState state =
+      done.ran() ? v1::MEMBER_STATE_STOPPED : v1::MEMBER_STATE_NEVER_STARTED;
     if (done.outcome() == v1::OUTCOME_SUCCEEDED) {
       track.done = done;
       state = v1::MEMBER_STATE_DONE;
--- a/entry/driver_start.cpp
+++ b/entry/driver_start.cpp
@@ -54,8 +54,8 @@
 void
 Driver::prepared(std::size_t member, const peer::PeerNode::Reply& reply)
 {
-  v1::PrepareResult result = reply ? reply->prepare_reply().result()
-                                   : v1::PREPARE_RESULT_UNSPECIFIED;
+  v1::PrepareResult result =
+    reply ? reply->prepare_reply().result() : v1::PREPARE_RESULT_UNSPECIFIED;
   const std::string& server = this->placement.members[member].server();
   if (result == v1::PREPARE_RESULT_HELD)
     this->members[member].state = v1::MEMBER_STATE_HELD;
@@ -135,8 +135,7 @@
   update.zones = zones_of(next);
   update.change =
     [this, next, guaranteed = this->placement.guaranteed](CellMap& cells) {
-      return add_allocations(
-        cells, next, guaranteed, this->context.config());
+      return add_allocations(cells, next, guaranteed, this->context.config());
     };
   update.rest.checks.push_back({ job_key(this->id), this->version });
   update.rest.checks.push_back(
--- a/entry/driver_stop.cpp
+++ b/entry/driver_stop.cpp
@@ -35,8 +35,7 @@
         this->adopt(next, result->front());
         return;
       }
-      bool conflict =
-        result.error().kind == platform::TableErrorKind::Conflict;
+      bool conflict = result.error().kind == platform::TableErrorKind::Conflict;
       this->later(conflict ? kernel::Milliseconds(0)
                            : this->context.settings.store_retry,
                   [this] { this->load(); });
@@ -75,9 +74,8 @@
   if (track.stopped || track.calling)
     return;
   track.calling = true;
-  bool checkpoint =
-    this->current.stop_purpose() == v1::STOP_PURPOSE_RECLAIM &&
-    this->current.job().spec().idempotent();
+  bool checkpoint = this->current.stop_purpose() == v1::STOP_PURPOSE_RECLAIM &&
+                    this->current.job().spec().idempotent();
   kernel::Milliseconds grace = this->context.settings.stop_grace;
   v1::Envelope envelope = this->envelope();
   v1::Stop& stop = *envelope.mutable_stop();
@@ -167,8 +165,8 @@
     const ServerView* view = this->context.fleet.find(placed.server());
     bool gone = view != nullptr && view->member.incarnation() != 0 &&
                 view->member.incarnation() != placed.incarnation();
-    bool lost = view == nullptr ||
-                view->member.state() == v1::SERVER_STATE_LOST;
+    bool lost =
+      view == nullptr || view->member.state() == v1::SERVER_STATE_LOST;
     if (gone && track.gone_since_ms == 0)
       track.gone_since_ms = now;
     if (!lost)
@@ -204,8 +202,7 @@
       return;
   }
   this->context.metrics.summary("entry_job_stop_ms")
-    .observe(
-      static_cast<double>(kernel::boot_ms() - this->step_started_ms));
+    .observe(static_cast<double>(kernel::boot_ms() - this->step_started_ms));
   this->conclude();
 }
 
@@ -224,13 +221,10 @@
 void
 Driver::conclude()
 {
-  bool succeeded =
-    std::all_of(this->members.begin(),
-                this->members.end(),
-                [](const MemberTrack& member) {
-                  return member.done &&
-                         member.done->outcome() == v1::OUTCOME_SUCCEEDED;
-                });
+  bool succeeded = std::all_of(
+    this->members.begin(), this->members.end(), [](const MemberTrack& member) {
+      return member.done && member.done->outcome() == v1::OUTCOME_SUCCEEDED;
+    });
   if (succeeded) {
     this->conclude_outcome(v1::OUTCOME_SUCCEEDED, v1::REASON_UNSPECIFIED);
     return;
@@ -241,12 +235,11 @@
     this->members.begin(), this->members.end(), [](const MemberTrack& member) {
       return member.state == v1::MEMBER_STATE_NEVER_STARTED;
     });
-  bool lapsed =
-    !never_ran && std::any_of(this->members.begin(),
-                              this->members.end(),
-                              [](const MemberTrack& member) {
-                                return member.lapsed;
-                              });
+  bool lapsed = !never_ran && std::any_of(this->members.begin(),
+                                          this->members.end(),
+                                          [](const MemberTrack& member) {
+                                            return member.lapsed;
+                                          });
   bool uncertain = lapsed || this->current.unconfirmed();
   bool ran = !never_ran || this->current.ran();
   v1::Outcome ended = uncertain ? v1::OUTCOME_UNKNOWN
@@ -278,8 +271,7 @@
   next.mutable_job()->set_finished_ms(kernel::unix_ms());
   if (outcome == v1::OUTCOME_SUCCEEDED)
     next.clear_stop_purpose();
-  if (outcome == v1::OUTCOME_SUCCEEDED ||
-      reason == v1::REASON_TASK_FAILED) {
+  if (outcome == v1::OUTCOME_SUCCEEDED || reason == v1::REASON_TASK_FAILED) {
     for (const MemberTrack& member : this->members)
       *next.mutable_job()->add_outputs() =
         member.done ? member.done->output() : v1::Payload();
--- a/entry/driver_table.cpp
+++ b/entry/driver_table.cpp
@@ -58,6 +58,16 @@
   this->drivers.erase(job);
 }
 
+void
+DriverTable::drop_idle()
+{
+  std::vector<std::string> jobs;
+  for (const auto& [job, driver] : this->drivers)
+    jobs.push_back(job);
+  for (const std::string& job : jobs)
+    this->drop(job);
+}
+
 Driver*
 DriverTable::find(const std::string& job)
 {
--- a/entry/driver_table.h
+++ b/entry/driver_table.h
@@ -29,6 +29,9 @@
   /// Stops driving a job that another entry drives, unless a step is under way.
   void drop(const std::string& job);
 
+  /// Drops every driver that is between two steps.
+  void drop_idle();
+
   Driver* find(const std::string& job);
   const std::map<std::string, std::unique_ptr<Driver>>& all() const
   {
--- /dev/null
+++ b/entry/exclusive_run.cpp
@@ -0,0 +1,384 @@
+#include "entry/exclusive_run.h"
+
+#include "entry/events.h"
+#include "entry/rows.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+constexpr kernel::Milliseconds FOLLOW_PERIOD{ 100 };
+// An outcome that is still open this long after the caller's deadline is
+// recorded as unknown.
+constexpr std::int64_t OPEN_LIMIT_MS = 30'000;
+
+} // namespace
+
+ExclusiveRun::ExclusiveRun(RunContext& context,
+                           std::string key,
+                           std::uint64_t hash,
+                           v1::RunRequest request,
+                           const kernel::TraceContext& trace,
+                           std::function<void()> ended)
+  : Task(context.loop, "exclusive_run")
+  , context(context)
+  , key(std::move(key))
+  , hash(hash)
+  , request(std::move(request))
+  , ended(std::move(ended))
+  , span(context.tracer.start("run.exclusive", trace))
+  , deadline_ms(kernel::boot_ms() + this->request.timeout_ms())
+{
+}
+
+void
+ExclusiveRun::join(kernel::Milliseconds timeout, Done done)
+{
+  Waiter waiter;
+  waiter.done = std::move(done);
+  waiter.deadline =
+    this->context.timers.after(timeout, [this, index = this->waiters.size()] {
+      Done late = std::exchange(this->waiters[index].done, nullptr);
+      if (late)
+        late(run_response(this->request.request_id(),
+                          v1::OUTCOME_UNKNOWN,
+                          v1::REASON_DEADLINE));
+    });
+  this->waiters.push_back(std::move(waiter));
+}
+
+void
+ExclusiveRun::start()
+{
+  this->attempt();
+}
+
+kernel::Milliseconds
+ExclusiveRun::remaining() const
+{
+  return kernel::Milliseconds(
+    std::max<std::int64_t>(this->deadline_ms - kernel::boot_ms(), 1));
+}
+
+void
+ExclusiveRun::attempt()
+{
+  bool exhausted = this->attempts >= this->context.settings.max_attempts ||
+                   kernel::boot_ms() >= this->deadline_ms;
+  std::optional<PickedServer> next;
+  if (!exhausted)
+    next = this->context.picker.pick(this->tried);
+  if (next)
+    this->write_attempt(std::move(*next));
+  else
+    this->forget(v1::REASON_NO_CAPACITY);
+}
+
+void
+ExclusiveRun::write_attempt(PickedServer picked)
+{
+  ++this->attempts;
+  this->tried.insert(picked.server);
+  this->picked = std::move(picked);
+  v1::RequestRow next;
+  next.set_body_hash(this->hash);
+  next.set_entry(this->context.membership.self().name());
+  next.set_entry_incarnation(this->context.membership.self().incarnation());
+  next.set_server(this->picked->server);
+  next.set_server_incarnation(this->picked->incarnation);
+  next.set_agent_address(this->picked->agent_address);
+  next.set_attempt(kernel::random_id());
+  next.set_created_ms(kernel::unix_ms());
+  platform::Transaction transaction;
+  transaction.checks.push_back({ this->key, this->version });
+  transaction.writes.push_back(write_row(this->key, next));
+  this->context.table.commit(
+    std::move(transaction),
+    this->guarded([this, next](const platform::Table::CommitResult& result) {
+      this->attempt_written(result, next);
+    }));
+}
+
+void
+ExclusiveRun::attempt_written(const platform::Table::CommitResult& result,
+                              v1::RequestRow next)
+{
+  if (result) {
+    this->row = std::move(next);
+    this->version = result->front();
+    this->dispatch();
+    return;
+  }
+  this->picked.reset();
+  if (result.error().kind == platform::TableErrorKind::Conflict) {
+    this->read_row();
+    return;
+  }
+  // Nothing was dispatched, and nothing is under an attempt that this entry
+  // did not see committed.
+  this->answer(not_run(
+    this->context, this->request.request_id(), v1::REASON_STORE_UNAVAILABLE));
+  this->end();
+}
+
+v1::Envelope
+ExclusiveRun::envelope(bool query_only) const
+{
+  v1::Envelope envelope;
+  envelope.set_traceparent(this->span.traceparent());
+  v1::AgentRun& run = *envelope.mutable_agent_run();
+  run.set_attempt(this->row.attempt());
+  run.set_incarnation(this->row.server_incarnation());
+  run.set_query_only(query_only);
+  if (!query_only) {
+    run.set_input(this->request.input());
+    run.set_timeout_ms(this->remaining().count());
+  }
+  return envelope;
+}
+
+void
+ExclusiveRun::dispatch()
+{
+  std::uint64_t step = ++this->step;
+  this->context.transport.request(
+    this->row.agent_address(),
+    this->envelope(false),
+    this->remaining(),
+    this->guarded([this, step](const peer::PeerNode::Reply& reply) {
+      if (step == this->step && !this->resolved)
+        this->replied(reply);
+    }));
+  this->query_later();
+}
+
+void
+ExclusiveRun::replied(const peer::PeerNode::Reply& reply)
+{
+  if (reply) {
+    this->context.fleet.heard_reply(this->row.server());
+    this->take(reply->agent_run_reply());
+    return;
+  }
+  if (reply.error() == peer::PeerError::NotSent)
+    this->attempt_refused();
+}
+
+void
+ExclusiveRun::take(const v1::AgentRunReply& reply)
+{
+  const std::string& id = this->request.request_id();
+  switch (reply.result()) {
+    case v1::AGENT_RUN_RESULT_DONE:
+    case v1::AGENT_RUN_RESULT_FAILED: {
+      bool succeeded = reply.result() == v1::AGENT_RUN_RESULT_DONE;
+      v1::RunResponse response = run_response(
+        id,
+        succeeded ? v1::OUTCOME_SUCCEEDED : v1::OUTCOME_FAILED,
+        succeeded ? v1::REASON_UNSPECIFIED : v1::REASON_TASK_FAILED);
+      response.set_output(reply.output());
+      this->record(std::move(response));
+      return;
+    }
+    case v1::AGENT_RUN_RESULT_REFUSED:
+      this->attempt_refused();
+      return;
+    case v1::AGENT_RUN_RESULT_RUNNING:
+      this->query_later();
+      return;
+    default:
+      this->record(
+        run_response(id, v1::OUTCOME_UNKNOWN, v1::REASON_SERVER_LOST));
+  }
+}
+
+void
+ExclusiveRun::attempt_refused()
+{
+  ++this->step;
+  this->timer.reset();
+  this->picked.reset();
+  this->attempt();
+}
+
+void
+ExclusiveRun::query_later()
+{
+  this->timer = this->context.timers.after(
+    this->context.settings.attempt_timeout, [this] { this->query(); });
+}
+
+void
+ExclusiveRun::query()
+{
+  if (kernel::boot_ms() - this->deadline_ms > OPEN_LIMIT_MS) {
+    this->record(run_response(
+      this->request.request_id(), v1::OUTCOME_UNKNOWN, v1::REASON_SERVER_LOST));
+    return;
+  }
+  std::uint64_t step = this->step;
+  this->context.transport.request(
+    this->row.agent_address(),
+    this->envelope(true),
+    this->context.settings.attempt_timeout,
+    this->guarded([this, step](const peer::PeerNode::Reply& reply) {
+      if (step == this->step && !this->resolved)
+        this->queried(reply);
+    }));
+}
+
+void
+ExclusiveRun::queried(const peer::PeerNode::Reply& reply)
+{
+  if (reply) {
+    this->take(reply->agent_run_reply());
+    return;
+  }
+  this->context.fleet.suspect(this->row.server());
+  this->query_later();
+}
+
+void
+ExclusiveRun::read_row()
+{
+  this->context.table.read(
+    { this->key },
+    this->guarded([this](const platform::Table::ReadResult& result) {
+      this->row_read(result);
+    }));
+}
+
+void
+ExclusiveRun::row_read(const platform::Table::ReadResult& result)
+{
+  if (!result) {
+    this->timer = this->context.timers.after(this->context.settings.store_retry,
+                                             [this] { this->read_row(); });
+    return;
+  }
+  std::optional<v1::RequestRow> found =
+    parse_row<v1::RequestRow>(result->front());
+  if (!found) {
+    // The attempt of another entry did not run, and its row is deleted.
+    this->version = 0;
+    this->attempt();
+    return;
+  }
+  this->follow(std::move(*found), result->front().version);
+}
+
+void
+ExclusiveRun::follow(v1::RequestRow row, std::uint64_t version)
+{
+  if (row.body_hash() != this->hash || !row.job().empty()) {
+    this->answer(std::nullopt);
+    this->end();
+    return;
+  }
+  this->row = std::move(row);
+  this->version = version;
+  if (this->row.has_answer()) {
+    this->answer(this->row.answer());
+    this->end();
+    return;
+  }
+  const v1::EntryRow& self = this->context.membership.self();
+  bool own = this->row.entry() == self.name();
+  bool runs_elsewhere =
+    !own && this->context.membership.is_live(this->row.entry(),
+                                             this->row.entry_incarnation());
+  if (!runs_elsewhere) {
+    this->query();
+    return;
+  }
+  if (kernel::boot_ms() >= this->deadline_ms) {
+    this->end();
+    return;
+  }
+  this->timer =
+    this->context.timers.after(FOLLOW_PERIOD, [this] { this->read_row(); });
+}
+
+void
+ExclusiveRun::record(v1::RunResponse response)
+{
+  this->resolved = true;
+  this->timer.reset();
+  this->picked.reset();
+  *this->row.mutable_answer() = std::move(response);
+  platform::Transaction transaction;
+  transaction.checks.push_back({ this->key, this->version });
+  transaction.writes.push_back(write_row(this->key, this->row));
+  this->context.table.commit(
+    std::move(transaction),
+    this->guarded([this](const platform::Table::CommitResult& result) {
+      this->recorded(result);
+    }));
+}
+
+void
+ExclusiveRun::recorded(const platform::Table::CommitResult& result)
+{
+  bool conflict =
+    !result && result.error().kind == platform::TableErrorKind::Conflict;
+  this->answer(this->row.answer());
+  if (result || conflict) {
+    this->end();
+    return;
+  }
+  this->context.log.write(ANSWER_NOT_RECORDED, { { "key", this->key } });
+  this->timer =
+    this->context.timers.after(this->context.settings.store_retry,
+                               [this] { this->record(this->row.answer()); });
+}
+
+void
+ExclusiveRun::forget(v1::Reason reason)
+{
+  this->resolved = true;
+  v1::RunResponse response =
+    not_run(this->context, this->request.request_id(), reason);
+  if (this->version == 0) {
+    this->answer(response);
+    this->end();
+    return;
+  }
+  // Without its row the same request id may run later, as the answer says.
+  platform::Transaction transaction;
+  transaction.checks.push_back({ this->key, this->version });
+  transaction.writes.push_back(delete_row(this->key));
+  this->context.table.commit(
+    std::move(transaction),
+    this->guarded([this, response](const platform::Table::CommitResult&) {
+      this->answer(response);
+      this->end();
+    }));
+}
+
+void
+ExclusiveRun::answer(const std::optional<v1::RunResponse>& response)
+{
+  if (response)
+    this->span.set("outcome", v1::Outcome_Name(response->outcome()));
+  std::vector<Waiter> answered = std::move(this->waiters);
+  this->waiters.clear();
+  for (Waiter& waiter : answered) {
+    if (waiter.done)
+      waiter.done(response);
+  }
+}
+
+void
+ExclusiveRun::end()
+{
+  this->resolved = true;
+  this->timer.reset();
+  this->answer(run_response(
+    this->request.request_id(), v1::OUTCOME_UNKNOWN, v1::REASON_DEADLINE));
+  this->span.end();
+  this->ended();
+}
+
+} // namespace geraniumhinge::entry
--- a/entry/fleet.cpp
+++ b/entry/fleet.cpp
@@ -200,6 +200,16 @@
       kernel::boot_ms() + this->settings.suspect_period.count();
 }
 
+void
+Fleet::heard_reply(const std::string& server)
+{
+  ServerView* view = this->find(server);
+  if (view == nullptr)
+    return;
+  view->replied_ms = kernel::boot_ms();
+  view->suspect_until_ms = 0;
+}
+
 void
 Fleet::on_announcement(std::function<void(const std::string&)> fn)
 {
--- a/entry/fleet.h
+++ b/entry/fleet.h
@@ -30,6 +30,7 @@
   std::uint32_t requests_in_flight = 0; ///< As the agent says, all entries.
   std::uint32_t own_in_flight = 0;      ///< Short requests of this entry.
   std::int64_t suspect_until_ms = 0;    ///< Avoided until then.
+  std::int64_t replied_ms = 0;          ///< Last reply to a short request.
 };
 
 /// The backend servers: announcements of agents, load view, and the digest of
@@ -66,6 +67,8 @@
   bool quarantined(const std::string& server) const;
   /// Avoids a server that did not answer for a while.
   void suspect(const std::string& server);
+  /// Notes that a server answered a short request.
+  void heard_reply(const std::string& server);
 
   /// Calls `fn` with the server when its announcement has news for its cell.
   void on_announcement(std::function<void(const std::string&)> fn);
--- /dev/null
+++ b/entry/idempotent_run.cpp
@@ -0,0 +1,182 @@
+#include "entry/idempotent_run.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+// Pauses while every server is busy: short, because a slot is held for
+// milliseconds by most requests.
+constexpr core::RetryLimits PAUSES{ 0, 0, 10, 200 };
+
+} // namespace
+
+IdempotentRun::IdempotentRun(RunContext& context,
+                             v1::RunRequest request,
+                             const kernel::TraceContext& trace,
+                             Done done)
+  : Task(context.loop, "idempotent_run")
+  , context(context)
+  , request(std::move(request))
+  , done(std::move(done))
+  , span(context.tracer.start("run.idempotent", trace))
+  , deadline_ms(kernel::boot_ms() + this->request.timeout_ms())
+{
+}
+
+void
+IdempotentRun::start()
+{
+  this->context.budget.first_attempt();
+  this->deadline_timer = this->context.timers.after(
+    this->remaining(), [this] { this->give_up(v1::REASON_DEADLINE); });
+  this->dispatch();
+}
+
+kernel::Milliseconds
+IdempotentRun::remaining() const
+{
+  return kernel::Milliseconds(
+    std::max<std::int64_t>(this->deadline_ms - kernel::boot_ms(), 1));
+}
+
+void
+IdempotentRun::dispatch()
+{
+  std::optional<PickedServer> picked = this->context.picker.pick(this->tried);
+  if (picked)
+    this->send(*picked);
+  else if (this->outstanding == 0)
+    this->pause();
+}
+
+void
+IdempotentRun::send(const PickedServer& picked)
+{
+  ++this->attempts;
+  ++this->outstanding;
+  this->tried.insert(picked.server);
+  v1::Envelope envelope;
+  envelope.set_traceparent(this->span.traceparent());
+  v1::AgentRun& run = *envelope.mutable_agent_run();
+  run.set_attempt(kernel::random_id());
+  run.set_input(this->request.input());
+  run.set_timeout_ms(this->remaining().count());
+  run.set_idempotent(true);
+  std::int64_t now = kernel::boot_ms();
+  this->attempt_timer = this->context.timers.after(
+    this->context.settings.attempt_timeout,
+    [this, server = picked.server, now] { this->attempt_late(server, now); });
+  // The load counts until the transport drops the callback, also when this
+  // run has ended by then.
+  this->context.transport.request(
+    picked.agent_address,
+    std::move(envelope),
+    this->remaining(),
+    [held = picked.in_flight,
+     reply = this->guarded([this, picked](const peer::PeerNode::Reply& reply) {
+       this->replied(picked, reply);
+     })](const peer::PeerNode::Reply& result) mutable { reply(result); });
+}
+
+void
+IdempotentRun::attempt_late(const std::string& server, std::int64_t sent_ms)
+{
+  ServerView* view = this->context.fleet.find(server);
+  if (view != nullptr && view->replied_ms < sent_ms)
+    this->context.fleet.suspect(server);
+  this->try_elsewhere();
+}
+
+void
+IdempotentRun::try_elsewhere()
+{
+  if (this->attempts >= this->context.settings.max_attempts) {
+    if (this->outstanding == 0)
+      this->give_up(v1::REASON_RETRIES_EXHAUSTED);
+    return;
+  }
+  if (this->context.budget.try_retry()) {
+    this->context.metrics.counter("entry_run_retries_total").add();
+    this->dispatch();
+  } else if (this->outstanding == 0) {
+    this->give_up(v1::REASON_RETRIES_EXHAUSTED);
+  }
+}
+
+void
+IdempotentRun::replied(const PickedServer& picked,
+                       const peer::PeerNode::Reply& reply)
+{
+  --this->outstanding;
+  if (!reply) {
+    if (reply.error() == peer::PeerError::TimedOut)
+      this->may_have_run = true;
+    this->context.fleet.suspect(picked.server);
+    this->try_elsewhere();
+    return;
+  }
+  this->context.fleet.heard_reply(picked.server);
+  const v1::AgentRunReply& answer = reply->agent_run_reply();
+  switch (answer.result()) {
+    case v1::AGENT_RUN_RESULT_DONE:
+    case v1::AGENT_RUN_RESULT_FAILED: {
+      bool succeeded = answer.result() == v1::AGENT_RUN_RESULT_DONE;
+      v1::RunResponse response = run_response(
+        this->request.request_id(),
+        succeeded ? v1::OUTCOME_SUCCEEDED : v1::OUTCOME_FAILED,
+        succeeded ? v1::REASON_UNSPECIFIED : v1::REASON_TASK_FAILED);
+      response.set_output(answer.output());
+      this->finish(std::move(response));
+      return;
+    }
+    case v1::AGENT_RUN_RESULT_REFUSED:
+      // A refusal ran nothing and is cheap: it costs no retry.
+      if (this->attempts < this->context.settings.max_attempts)
+        this->dispatch();
+      else if (this->outstanding == 0)
+        this->pause();
+      return;
+    default:
+      this->may_have_run = true;
+      this->try_elsewhere();
+  }
+}
+
+void
+IdempotentRun::pause()
+{
+  // All servers are busy: tries all of them again until the deadline.
+  this->tried.clear();
+  this->attempts = 0;
+  this->pause_timer = this->context.timers.after(
+    kernel::Milliseconds(
+      core::retry_delay_ms(PAUSES, ++this->pauses, kernel::random_id()) + 1),
+    [this] { this->dispatch(); });
+}
+
+void
+IdempotentRun::give_up(v1::Reason reason)
+{
+  const std::string& id = this->request.request_id();
+  if (this->outstanding > 0 || this->may_have_run)
+    this->finish(run_response(id, v1::OUTCOME_UNKNOWN, reason));
+  else
+    this->finish(not_run(this->context, id, v1::REASON_NO_CAPACITY));
+}
+
+void
+IdempotentRun::finish(v1::RunResponse response)
+{
+  this->attempt_timer.reset();
+  this->pause_timer.reset();
+  this->deadline_timer.reset();
+  this->span.set("outcome", v1::Outcome_Name(response.outcome()));
+  this->span.end();
+  Done done = std::exchange(this->done, nullptr);
+  if (done)
+    done(std::move(response));
+}
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/idempotent_run.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "entry/run_context.h"
+#include "kernel/task.h"
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace geraniumhinge::entry {
+
+/// One idempotent short request. A server that does not answer in time keeps
+/// its chance while another is tried; the first answer counts.
+class IdempotentRun : public kernel::Task
+{
+public:
+  using Done = std::function<void(v1::RunResponse)>;
+
+  IdempotentRun(RunContext& context,
+                v1::RunRequest request,
+                const kernel::TraceContext& trace,
+                Done done);
+
+  void start();
+
+private:
+  void dispatch();
+  void send(const PickedServer& picked);
+  void replied(const PickedServer& picked, const peer::PeerNode::Reply& reply);
+  void attempt_late(const std::string& server, std::int64_t sent_ms);
+  void try_elsewhere();
+  void pause();
+  void give_up(v1::Reason reason);
+  void finish(v1::RunResponse response);
+  kernel::Milliseconds remaining() const;
+
+  RunContext& context;
+  v1::RunRequest request;
+  Done done;
+  kernel::Span span;
+  std::int64_t deadline_ms;
+  int attempts = 0;
+  int outstanding = 0;
+  std::uint32_t pauses = 0;
+  bool may_have_run = false;
+  std::set<std::string> tried;
+  kernel::Subscription attempt_timer;
+  kernel::Subscription pause_timer;
+  kernel::Subscription deadline_timer;
+};
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/jobs.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "entry/config_store.h"
+#include "entry/scheduler.h"
+#include "entry/stopper.h"
+#include "entry/takeover.h"
+#include "gateway/unary.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+
+namespace geraniumhinge::entry {
+
+/// Serves the callers' methods on jobs. Nobody reads or cancels a job of
+/// another organisation: it is answered like an unknown one.
+class JobApi : public kernel::Task
+{
+public:
+  template<typename Response>
+  using Answer = gateway::UnaryRouter::Answer<Response>;
+
+  JobApi(const DriverContext& context,
+         Membership& membership,
+         DriverTable& drivers,
+         Scheduler& scheduler,
+         Stopper& stopper,
+         Takeover& takeover);
+
+  void submit(const Principal& principal,
+              const kernel::TraceContext& trace,
+              v1::SubmitJobRequest request,
+              Answer<v1::SubmitJobResponse> answer);
+  void get(const Principal& principal,
+           const std::string& id,
+           Answer<v1::Job> answer);
+  void wait(const Principal& principal,
+            const v1::WaitJobRequest& request,
+            Answer<v1::Job> answer);
+  void list(const Principal& principal,
+            const v1::ListJobsRequest& request,
+            Answer<v1::ListJobsResponse> answer);
+  void cancel(const Principal& principal,
+              const std::string& id,
+              Answer<v1::Job> answer);
+
+private:
+  struct Submission
+  {
+    v1::SubmitJobRequest request;
+    std::uint64_t hash = 0;
+    v1::JobRow row;
+    kernel::TraceContext trace;
+    Answer<v1::SubmitJobResponse> answer;
+  };
+  using SubmissionPtr = std::shared_ptr<Submission>;
+  struct Waiter
+  {
+    std::string job;
+    Answer<v1::Job> answer;
+    std::int64_t deadline_ms = 0;
+    kernel::Subscription poll;
+  };
+  using WaiterPtr = std::shared_ptr<Waiter>;
+
+  std::optional<gateway::CallError> refusal(const std::string& organisation,
+                                            const v1::JobSpec& spec);
+  void submitted(const SubmissionPtr& submission,
+                 const platform::Table::CommitResult& result);
+  void join(const SubmissionPtr& submission);
+  void joined(const SubmissionPtr& submission,
+              const platform::Table::ReadResult& result);
+  void read_job(const std::string& id,
+                std::function<void(tl::expected<v1::Job, gateway::CallError>)>);
+  void poll_waiter(const WaiterPtr& waiter, kernel::Milliseconds pause);
+  void finished(const v1::JobRow& row);
+  gateway::CallError store_unavailable(v1::Outcome outcome) const;
+
+  const DriverContext& context;
+  Membership& membership;
+  DriverTable& drivers;
+  Scheduler& scheduler;
+  Stopper& stopper;
+  Takeover& takeover;
+  std::multimap<std::string, WaiterPtr> waiters; ///< By job.
+};
+
+} // namespace geraniumhinge::entry
--- a/entry/membership.cpp
+++ b/entry/membership.cpp
@@ -57,8 +57,7 @@
 {
   this->log.write(STORE_UNAVAILABLE, { { "step", "write_entry_row" } });
   this->retry_timer = this->timers.after(
-    this->settings.store_retry,
-    [this, joined] { this->start(joined); });
+    this->settings.store_retry, [this, joined] { this->start(joined); });
 }
 
 void
--- a/entry/scheduler.cpp
+++ b/entry/scheduler.cpp
@@ -134,6 +134,8 @@
 Scheduler::pass()
 {
   this->awake = false;
+  if (this->context.draining())
+    return;
   std::int64_t started = kernel::boot_us();
   Snapshot snapshot = this->snapshot();
   this->policy.typical = guaranteed_shapes(this->context.config());
@@ -229,8 +231,7 @@
   std::int64_t now = kernel::unix_ms();
   for (const auto& [job, driver] : this->drivers.all()) {
     const v1::Job& row = driver->row().job();
-    std::int64_t run =
-      std::int64_t{ row.spec().declared_run_time_s() } * 1'000;
+    std::int64_t run = std::int64_t{ row.spec().declared_run_time_s() } * 1'000;
     if (row.state() != v1::JOB_STATE_RUNNING || run == 0)
       continue;
     std::int64_t elapsed = now - row.started_ms();
@@ -249,13 +250,15 @@
        this->queue.order(this->shares(snapshot), kernel::unix_ms()))
     entries.push_back(*entry);
   // A shape that found no place finds none later in the pass either.
-  std::set<std::pair<core::Shape, bool>> blocked;
+  std::vector<core::Shape> blocked;
   for (const core::QueueEntry& entry : entries) {
-    if (!entry.use_guarantee && blocked.contains({ entry.shape, false }))
+    bool known = std::find(blocked.begin(), blocked.end(), entry.shape) !=
+                 blocked.end();
+    if (!entry.use_guarantee && known)
       continue;
     if (!this->place_one(snapshot, entry) && !entry.use_guarantee &&
         this->demand_of(entry).avoid.empty())
-      blocked.insert({ entry.shape, false });
+      blocked.push_back(entry.shape);
   }
 }
 
@@ -267,10 +270,10 @@
     return true;
   core::Demand demand = this->demand_of(entry);
   std::span<const core::PlacedMember> reserved;
-  bool reserves = this->reservation && this->reservation->job != entry.job &&
-                  !entry.urgent && !entry.use_guarantee &&
-                  !core::may_backfill(
-                    *this->reservation, entry, kernel::unix_ms());
+  bool reserves =
+    this->reservation && this->reservation->job != entry.job && !entry.urgent &&
+    !entry.use_guarantee &&
+    !core::may_backfill(*this->reservation, entry, kernel::unix_ms());
   if (reserves)
     reserved = this->reservation->placement.members;
   std::int64_t started = kernel::boot_us();
@@ -318,8 +321,8 @@
                             settings.stop_grace.count(),
                             settings.lease_period.count() };
   std::int64_t now = kernel::unix_ms();
-  tl::expected<core::ReclaimPlan, core::PlaceError> plan = core::plan_reclaim(
-    snapshot.states(), demand, this->policy, times, now);
+  tl::expected<core::ReclaimPlan, core::PlaceError> plan =
+    core::plan_reclaim(snapshot.states(), demand, this->policy, times, now);
   if (!plan)
     return;
   std::erase_if(this->reclaimed_ms, [now](const auto& request) {
@@ -329,8 +332,7 @@
     if (!this->reclaimed_ms.emplace(victim.job, now).second)
       continue;
     this->context.log.write(
-      RECLAIM_STARTED,
-      { { "job", demand.job }, { "victim", victim.job } });
+      RECLAIM_STARTED, { { "job", demand.job }, { "victim", victim.job } });
     this->context.metrics.counter("entry_reclaims_total").add();
     this->stopper.request(victim.job, v1::STOP_PURPOSE_RECLAIM);
   }
--- /dev/null
+++ b/entry/server_pick.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "core/route.h"
+#include "entry/fleet.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace geraniumhinge::entry {
+
+/// A backend server chosen for a short request. Counts as load while it is
+/// held.
+struct PickedServer
+{
+  std::string server;
+  std::string agent_address;
+  std::uint64_t incarnation = 0;
+  std::shared_ptr<void> in_flight;
+};
+
+/// Chooses backend servers for short requests from the load view.
+class ServerPicker
+{
+public:
+  ServerPicker(Fleet& fleet, const std::string& own_zone);
+
+  /// The least loaded server that is not in `tried`. Servers that lately did
+  /// not answer are chosen only if there is no other.
+  std::optional<PickedServer> pick(const std::set<std::string>& tried);
+
+private:
+  std::optional<PickedServer> pick_from(const std::set<std::string>& tried,
+                                        bool suspects);
+
+  Fleet& fleet;
+  core::Names names;
+  core::NameId own_zone;
+  std::uint64_t seed;
+};
+
+} // namespace geraniumhinge::entry
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -50,9 +50,10 @@
   { "/jobs/max_generations", SettingType::Integer, "", 1, 1000, "20", "Generations of a job that lose a member before it ends." },
   { "/jobs/max_queue", SettingType::Integer, "jobs", 1, 1000000, "20000", "Jobs without an outcome that this entry drives." },
   { "/jobs/scan_ms", SettingType::Integer, "ms", 500, 3600000, "30000", "Period of the scan of the index of open jobs." },
-  { "/jobs/scan_page", SettingType::Integer, "rows", 1, 10000, "500", "Rows read by one step of a scan." },
+  { "/jobs/scan_page", SettingType::Integer, "rows", 1, 1000, "500", "Rows read by one step of a scan." },
   { "/retention/rows_s", SettingType::Integer, "s", 1, 2592000, "86400", "Age at which request, marker and finished job rows are deleted." },
   { "/retention/sweep_s", SettingType::Integer, "s", 1, 86400, "600", "Period of the sweep for rows past their retention." },
+  { "/drain/grace_ms", SettingType::Integer, "ms", 0, 60000, "1000", "Time from becoming unready to closing the listening socket, for the balancer to notice." },
   { "/policy/weight_completion", SettingType::Number, "", 0, 1, "0.5", "Weight of completion time." },
   { "/policy/weight_fragmentation", SettingType::Number, "", 0, 1, "0.5", "Weight of fragmentation." },
   { "/policy/spare_servers", SettingType::Integer, "", 0, 1000, "1", "Lost backend servers that accepted guarantees must survive." },
@@ -179,6 +180,7 @@
   settings.scan_page = source.count("/jobs/scan_page");
   settings.retention = source.seconds("/retention/rows_s");
   settings.sweep_period = source.seconds("/retention/sweep_s");
+  settings.drain_grace = source.ms("/drain/grace_ms");
   settings.weight_completion = source.number("/policy/weight_completion");
   settings.weight_fragmentation = source.number("/policy/weight_fragmentation");
   settings.spare_servers = source.count("/policy/spare_servers");
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -59,6 +59,8 @@
   Milliseconds retention{ 0 };
   Milliseconds sweep_period{ 0 };
 
+  Milliseconds drain_grace{ 0 };
+
   double weight_completion = 0;
   double weight_fragmentation = 0;
   std::size_t spare_servers = 0;
--- /dev/null
+++ b/entry/status.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "entry/cells.h"
+#include "entry/fleet.h"
+#include "entry/membership.h"
+#include "entry/scheduler.h"
+
+#include "geraniumhinge/v1/scheduler.pb.h"
+
+#include <functional>
+#include <string>
+
+namespace geraniumhinge::entry {
+
+/// Answers the operators' questions about the state of the system from this
+/// entry's copies of the rows and its view of the other entries.
+class Status
+{
+public:
+  Status(Membership& membership,
+         Fleet& fleet,
+         Cells& cells,
+         DriverTable& drivers,
+         Scheduler& scheduler,
+         std::function<const v1::Configuration&()> config);
+
+  v1::GetStatusResponse status() const;
+  /// Backend servers of one availability zone, of all if it is empty.
+  v1::ListBackendServersResponse servers(const std::string& zone) const;
+
+private:
+  void add_entries(v1::GetStatusResponse& response) const;
+  void add_cells(v1::GetStatusResponse& response) const;
+  void add_guarantees(v1::GetStatusResponse& response) const;
+  v1::BackendServer server_of(const v1::CellRow& row,
+                              const v1::Member& member) const;
+
+  Membership& membership;
+  Fleet& fleet;
+  Cells& cells;
+  DriverTable& drivers;
+  Scheduler& scheduler;
+  std::function<const v1::Configuration&()> config;
+};
+
+} // namespace geraniumhinge::entry
--- a/entry/stopper.cpp
+++ b/entry/stopper.cpp
@@ -95,7 +95,8 @@
   platform::Transaction transaction;
   std::vector<v1::JobRow> changed;
   for (const platform::Row& row : rows) {
-    std::string job = row.key.substr(std::char_traits<char>::length(JOB_PREFIX));
+    std::string job =
+      row.key.substr(std::char_traits<char>::length(JOB_PREFIX));
     std::optional<v1::JobRow> current = parse_row<v1::JobRow>(row);
     std::optional<v1::JobRow> next;
     if (current)
@@ -114,8 +115,7 @@
     changed.push_back(std::move(*next));
   }
   if (!changed.empty())
-    this->commit(
-      std::move(batch), std::move(changed), std::move(transaction));
+    this->commit(std::move(batch), std::move(changed), std::move(transaction));
 }
 
 void
@@ -125,21 +125,20 @@
 {
   this->context.table.commit(
     std::move(transaction),
-    this->guarded(
-      [this, batch = std::move(batch), next = std::move(next)](
-        const platform::Table::CommitResult& result) {
-        if (!result) {
-          if (result.error().kind == platform::TableErrorKind::Conflict)
-            this->commit_each(batch);
-          else
-            this->fail(batch);
-          return;
-        }
-        for (const v1::JobRow& row : next) {
-          this->drivers.notify(row);
-          this->settle(batch.at(row.job().id()), row);
-        }
-      }));
+    this->guarded([this, batch = std::move(batch), next = std::move(next)](
+                    const platform::Table::CommitResult& result) {
+      if (!result) {
+        if (result.error().kind == platform::TableErrorKind::Conflict)
+          this->commit_each(batch);
+        else
+          this->fail(batch);
+        return;
+      }
+      for (const v1::JobRow& row : next) {
+        this->drivers.notify(row);
+        this->settle(batch.at(row.job().id()), row);
+      }
+    }));
 }
 
 void
--- a/entry/takeover.cpp
+++ b/entry/takeover.cpp
@@ -51,7 +51,8 @@
     return;
   }
   for (const platform::Row& row : *result) {
-    std::string job = row.key.substr(std::char_traits<char>::length(OPEN_PREFIX));
+    std::string job =
+      row.key.substr(std::char_traits<char>::length(OPEN_PREFIX));
     this->found[job] = row.value;
     this->note_open(job, row.value);
   }
@@ -132,8 +133,8 @@
 void
 Takeover::announce(const v1::JobRow& row)
 {
-  std::string backup = this->membership.backup_of(
-    row.job().id(), this->membership.self().name());
+  std::string backup =
+    this->membership.backup_of(row.job().id(), this->membership.self().name());
   const v1::EntryRow* entry = this->membership.find_live(backup);
   if (entry == nullptr)
     return;
