--- a/entry/config_store.h
+++ b/entry/config_store.h
@@ -8,7 +8,9 @@
 
 #include "geraniumhinge/v1/scheduler.pb.h"
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
@@ -39,7 +41,7 @@
               const kernel::Log& log,
               platform::Table& table,
               kernel::Milliseconds poll_period,
-              std::map<std::string, std::string> operator_digests);
+              const std::map<std::string, std::string>& operator_digests);
   ~ConfigStore() override;
 
   /// Starts polling. The store is loaded once the row was read for the first
@@ -59,7 +61,9 @@
   void on_change(std::function<void(const v1::Configuration&)> fn);
 
   /// Applies `change` to the configuration of version `base` and commits it;
-  /// refuses a stale base with the current version.
+  /// refuses a stale base with the current version. `change` may run twice.
+  /// A lost answer that could not be resolved is an error with the outcome
+  /// UNKNOWN; every other error means that nothing was changed.
   void change(std::uint64_t base, Change change, ChangeDone done);
 
   /// Finds who a token speaks for under the current configuration.
