Add members, gang rounds and short requests of the agent

Members holds resources, starts and stops tasks and fences messages by incarnation and generation. A refused or stopped generation fences every older one of its job, so one number for each job is enough.

A member that acknowledged a gang round is reported as STOPPED, not as NEVER_STARTED, when its gang does not open in time: its acknowledgement may have opened the gang, and entries read one NEVER_STARTED member as proof that no task of the gang ran.

--- /dev/null
+++ b/agent/members_end.cpp
@@ -0,0 +1,134 @@
+#include "agent/events.h"
+#include "agent/members.h"
+
+#include <utility>
+
+// How members end: their final states, results and answers to stops.
+namespace geraniumhinge::agent {
+
+Resources
+resources_of(const v1::Prepare& spec)
+{
+  return { 1, spec.accelerators(), spec.cores(), spec.memory_mb() };
+}
+
+v1::MemberDone
+make_done(const v1::MemberKey& key,
+          const FinalState& final_state,
+          const std::string& server)
+{
+  v1::MemberDone done;
+  *done.mutable_key() = key;
+  done.set_ran(final_state.state != v1::MEMBER_STATE_NEVER_STARTED);
+  done.set_outcome(final_state.outcome);
+  done.set_reason(final_state.reason);
+  done.set_server(server);
+  done.set_checkpoint_key(final_state.checkpoint_key);
+  return done;
+}
+
+void
+Members::end_unopened(Active::iterator found, v1::Reason reason, bool announce)
+{
+  const Member& member = found->second;
+  FinalState final_state;
+  final_state.reason = reason;
+  // Once this member acknowledged a round its gang may have opened, and other
+  // members may have run: only a member that never did may say NEVER_STARTED.
+  if (member.acknowledged) {
+    final_state.state = v1::MEMBER_STATE_STOPPED;
+    final_state.outcome = v1::OUTCOME_UNKNOWN;
+  }
+  this->conclude(found, std::move(final_state), {}, announce);
+}
+
+FinalState
+Members::final_state(const Member& member, const TaskEnd& end) const
+{
+  FinalState state;
+  state.checkpoint_key = end.checkpoint_key;
+  state.state = v1::MEMBER_STATE_STOPPED;
+  state.outcome = v1::OUTCOME_UNKNOWN;
+  state.reason = v1::REASON_SERVER_LOST;
+  switch (end.kind) {
+    case TaskEndKind::Succeeded:
+      state.state = v1::MEMBER_STATE_DONE;
+      state.outcome = v1::OUTCOME_SUCCEEDED;
+      state.reason = v1::REASON_UNSPECIFIED;
+      break;
+    case TaskEndKind::Failed:
+      state.state = v1::MEMBER_STATE_DONE;
+      state.outcome = v1::OUTCOME_FAILED;
+      state.reason = v1::REASON_TASK_FAILED;
+      break;
+    case TaskEndKind::NeverStarted:
+      // The other members of an open gang may have run.
+      if (is_gang(member.spec))
+        break;
+      state.state = v1::MEMBER_STATE_NEVER_STARTED;
+      state.outcome = v1::OUTCOME_NOT_RUN;
+      break;
+    case TaskEndKind::Stopped:
+      state.reason = member.stop_reason;
+      break;
+    case TaskEndKind::Lapsed:
+    case TaskEndKind::Lost:
+      break;
+  }
+  return state;
+}
+
+void
+Members::task_ended(const MemberId& id, TaskEnd end)
+{
+  Active::iterator found = this->members.find(id);
+  if (found == this->members.end())
+    return;
+  if (end.kind == TaskEndKind::Lapsed)
+    this->log.write(LEASE_LAPSED,
+                    { { "job", id.job }, { "generation", id.generation } });
+  this->fences.refuse(id.job, id.generation);
+  FinalState state = this->final_state(found->second, end);
+  // Who asked for the stop learns its end from the reply.
+  bool stopped_on_request =
+    !found->second.stops.empty() && state.state != v1::MEMBER_STATE_DONE;
+  this->conclude(
+    found, std::move(state), std::move(end.output), !stopped_on_request);
+}
+
+void
+Members::conclude(Active::iterator found,
+                  FinalState final_state,
+                  std::string output,
+                  bool announce)
+{
+  MemberId id = found->first;
+  Member member = std::move(found->second);
+  this->members.erase(found);
+  this->slots.give_back(resources_of(member.spec));
+  this->fences.record(id, final_state);
+  this->log.write(MEMBER_ENDED,
+                  { { "job", id.job },
+                    { "generation", id.generation },
+                    { "member", id.member },
+                    { "outcome", v1::Outcome_Name(final_state.outcome) },
+                    { "reason", v1::Reason_Name(final_state.reason) } });
+  member.span.set("outcome", v1::Outcome_Name(final_state.outcome));
+  bool succeeded = final_state.outcome == v1::OUTCOME_SUCCEEDED;
+  if (is_gang(member.spec) && member.phase != MemberPhase::Held)
+    this->hooks.ended(id, succeeded);
+  if (announce) {
+    v1::MemberDone done =
+      make_done(member.spec.key(), final_state, this->settings.name);
+    done.mutable_output()->set_inline_(std::move(output));
+    this->hooks.result(std::move(done), member.driver);
+  }
+  v1::StopReply reply;
+  reply.set_state(final_state.state);
+  reply.set_checkpoint_key(final_state.checkpoint_key);
+  for (StopDone& stop : member.stops)
+    stop(reply);
+  this->hooks.changed();
+}
+
+} // namespace geraniumhinge::agent
--- /dev/null
+++ b/agent/results.cpp
@@ -0,0 +1,81 @@
+#include "agent/results.h"
+
+#include <utility>
+
+namespace geraniumhinge::agent {
+
+Results::Results(kernel::Loop& loop,
+                 kernel::TimerService& timers,
+                 kernel::Milliseconds retry,
+                 Transport transport,
+                 std::function<std::vector<std::string>()> entries)
+  : Task(loop, "results")
+  , timers(timers)
+  , retry(retry)
+  , transport(std::move(transport))
+  , entries(std::move(entries))
+{
+}
+
+void
+Results::add(v1::MemberDone done, const std::string& driver)
+{
+  MemberId id = id_of(done.key());
+  Waiting& item = this->waiting[id];
+  item.done = std::move(done);
+  item.driver = driver;
+  this->send(id);
+}
+
+const v1::MemberDone*
+Results::find(const MemberId& id) const
+{
+  std::map<MemberId, Waiting>::const_iterator found = this->waiting.find(id);
+  return found == this->waiting.end() ? nullptr : &found->second.done;
+}
+
+void
+Results::set_driver(const MemberId& id, const std::string& driver)
+{
+  std::map<MemberId, Waiting>::iterator found = this->waiting.find(id);
+  if (found != this->waiting.end())
+    found->second.driver = driver;
+}
+
+std::string
+Results::address_for(const Waiting& item) const
+{
+  // Every second attempt goes to the driver, the others round the entries.
+  std::vector<std::string> others = this->entries();
+  bool to_driver = item.attempts % 2 == 0 || others.empty();
+  return to_driver ? item.driver : others[item.attempts / 2 % others.size()];
+}
+
+void
+Results::send(const MemberId& id)
+{
+  std::map<MemberId, Waiting>::iterator found = this->waiting.find(id);
+  if (found == this->waiting.end())
+    return;
+  Waiting& item = found->second;
+  v1::Envelope envelope;
+  *envelope.mutable_member_done() = item.done;
+  std::string address = this->address_for(item);
+  item.attempts++;
+  this->transport.request(
+    address,
+    std::move(envelope),
+    this->retry,
+    this->guarded([this, id](const peer::PeerNode::Reply& reply) {
+      if (reply && reply->has_ack()) {
+        this->waiting.erase(id);
+        return;
+      }
+      std::map<MemberId, Waiting>::iterator found = this->waiting.find(id);
+      if (found != this->waiting.end())
+        found->second.retry =
+          this->timers.after(this->retry, [this, id] { this->send(id); });
+    }));
+}
+
+} // namespace geraniumhinge::agent
--- /dev/null
+++ b/agent/slots.cpp
@@ -0,0 +1,54 @@
+#include "agent/slots.h"
+
+namespace geraniumhinge::agent {
+
+namespace {
+
+constexpr std::uint32_t MAX_ACCELERATORS = 64;
+
+std::uint64_t
+mask_of(std::uint32_t accelerators)
+{
+  if (accelerators >= MAX_ACCELERATORS)
+    return ~std::uint64_t(0);
+  return (std::uint64_t(1) << accelerators) - 1;
+}
+
+} // namespace
+
+Slots::Slots(const CapacitySettings& capacity)
+  : capacity(capacity)
+  , accelerator_mask(mask_of(capacity.accelerators))
+{
+  this->used.slots = 0;
+}
+
+bool
+Slots::take(const Resources& wanted)
+{
+  bool fits =
+    this->used.slots + wanted.slots <= this->capacity.slots &&
+    std::uint64_t(this->used.cores) + wanted.cores <= this->capacity.cores &&
+    std::uint64_t(this->used.memory_mb) + wanted.memory_mb <=
+      this->capacity.memory_mb &&
+    (this->used.accelerators & wanted.accelerators) == 0 &&
+    (wanted.accelerators & ~this->accelerator_mask) == 0;
+  if (!fits)
+    return false;
+  this->used.slots += wanted.slots;
+  this->used.cores += wanted.cores;
+  this->used.memory_mb += wanted.memory_mb;
+  this->used.accelerators |= wanted.accelerators;
+  return true;
+}
+
+void
+Slots::give_back(const Resources& taken)
+{
+  this->used.slots -= taken.slots;
+  this->used.cores -= taken.cores;
+  this->used.memory_mb -= taken.memory_mb;
+  this->used.accelerators &= ~taken.accelerators;
+}
+
+} // namespace geraniumhinge::agent
--- /dev/null
+++ b/agent/slots.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "agent/settings.h"
+
+#include <cstdint>
+
+namespace geraniumhinge::agent {
+
+/// Resources of one member or short request.
+struct Resources
+{
+  std::uint32_t slots = 1;
+  std::uint64_t accelerators = 0; ///< Bit mask.
+  std::uint32_t cores = 0;
+  std::uint32_t memory_mb = 0;
+};
+
+/// What of the backend server's capacity is taken.
+class Slots
+{
+public:
+  explicit Slots(const CapacitySettings& capacity);
+
+  /// Takes the resources, or nothing if some are not free.
+  bool take(const Resources& wanted);
+  void give_back(const Resources& taken);
+
+  std::uint32_t slots_used() const { return this->used.slots; }
+  std::uint64_t accelerators_used() const { return this->used.accelerators; }
+
+private:
+  CapacitySettings capacity;
+  std::uint64_t accelerator_mask;
+  Resources used;
+};
+
+} // namespace geraniumhinge::agent
