Add the command line other than serve

Operators need the scheduler from a shell and from scripts.

call checks the method's name against the schema and the body as JSON before it sends anything; body and token come from an argument, a file, standard input or GERANIUMHINGE_TOKEN. A call whose answer is missing says whether the request was sent. status ignores fields of a newer entry.

--- /dev/null
+++ b/entry/cli.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "entry/cli_remote.h"
+#include "kernel/settings.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace geraniumhinge::entry {
+
+/// What the command line needs of the rest of the program.
+struct CliHooks
+{
+  /// Runs an entry with a settings file until it is stopped; returns the exit
+  /// code.
+  std::function<int(const std::string& settings_path)> serve;
+  /// Validates a settings file.
+  std::function<std::vector<kernel::SettingFault>(const std::string& path)>
+    check;
+};
+
+/// Runs the command of the arguments and returns the exit code of the process:
+/// 0 success, 1 failure, 2 unusable arguments or settings.
+int
+run_cli(int argc,
+        const char* const* argv,
+        const CliHooks& hooks,
+        CliStreams streams = {});
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/cli_status.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "geraniumhinge/v1/scheduler.pb.h"
+
+#include <string>
+
+namespace geraniumhinge::entry {
+
+/// The status as tables for people: entries, cells, backend servers and
+/// organisations.
+std::string
+format_status(const v1::GetStatusResponse& status);
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/tests/entry/cli_test.cpp
@@ -0,0 +1,208 @@
+#define BOOST_TEST_MODULE cli
+#include "entry/cli.h"
+#include "gateway/http_server.h"
+#include "gateway/unary_error.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <unistd.h>
+
+using namespace geraniumhinge;
+using namespace geraniumhinge::entry;
+
+namespace {
+
+struct Result
+{
+  int code = -1;
+  std::string out;
+  std::string err;
+};
+
+Result
+run(std::vector<const char*> arguments, std::string input = {})
+{
+  arguments.insert(arguments.begin(), "geraniumhinge");
+  char* out = nullptr;
+  char* err = nullptr;
+  std::size_t out_size = 0;
+  std::size_t err_size = 0;
+  input += '\n'; // fmemopen refuses an empty buffer.
+  CliStreams streams{ fmemopen(input.data(), input.size(), "r"),
+                      open_memstream(&out, &out_size),
+                      open_memstream(&err, &err_size) };
+  CliHooks hooks;
+  hooks.serve = [](const std::string& path) {
+    return path == "good.json" ? EXIT_CODE_SUCCESS : EXIT_CODE_FAILURE;
+  };
+  hooks.check = [](const std::string& path) {
+    std::vector<kernel::SettingFault> faults;
+    if (path != "good.json")
+      faults.push_back(
+        { kernel::SettingFaultKind::Unknown, "/extra", "no such setting" });
+    return faults;
+  };
+  Result result;
+  result.code = run_cli(
+    static_cast<int>(arguments.size()), arguments.data(), hooks, streams);
+  std::fclose(streams.in);
+  std::fclose(streams.out);
+  std::fclose(streams.err);
+  result.out.assign(out, out_size);
+  result.err.assign(err, err_size);
+  std::free(out);
+  std::free(err);
+  return result;
+}
+
+/// An entry that answers every call from its own thread.
+struct FakeEntry
+{
+  kernel::Loop loop;
+  kernel::TimerService timers{ loop };
+  std::string token;
+  std::string body;
+  gateway::HttpServer server{
+    loop,
+    timers,
+    "127.0.0.1:0",
+    100'000,
+    [this](const gateway::HttpRequest& request,
+           const gateway::HttpServer::Respond& respond) {
+      this->token = request.headers.at("authorization");
+      this->body = request.body;
+      respond(this->answer(request.path));
+    }
+  };
+  std::string address;
+  std::thread thread;
+
+  FakeEntry()
+  {
+    BOOST_REQUIRE(server.listen());
+    address = "127.0.0.1:" + std::to_string(server.port());
+    thread = std::thread([this] { loop.run(); });
+  }
+  ~FakeEntry()
+  {
+    loop.post([this] { loop.stop(); });
+    thread.join();
+  }
+
+  static gateway::HttpResponse answer(const std::string& path)
+  {
+    gateway::HttpResponse response;
+    if (path.ends_with("GetStatus")) {
+      response.body =
+        R"({"configurationVersion":"7","newerField":1,)"
+        R"("entries":[{"name":"entry-1","zone":"za","live":true}],)"
+        R"("cells":[{"zone":"za","version":"3","witnessHolds":true}],)"
+        R"("servers":[{"name":"s1","state":"SERVER_STATE_LOST"}],)"
+        R"("guarantees":[{"organisation":"porto","usedAccelerators":5}]})";
+      return response;
+    }
+    if (path.ends_with("SetLimits")) {
+      gateway::CallError error =
+        gateway::call_error(v1::ERROR_KIND_STALE_VERSION, "stale");
+      error.detail.set_current_version(9);
+      return gateway::error_response(error);
+    }
+    response.body = R"({"id":"j1"})";
+    return response;
+  }
+};
+
+} // namespace
+
+// Guards against exit codes that scripts can't rely on.
+BOOST_AUTO_TEST_CASE(unusable_arguments_exit_with_2)
+{
+  BOOST_TEST(run({}).code == 2);
+  BOOST_TEST(run({ "unknown" }).code == 2);
+  BOOST_TEST(run({ "version", "extra" }).code == 2);
+  BOOST_TEST(run({ "serve" }).code == 2);
+  BOOST_TEST(run({ "serve", "--setings", "x" }).code == 2);
+  BOOST_TEST(run({ "call" }).code == 2);
+  BOOST_TEST(run({ "call", "Missing" }).err.find("GetStatus") !=
+             std::string::npos);
+  BOOST_TEST(run({ "call", "GetJob", "{" }).code == 2);
+  BOOST_TEST(run({ "call", "GetJob", "@/nonexistent" }).code == 2);
+  BOOST_TEST(run({ "call", "GetJob", "{}", "extra" }).code == 2);
+  BOOST_TEST(run({ "status", "--token-file", "/nonexistent" }).code == 2);
+  BOOST_TEST(run({ "status", "--timeout-ms", "0" }).code == 2);
+  BOOST_TEST(run({ "check", "--settings", "bad.json" }).code == 2);
+}
+
+// Guards against a command that fails or prints nothing when it succeeds.
+BOOST_AUTO_TEST_CASE(successful_commands_exit_with_0)
+{
+  BOOST_TEST(run({ "version" }).out.starts_with("geraniumhinge "));
+  BOOST_TEST(run({ "--help" }).out.find("Examples:") != std::string::npos);
+  for (const char* command : { "serve", "check", "call", "status" }) {
+    Result help = run({ command, "--help" });
+    BOOST_TEST(help.code == 0);
+    BOOST_TEST(help.out.find("Example") != std::string::npos, command);
+  }
+  BOOST_TEST(run({ "serve", "--settings", "good.json" }).code == 0);
+  BOOST_TEST(run({ "serve", "--settings", "bad.json" }).code == 1);
+  BOOST_TEST(run({ "check", "--settings", "good.json" }).out ==
+             "good.json: valid\n");
+}
+
+// Guards against a body or token that is lost or altered on its way.
+BOOST_AUTO_TEST_CASE(call_sends_the_body_from_each_source)
+{
+  FakeEntry entry;
+  char path[] = "/tmp/geraniumhinge-cli-XXXXXX";
+  int fd = mkstemp(path);
+  BOOST_REQUIRE(fd >= 0);
+  BOOST_REQUIRE_EQUAL(write(fd, "{\"id\":\"f\"}\n", 11), 11);
+  close(fd);
+  const char* address = entry.address.c_str();
+  std::string file = "@" + std::string(path);
+  setenv("GERANIUMHINGE_TOKEN", "from-variable", 1);
+  Result result =
+    run({ "call", "GetJob", R"({"id":"a,b"})", "--address", address });
+  BOOST_TEST(result.code == 0);
+  BOOST_TEST(result.out == "{\n  \"id\": \"j1\"\n}\n");
+  BOOST_TEST(entry.body == R"({"id":"a,b"})");
+  BOOST_TEST(entry.token == "Bearer from-variable");
+  run({ "call", "GetJob", file.c_str(), "--address", address });
+  BOOST_TEST(entry.body == "{\"id\":\"f\"}\n");
+  run({ "call", "GetJob", "-", "--address", address, "--token-file", path },
+      R"({"id":"s"})");
+  BOOST_TEST(entry.body == "{\"id\":\"s\"}\n");
+  BOOST_TEST(entry.token == "Bearer {\"id\":\"f\"}");
+  unlink(path);
+}
+
+// Guards against a refusal without its reason, and a lost answer that is taken
+// for a refusal.
+BOOST_AUTO_TEST_CASE(failures_exit_with_1_and_say_why)
+{
+  FakeEntry entry;
+  const char* address = entry.address.c_str();
+  setenv("GERANIUMHINGE_TOKEN", "t", 1);
+  Result stale = run({ "call", "SetLimits", "--address", address });
+  BOOST_TEST(stale.code == 1);
+  BOOST_TEST(stale.err.find("current version: 9") != std::string::npos);
+  Result unreachable = run({ "status", "--address", "127.0.0.1:1" });
+  BOOST_TEST(unreachable.code == 1);
+  BOOST_TEST(unreachable.err.find("was not sent") != std::string::npos);
+}
+
+// Guards against a status that leaves out a part, or fails on a newer entry.
+BOOST_AUTO_TEST_CASE(status_shows_every_part)
+{
+  FakeEntry entry;
+  const char* address = entry.address.c_str();
+  setenv("GERANIUMHINGE_TOKEN", "t", 1);
+  Result text = run({ "status", "--address", address });
+  BOOST_TEST(text.code == 0);
+  for (const char* part : { "version 7", "entry-1", "za", "lost", "porto" })
+    BOOST_TEST(text.out.find(part) != std::string::npos, part);
+  Result json = run({ "status", "--json", "--address", address });
+  BOOST_TEST(nlohmann::json::parse(json.out)["configurationVersion"] == "7");
+}
