--- /dev/null
+++ b/tests/support/fixture.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "tests/support/tenants.h"
+#include "tests/support/wait.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace geraniumhinge::tests {
+
+// The bounds of docs/design.md.
+constexpr kernel::Milliseconds LEASE_PERIOD{ 6'000 };
+constexpr kernel::Milliseconds LEAVING_LIMIT{ 3'000 };
+constexpr kernel::Milliseconds CONFIGURATION_LIMIT{ 3'000 };
+constexpr kernel::Milliseconds URGENT_LIMIT{ 1'600 };
+// The stand-in checks leases at this period.
+constexpr std::int64_t LEASE_CHECK_MS = 20;
+// Generous limit of waits that are no measurement.
+constexpr kernel::Milliseconds LONG{ 40'000 };
+
+/// A running deployment with two organisations, "alpha" and "beta".
+struct Fleet
+{
+  explicit Fleet(DeploymentPlan plan)
+    : entry_count(plan.entries.size())
+    , deployment(std::move(plan))
+  {
+    BOOST_REQUIRE_MESSAGE(this->deployment.start(), "the fleet is not ready");
+    this->tenants =
+      create_tenants(this->deployment, this->entry_count, { "alpha", "beta" });
+    BOOST_REQUIRE_EQUAL(this->tenants.size(), 2);
+  }
+
+  const Caller& alpha() const { return this->tenants[0].caller; }
+  const Caller& beta() const { return this->tenants[1].caller; }
+
+  std::vector<TaskSpan> spans() const
+  {
+    return task_spans(this->deployment.journal());
+  }
+
+  /// Tasks of a job that run now.
+  std::vector<TaskSpan> running(const std::string& job) const
+  {
+    std::vector<TaskSpan> found = this->spans();
+    std::erase_if(found, [&](const TaskSpan& span) {
+      return span.job != job || !span.end.empty();
+    });
+    return found;
+  }
+
+  bool wait_running(const std::string& job, std::size_t members) const
+  {
+    return wait_until(LONG,
+                      [&] { return this->running(job).size() == members; });
+  }
+
+  std::size_t entry_count;
+  Deployment deployment;
+  std::vector<Tenant> tenants;
+};
+
+/// Submits a job that must be accepted.
+inline std::string
+submit(const Caller& caller, const JobPlan& plan)
+{
+  JobResult job = caller.submit(plan);
+  BOOST_REQUIRE_MESSAGE(job.has_value(),
+                        "refused: " << (job ? "" : job.error().message));
+  return job->id();
+}
+
+inline v1::Outcome
+outcome_of(const JobResult& job)
+{
+  return job ? job->outcome() : v1::OUTCOME_UNSPECIFIED;
+}
+
+inline v1::Outcome
+outcome_of(const RunResult& answer)
+{
+  return answer ? answer->outcome() : answer.error().detail.outcome();
+}
+
+} // namespace geraniumhinge::tests
--- /dev/null
+++ b/tests/support/tenants.cpp
@@ -0,0 +1,51 @@
+#include "tests/support/tenants.h"
+
+#include "tests/support/wait.h"
+
+namespace geraniumhinge::tests {
+
+namespace {
+
+constexpr kernel::Milliseconds VERSION_LIMIT{ 5'000 };
+
+} // namespace
+
+bool
+wait_for_version(const Deployment& deployment,
+                 std::size_t entries,
+                 std::uint64_t version,
+                 kernel::Milliseconds limit)
+{
+  return wait_until(limit, [&] {
+    for (std::size_t i = 0; i < entries; i++) {
+      std::optional<v1::GetStatusResponse> status = deployment.status(i);
+      if (!status || status->configuration_version() < version)
+        return false;
+    }
+    return true;
+  });
+}
+
+std::vector<Tenant>
+create_tenants(const Deployment& deployment,
+               std::size_t entries,
+               const std::vector<std::string>& organisations)
+{
+  Operator oper(deployment.operator_client());
+  std::vector<Tenant> tenants;
+  std::uint64_t version = 0;
+  for (const std::string& name : organisations) {
+    std::string token = "token-" + name;
+    if (oper.create(name) == 0)
+      return {};
+    version = oper.assign("caller-" + name, name, token);
+    if (version == 0)
+      return {};
+    tenants.push_back({ name, token, Caller(deployment.client(token)) });
+  }
+  if (!wait_for_version(deployment, entries, version, VERSION_LIMIT))
+    return {};
+  return tenants;
+}
+
+} // namespace geraniumhinge::tests
--- /dev/null
+++ b/tests/support/tenants.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "tests/support/caller.h"
+#include "tests/support/deployment.h"
+
+#include <string>
+#include <vector>
+
+namespace geraniumhinge::tests {
+
+/// An organisation with one caller.
+struct Tenant
+{
+  std::string organisation;
+  std::string token;
+  Caller caller; ///< Through any entry.
+};
+
+/// Creates organisations with wide limits and a caller each, and waits until
+/// every entry has the configuration. Empty if that failed.
+std::vector<Tenant>
+create_tenants(const Deployment& deployment,
+               std::size_t entries,
+               const std::vector<std::string>& organisations);
+
+/// Waits until every entry that answers has at least this version.
+bool
+wait_for_version(const Deployment& deployment,
+                 std::size_t entries,
+                 std::uint64_t version,
+                 kernel::Milliseconds limit);
+
+} // namespace geraniumhinge::tests
--- /dev/null
+++ b/tests/system/demo.cpp
@@ -0,0 +1,282 @@
+// Runs a whole deployment on this machine, sends it work of four
+// organisations, ends one entry and one backend server on the way, and checks
+// every caller's outcome. Exits with 0 only if all are right.
+#include "tests/support/tenants.h"
+#include "tests/support/wait.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <set>
+#include <thread>
+
+using namespace geraniumhinge;
+using namespace geraniumhinge::tests;
+
+namespace {
+
+constexpr int REQUESTS_PER_KIND = 20;
+constexpr int REQUEST_RUN_MS = 50;
+constexpr std::uint32_t GANG_MEMBERS = 4;
+constexpr std::uint32_t WHOLE_SERVER = 8;
+constexpr int GANG_RUN_MS = 6'000;
+constexpr kernel::Milliseconds REQUEST_LIMIT{ 5'000 };
+constexpr kernel::Milliseconds JOB_LIMIT{ 60'000 };
+constexpr kernel::Milliseconds START_LIMIT{ 10'000 };
+
+/// One request or job, as its caller saw it.
+struct Result
+{
+  std::string organisation;
+  std::string kind;
+  std::string id;
+  std::string outcome;
+  bool answered = false;
+  bool right = false;
+  bool may_have_run = false;
+};
+
+std::string
+outcome_name(v1::Outcome outcome)
+{
+  return v1::Outcome_Name(outcome).substr(std::string("OUTCOME_").size());
+}
+
+/// Runs one short request and asks again under the same identifier if the
+/// answer is lost, as a caller would.
+Result
+run_request(const Tenant& tenant, int number, bool idempotent)
+{
+  std::string kind = idempotent ? "idempotent" : "non-idempotent";
+  std::string id = fmt::format("{}-{}", kind, number);
+  std::string output = tenant.organisation + "/" + id;
+  RunResult answer = tl::unexpected(Failure{});
+  wait_until(REQUEST_LIMIT * 2, [&] {
+    answer = tenant.caller.run(
+      id, idempotent, work_input(REQUEST_RUN_MS, output), REQUEST_LIMIT);
+    return answer || answer.error().answered;
+  });
+  Result result{ tenant.organisation, kind, id, "no answer" };
+  if (!answer) {
+    result.outcome = "error: " + answer.error().message;
+    result.answered = answer.error().answered;
+    // Only a refusal before any dispatch is truthful here.
+    result.right = answer.error().detail.outcome() == v1::OUTCOME_NOT_RUN;
+    result.may_have_run = !result.right;
+    return result;
+  }
+  result.answered = true;
+  result.outcome = outcome_name(answer->outcome());
+  bool own = answer->request_id() == id && answer->output() == output;
+  bool succeeded = answer->outcome() == v1::OUTCOME_SUCCEEDED;
+  bool truthful = answer->outcome() == v1::OUTCOME_NOT_RUN ||
+                  answer->outcome() == v1::OUTCOME_UNKNOWN;
+  result.right = succeeded ? own : truthful && !idempotent;
+  result.may_have_run = answer->outcome() != v1::OUTCOME_NOT_RUN;
+  return result;
+}
+
+Result
+finish_job(const Tenant& tenant,
+           const std::string& kind,
+           const JobResult& accepted,
+           std::uint32_t members)
+{
+  Result result{ tenant.organisation, kind, "", "refused" };
+  if (!accepted)
+    return result;
+  result.id = accepted->id();
+  JobResult job = tenant.caller.wait(accepted->id(), JOB_LIMIT);
+  if (!job)
+    return result;
+  result.answered = true;
+  result.may_have_run = true;
+  result.outcome = fmt::format(
+    "{}, generation {}", outcome_name(job->outcome()), job->generation());
+  result.right = job->outcome() == v1::OUTCOME_SUCCEEDED &&
+                 job->outputs_size() == static_cast<int>(members);
+  for (const v1::Payload& output : job->outputs())
+    result.right = result.right && output.inline_() == tenant.organisation;
+  return result;
+}
+
+Result
+run_urgent(const Tenant& tenant)
+{
+  JobPlan plan;
+  plan.request_id = "urgent";
+  plan.urgent = true;
+  plan.output = tenant.organisation;
+  return finish_job(tenant, "urgent job", tenant.caller.submit(plan), 1);
+}
+
+JobResult
+submit_gang(const Tenant& tenant)
+{
+  JobPlan plan;
+  plan.request_id = "gang";
+  plan.members = GANG_MEMBERS;
+  plan.accelerators = WHOLE_SERVER;
+  plan.run_ms = GANG_RUN_MS;
+  plan.output = tenant.organisation;
+  return tenant.caller.submit(plan);
+}
+
+/// All work of one organisation, one thread each.
+std::vector<Result>
+run_tenant(const Tenant& tenant)
+{
+  std::vector<Result> results;
+  for (int i = 0; i < REQUESTS_PER_KIND; i++) {
+    results.push_back(run_request(tenant, i, true));
+    results.push_back(run_request(tenant, i, false));
+    if (i == REQUESTS_PER_KIND / 2)
+      results.push_back(run_urgent(tenant));
+  }
+  return results;
+}
+
+std::set<std::string>
+racks_of(Deployment& deployment, const v1::Job& job)
+{
+  std::set<std::string> racks;
+  for (const std::string& server : job.servers())
+    racks.insert(
+      deployment.servers()[deployment.server_index(server)].plan.rack);
+  return racks;
+}
+
+std::size_t
+gang_members_running(const Deployment& deployment, const std::string& job)
+{
+  std::vector<TaskSpan> spans = task_spans(deployment.journal());
+  return static_cast<std::size_t>(
+    std::count_if(spans.begin(), spans.end(), [&](const TaskSpan& span) {
+      return span.job == job && span.end.empty();
+    }));
+}
+
+void
+print(const Result& result)
+{
+  fmt::print("{:<6} {:<14} {:<15} {:<24} {}\n",
+             result.right ? "right" : "WRONG",
+             result.organisation,
+             result.kind,
+             result.id,
+             result.outcome);
+}
+
+/// Nothing that must run at most once ran twice, and nothing ran that was
+/// reported as not run. The journal of the ended backend server is lost.
+bool
+check_journals(const Deployment& deployment, const std::vector<Result>& results)
+{
+  std::vector<JournalEvent> events = deployment.journal();
+  std::map<std::string, int> runs = run_counts(events);
+  bool once = std::all_of(
+    runs.begin(), runs.end(), [](const std::pair<const std::string, int>& run) {
+      return run.second == 1;
+    });
+  std::int64_t may_have_run =
+    std::count_if(results.begin(), results.end(), [](const Result& result) {
+      return result.kind == "non-idempotent" && result.may_have_run;
+    });
+  int overlaps = overlapping_generations(task_spans(events));
+  fmt::print("journals: {} non-idempotent runs for {} requests that may have "
+             "run, each once: {}, overlapping generations: {}\n",
+             runs.size(),
+             may_have_run,
+             once,
+             overlaps);
+  return once && overlaps == 0 &&
+         static_cast<std::int64_t>(runs.size()) <= may_have_run;
+}
+
+int
+run_demo(const std::string& name)
+{
+  DeploymentPlan plan = load_plan(name);
+  Deployment deployment(plan);
+  fmt::print("{}: {} entries, {} agents with backend servers\n",
+             name,
+             plan.entries.size(),
+             plan.servers.size());
+  if (!deployment.start()) {
+    fmt::print("the deployment did not become ready\n");
+    return 1;
+  }
+  std::vector<Tenant> tenants =
+    create_tenants(deployment, plan.entries.size(), plan.organisations);
+  if (tenants.empty()) {
+    fmt::print("the organisations were not created\n");
+    return 1;
+  }
+
+  JobResult gang = submit_gang(tenants[0]);
+  bool opened =
+    gang && wait_until(START_LIMIT, [&] {
+      return gang_members_running(deployment, gang->id()) == GANG_MEMBERS;
+    });
+  std::vector<std::vector<Result>> of_tenant(tenants.size());
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < tenants.size(); i++)
+    threads.emplace_back([&, i] { of_tenant[i] = run_tenant(tenants[i]); });
+
+  JobResult placed = tl::unexpected(Failure{});
+  if (opened)
+    placed = tenants[0].caller.get(gang->id());
+  bool spans_racks = placed && racks_of(deployment, *placed).size() > 1;
+  fmt::print("gang on all {} members: {}, spans racks: {}\n",
+             GANG_MEMBERS,
+             opened,
+             spans_racks);
+  deployment.entries()[0].process->kill();
+  fmt::print("ended entry {}\n", plan.entries[0].name);
+  if (placed) {
+    const std::string& server = placed->servers(0);
+    deployment.servers()[deployment.server_index(server)].backend->kill();
+    fmt::print("ended backend server {}, which ran a member of the gang\n",
+               server);
+  }
+
+  std::vector<Result> results;
+  results.push_back(finish_job(tenants[0], "gang", gang, GANG_MEMBERS));
+  for (std::size_t i = 0; i < tenants.size(); i++) {
+    threads[i].join();
+    results.insert(results.end(), of_tenant[i].begin(), of_tenant[i].end());
+  }
+  std::for_each(results.begin(), results.end(), print);
+  std::int64_t wrong =
+    std::count_if(results.begin(), results.end(), [](const Result& result) {
+      return !result.right;
+    });
+  bool journals = check_journals(deployment, results);
+  fmt::print("{} outcomes, {} wrong\n", results.size(), wrong);
+  return opened && spans_racks && journals && wrong == 0 ? 0 : 1;
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  cxxopts::Options options("demo", "Runs a whole deployment on this machine");
+  options.add_options()(
+    "deployment",
+    "consortium or valcorta",
+    cxxopts::value<std::string>()->default_value("consortium"));
+  try {
+    cxxopts::ParseResult arguments = options.parse(argc, argv);
+    std::string name = arguments["deployment"].as<std::string>();
+    if (name != "consortium" && name != "valcorta") {
+      fmt::print(stderr, "--deployment must be consortium or valcorta\n");
+      return 2;
+    }
+    return run_demo(name);
+  } catch (const std::exception& error) {
+    fmt::print(stderr, "{}\n", error.what());
+    return 2;
+  }
+}
