--- a/entry/calls.cpp
+++ b/entry/calls.cpp
@@ -1,6 +1,6 @@
 #include "entry/calls.h"
 
-#include "entry/request_checks.h"
+#include "entry/validate.h"
 
 namespace geraniumhinge::entry {
 
@@ -62,7 +62,7 @@
         answer(tl::unexpected(caller.error()));
         return;
       }
-      std::optional<gateway::CallError> fault = check(request);
+      Fault fault = validate(request);
       if (fault)
         answer(tl::unexpected(*fault));
       else
--- a/entry/driver.h
+++ b/entry/driver.h
@@ -130,6 +130,7 @@
     bool lapsed = false;            ///< Stopped by the lapse alone.
     std::int64_t lost_since_ms = 0; ///< Its cell row shows it as lost.
     std::int64_t gone_since_ms = 0; ///< Its incarnation is gone.
+    std::string checkpoint_key;
     std::optional<v1::MemberDone> done;
     std::optional<v1::Envelope> unacknowledged;
   };
@@ -194,6 +195,7 @@
   void conclude();
   void conclude_outcome(v1::Outcome outcome, v1::Reason reason);
   void conclude_requeue(bool ran, bool lapsed);
+  void save_checkpoints(v1::JobRow& next) const;
   bool may_run_again(bool never_ran) const;
 
   const DriverContext& context;
--- a/entry/driver_run.cpp
+++ b/entry/driver_run.cpp
@@ -150,6 +150,8 @@
 Driver::note_done(std::size_t member, const v1::MemberDone& done)
 {
   MemberTrack& track = this->members[member];
+  if (!done.checkpoint_key().empty())
+    track.checkpoint_key = done.checkpoint_key();
   if (this->phase == DriverState::Stopping) {
     v1::MemberState state =
       done.ran() ? v1::MEMBER_STATE_STOPPED : v1::MEMBER_STATE_NEVER_STARTED;
--- a/entry/driver_start.cpp
+++ b/entry/driver_start.cpp
@@ -39,7 +39,9 @@
   prepare.set_cores(spec.shape().cores());
   prepare.set_memory_mb(spec.shape().memory_mb());
   *prepare.mutable_input() = spec.input();
-  prepare.set_checkpoint_key(this->current.checkpoint_key());
+  if (this->current.member_checkpoints_size() > static_cast<int>(member))
+    prepare.set_checkpoint_key(
+      this->current.member_checkpoints(static_cast<int>(member)));
   prepare.set_hold_ms(this->context.settings.hold.count());
   for (const v1::MemberPlacement& placed : this->placement.members)
     *prepare.add_gang() = placed;
--- a/entry/driver_stop.cpp
+++ b/entry/driver_stop.cpp
@@ -102,7 +102,7 @@
     return;
   const v1::StopReply& answer = reply->stop_reply();
   if (!answer.checkpoint_key().empty())
-    this->current.set_checkpoint_key(answer.checkpoint_key());
+    track.checkpoint_key = answer.checkpoint_key();
   switch (answer.state()) {
     case v1::MEMBER_STATE_DONE:
       this->query_stopped(member);
@@ -279,6 +279,22 @@
   this->commit_end(std::move(next));
 }
 
+void
+Driver::save_checkpoints(v1::JobRow& next) const
+{
+  // A gang continues only if every member has a checkpoint; otherwise it keeps
+  // those of an earlier generation.
+  bool complete = std::all_of(
+    this->members.begin(), this->members.end(), [](const MemberTrack& member) {
+      return !member.checkpoint_key.empty();
+    });
+  if (!complete)
+    return;
+  next.clear_member_checkpoints();
+  for (const MemberTrack& member : this->members)
+    next.add_member_checkpoints(member.checkpoint_key);
+}
+
 void
 Driver::conclude_requeue(bool ran, bool lapsed)
 {
@@ -288,6 +304,7 @@
   next.mutable_job()->clear_servers();
   next.mutable_job()->clear_started_ms();
   next.clear_members();
+  this->save_checkpoints(next);
   next.clear_stop_purpose();
   next.clear_stopping_since_ms();
   next.set_started(false);
--- a/entry/scheduler.cpp
+++ b/entry/scheduler.cpp
@@ -252,8 +252,8 @@
   // A shape that found no place finds none later in the pass either.
   std::vector<core::Shape> blocked;
   for (const core::QueueEntry& entry : entries) {
-    bool known = std::find(blocked.begin(), blocked.end(), entry.shape) !=
-                 blocked.end();
+    bool known =
+      std::find(blocked.begin(), blocked.end(), entry.shape) != blocked.end();
     if (!entry.use_guarantee && known)
       continue;
     if (!this->place_one(snapshot, entry) && !entry.use_guarantee &&
--- a/entry/status.cpp
+++ b/entry/status.cpp
@@ -163,6 +163,16 @@
   }
 }
 
+std::vector<core::Cell>
+Status::installed(core::Names& names) const
+{
+  std::vector<core::Cell> result;
+  for (const auto& [zone, cell] : this->cells.all())
+    result.push_back(
+      to_core(names, cell.row, [](const std::string&) { return false; }));
+  return result;
+}
+
 v1::GetStatusResponse
 Status::status() const
 {
--- a/entry/status.h
+++ b/entry/status.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/cell.h"
 #include "entry/cells.h"
 #include "entry/fleet.h"
 #include "entry/membership.h"
@@ -9,6 +10,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace geraniumhinge::entry {
 
@@ -24,6 +26,8 @@
          Scheduler& scheduler,
          std::function<const v1::Configuration&()> config);
 
+  /// The fleet in the form that `core` decides on.
+  std::vector<core::Cell> installed(core::Names& names) const;
   v1::GetStatusResponse status() const;
   /// Backend servers of one availability zone, of all if it is empty.
   v1::ListBackendServersResponse servers(const std::string& zone) const;
