--- a/tests/gateway/http_test.cpp
+++ b/tests/gateway/http_test.cpp
@@ -217,6 +217,30 @@
   BOOST_TEST(received[0].first.body == "1234");
 }
 
+// Guards against a sender that stalls or sends no HTTP and holds up others.
+BOOST_AUTO_TEST_CASE(a_stalled_or_broken_sender_delays_nobody)
+{
+  RawSocket stalled;
+  stalled.connect_to(port);
+  stalled.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n1");
+  RawSocket broken;
+  broken.connect_to(port);
+  broken.write(std::string(100'000, '\xff') + "\r\n\r\n");
+  constexpr std::size_t CALLS = 500;
+  std::size_t answered = 0;
+  for (std::size_t i = 0; i < CALLS; ++i)
+    client.call(call_of(std::string(i, 'x')), [&](HttpClient::Result result) {
+      answered += result && result->status == 200 ? 1 : 0;
+    });
+  run_until([&] {
+    for (std::pair<HttpRequest, HttpServer::Respond>& item : received)
+      item.second(HttpResponse{});
+    received.clear();
+    return answered == CALLS;
+  });
+  BOOST_TEST(server->in_flight() == 1);
+}
+
 // Guards against an answer that is lost because its handler forgot it.
 BOOST_AUTO_TEST_CASE(a_dropped_request_is_answered_with_500)
 {
