Add the agent: membership, results, leaving and the program

The agent announces itself to the preferred entry of its cell and one backup. Ack and HelloReply carry a digest of the entries' live list, so that agents notice a new entry with the next heartbeat; while entries send none, the list is read every 5 s, because an entry that becomes preferred marks backend servers lost after 15 s of silence.

--- /dev/null
+++ b/agent/agent.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "agent/gangs.h"
+#include "agent/members.h"
+#include "agent/membership.h"
+#include "agent/requests.h"
+#include "agent/results.h"
+#include "agent/settings.h"
+#include "agent/slots.h"
+#include "kernel/task.h"
+#include "peer/peer_node.h"
+
+#include <functional>
+#include <memory>
+
+namespace geraniumhinge::agent {
+
+/// Services that the agent's tasks use. All outlive the agent.
+struct AgentServices
+{
+  kernel::Loop& loop;
+  kernel::TimerService& timers;
+  const kernel::Log& log;
+  kernel::Metrics& metrics;
+  kernel::Tracer& tracer;
+  peer::PeerNode& node;
+  platform::Backend& backend;
+};
+
+/// The agent beside one backend server: connects its tasks and hands each
+/// message to the one that it is for.
+class Agent : public kernel::Task
+{
+public:
+  Agent(const AgentServices& services, const AgentSettings& settings);
+
+  /// Sets the message handler and announces the agent.
+  void start();
+
+  /// Takes no new work, finishes what is in flight within the drain limit, and
+  /// calls back. Further calls change nothing.
+  void leave(std::function<void()> done);
+
+private:
+  Transport make_transport();
+  MemberHooks member_hooks();
+  GangHooks gang_hooks();
+  MembershipHooks membership_hooks();
+
+  void handle(const v1::Envelope& envelope);
+  bool handle_member_message(const v1::Envelope& envelope);
+  void on_prepare(const v1::Envelope& envelope);
+  void on_start(const v1::Envelope& envelope);
+  void on_stop(const v1::Envelope& envelope);
+  void on_query(const v1::Envelope& envelope);
+  void on_checkpoint(const v1::Envelope& envelope);
+  void on_round(const v1::Envelope& envelope);
+  void on_run(const v1::Envelope& envelope);
+  v1::Hello hello() const;
+  v1::AgentHeartbeat heartbeat() const;
+  void check_orphaned();
+  void check_drained();
+
+  AgentServices services;
+  const AgentSettings& settings;
+  std::uint64_t incarnation;
+  Slots slots;
+  Membership membership;
+  Results results;
+  Members members;
+  Gangs gangs;
+  Requests requests;
+  bool leaving = false;
+  bool orphaned = false;
+  std::int64_t drain_until_ms = 0;
+  bool drain_forced = false;
+  std::function<void()> drained;
+  kernel::Gauge& slots_used;
+  kernel::Subscription orphan_checks;
+  kernel::Subscription drain_checks;
+};
+
+} // namespace geraniumhinge::agent
--- a/agent/gangs.cpp
+++ b/agent/gangs.cpp
@@ -68,19 +68,24 @@
   Nodes::iterator found = this->nodes.find(id);
   if (found == this->nodes.end())
     return;
-  if (succeeded)
-    found->second.task_done = true;
-  else
+  if (!succeeded) {
     this->nodes.erase(found);
+    return;
+  }
+  found->second.task_done = true;
+  this->watch_expiry(id, found->second);
 }
 
 void
 Gangs::watch_expiry(const MemberId& id, Node& node)
 {
-  // A node whose lead is silent for this long can't be renewed any more.
-  kernel::Milliseconds limit =
-    2 * (this->settings.lease + this->settings.round_limit +
-         this->settings.start_wait);
+  // Without a round for the lease period the gang has ended. A started member
+  // waits for its first round as well.
+  kernel::Milliseconds limit = this->settings.lease +
+                               this->settings.round_limit +
+                               this->settings.start_wait;
+  if (node.task_done)
+    limit -= this->settings.start_wait;
   node.expiry =
     this->timers.after(limit, [this, id] { this->nodes.erase(id); });
 }
--- /dev/null
+++ b/agent/membership.cpp
@@ -0,0 +1,280 @@
+#include "agent/membership.h"
+
+#include "agent/events.h"
+#include "core/route.h"
+#include "kernel/clock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumhinge::agent {
+
+namespace {
+
+constexpr std::size_t TARGETS = 2;
+// Changes within this time share one heartbeat.
+constexpr kernel::Milliseconds CHANGE_DELAY{ 50 };
+constexpr std::int64_t CONFIG_ASK_PERIOD_MS = 1'000;
+
+} // namespace
+
+Membership::Membership(kernel::Loop& loop,
+                       kernel::TimerService& timers,
+                       const kernel::Log& log,
+                       const AgentSettings& settings,
+                       Transport transport,
+                       MembershipHooks hooks)
+  : Task(loop, "membership")
+  , timers(timers)
+  , log(log)
+  , settings(settings)
+  , transport(std::move(transport))
+  , hooks(std::move(hooks))
+  , heard_ms(kernel::boot_ms())
+{
+}
+
+void
+Membership::start()
+{
+  this->contact();
+  this->heartbeats = this->timers.every(this->settings.membership.heartbeat,
+                                        [this] { this->send_heartbeats(); });
+  this->refreshes = this->timers.every(this->settings.membership.refresh,
+                                       [this] { this->refresh(); });
+}
+
+void
+Membership::refresh()
+{
+  // Entries that put a digest into their acknowledgements tell of a change.
+  if (this->entries_digest == 0)
+    this->contact();
+}
+
+std::string
+Membership::next_contact()
+{
+  // The settings' addresses may be those of a balancer and are always tried.
+  std::vector<std::string> candidates = this->settings.entries;
+  for (const v1::EntryRow& entry : this->entries)
+    candidates.push_back(entry.peer_address());
+  return candidates[this->next_address++ % candidates.size()];
+}
+
+void
+Membership::contact()
+{
+  this->say_hello(this->next_contact(), true);
+}
+
+void
+Membership::contact_later()
+{
+  if (!std::exchange(this->reported_silence, true))
+    this->log.write(NO_ENTRY);
+  this->retry = this->timers.after(this->settings.membership.retry,
+                                   [this] { this->contact(); });
+}
+
+void
+Membership::say_hello(const std::string& address, bool discovering)
+{
+  v1::Envelope envelope;
+  *envelope.mutable_hello() = this->hooks.hello();
+  this->transport.request(
+    address,
+    std::move(envelope),
+    this->settings.membership.reply_timeout,
+    this->guarded([this, discovering](const peer::PeerNode::Reply& reply) {
+      if (reply && reply->has_hello_reply())
+        this->learn(*reply);
+      else if (discovering)
+        this->contact_later();
+    }));
+}
+
+void
+Membership::learn(const v1::Envelope& envelope)
+{
+  this->heard_ms = kernel::boot_ms();
+  this->reported_silence = false;
+  const v1::HelloReply& reply = envelope.hello_reply();
+  this->entries.assign(reply.entries().begin(), reply.entries().end());
+  if (this->entries.empty()) {
+    v1::EntryRow sender;
+    sender.set_name(envelope.sender());
+    sender.set_peer_address(envelope.sender_address());
+    this->entries.push_back(std::move(sender));
+  }
+  this->entries_digest = reply.entries_digest();
+  this->apply_config(reply.config());
+  this->route();
+}
+
+void
+Membership::route()
+{
+  std::vector<std::string> names;
+  for (const v1::EntryRow& entry : this->entries)
+    names.push_back(entry.name());
+  std::vector<std::string> chosen;
+  for (std::size_t index :
+       core::rendezvous_order(this->settings.zone, names, TARGETS))
+    chosen.push_back(this->entries[index].peer_address());
+  if (chosen == this->targets)
+    return;
+  std::vector<std::string> before = std::exchange(this->targets, chosen);
+  this->log.write(ENTRIES_CHANGED,
+                  { { "preferred", chosen.empty() ? "" : chosen.front() },
+                    { "backup", chosen.size() < 2 ? "" : chosen.back() } });
+  for (const std::string& address : chosen) {
+    bool known =
+      std::find(before.begin(), before.end(), address) != before.end();
+    if (!known)
+      this->say_hello(address, false);
+  }
+}
+
+void
+Membership::send_heartbeats()
+{
+  if (this->targets.empty())
+    return;
+  for (const std::string& address : this->targets)
+    this->send_heartbeat(address);
+}
+
+void
+Membership::send_heartbeat(const std::string& address)
+{
+  v1::Envelope envelope;
+  *envelope.mutable_agent_heartbeat() = this->hooks.heartbeat();
+  this->transport.request(
+    address,
+    std::move(envelope),
+    this->settings.membership.reply_timeout,
+    this->guarded([this, address](const peer::PeerNode::Reply& reply) {
+      if (reply)
+        return this->heartbeat_answered(*reply);
+      // The entry restarted and forgot this agent, or it is gone.
+      this->say_hello(address, false);
+      this->contact();
+    }));
+}
+
+void
+Membership::heartbeat_answered(const v1::Envelope& envelope)
+{
+  this->note_heard(envelope);
+  std::uint64_t digest = envelope.ack().entries_digest();
+  if (digest != 0 && digest != this->entries_digest)
+    this->say_hello(envelope.sender_address(), false);
+}
+
+void
+Membership::announce_change()
+{
+  if (this->change.active())
+    return;
+  this->change = this->timers.after(CHANGE_DELAY, [this] {
+    this->change.reset();
+    this->send_heartbeats();
+  });
+}
+
+void
+Membership::note_heard(const v1::Envelope& envelope)
+{
+  std::int64_t now = kernel::boot_ms();
+  this->heard_ms = now;
+  bool behind = envelope.config_version() > this->version &&
+                now - this->asked_config_ms >= CONFIG_ASK_PERIOD_MS;
+  if (!behind)
+    return;
+  this->asked_config_ms = now;
+  this->say_hello(envelope.sender_address(), false);
+}
+
+bool
+Membership::heard_within(kernel::Milliseconds period) const
+{
+  return kernel::boot_ms() - this->heard_ms < period.count();
+}
+
+void
+Membership::handle(const v1::Envelope& envelope)
+{
+  if (envelope.has_config_digest())
+    return this->apply_config(envelope.config_digest());
+  if (envelope.has_hello_reply())
+    return this->learn(envelope);
+  if (!envelope.has_entry_down())
+    return;
+  const v1::EntryDown& down = envelope.entry_down();
+  std::erase_if(this->entries, [&down](const v1::EntryRow& entry) {
+    return entry.name() == down.entry() &&
+           entry.incarnation() == down.incarnation();
+  });
+  this->route();
+}
+
+void
+Membership::apply_config(const v1::ConfigDigest& digest)
+{
+  // Messages of several entries overtake each other; the version never drops.
+  if (digest.version() < this->version)
+    return;
+  this->version = digest.version();
+  this->hooks.config(digest);
+}
+
+std::vector<std::string>
+Membership::addresses() const
+{
+  std::vector<std::string> result = this->targets;
+  for (const v1::EntryRow& entry : this->entries) {
+    const std::string& address = entry.peer_address();
+    if (std::find(result.begin(), result.end(), address) == result.end())
+      result.push_back(address);
+  }
+  return result;
+}
+
+void
+Membership::leave()
+{
+  for (const std::string& address : this->targets) {
+    if (this->left.count(address) == 0)
+      this->send_leaving(address);
+  }
+  this->leave_retry = this->timers.after(this->settings.membership.retry,
+                                         [this] { this->leave(); });
+}
+
+bool
+Membership::has_left() const
+{
+  return std::all_of(this->targets.begin(),
+                     this->targets.end(),
+                     [this](const std::string& address) {
+                       return this->left.count(address) != 0;
+                     });
+}
+
+void
+Membership::send_leaving(const std::string& address)
+{
+  v1::Envelope envelope;
+  envelope.mutable_leaving();
+  this->transport.request(
+    address,
+    std::move(envelope),
+    this->settings.membership.reply_timeout,
+    this->guarded([this, address](const peer::PeerNode::Reply& reply) {
+      if (reply)
+        this->left.insert(address);
+    }));
+}
+
+} // namespace geraniumhinge::agent
--- a/agent/requests.cpp
+++ b/agent/requests.cpp
@@ -190,9 +190,8 @@
       this->attempts.find(this->outputs_due.front().second);
     this->outputs_due.pop_front();
     // Without its output a run can't be answered as done any more.
-    bool ran =
-      found != this->attempts.end() &&
-      found->second.reply.result() != v1::AGENT_RUN_RESULT_REFUSED;
+    bool ran = found != this->attempts.end() &&
+               found->second.reply.result() != v1::AGENT_RUN_RESULT_REFUSED;
     if (ran)
       found->second.reply = make_reply(v1::AGENT_RUN_RESULT_UNKNOWN);
   }
--- a/agent/settings.cpp
+++ b/agent/settings.cpp
@@ -39,7 +39,7 @@
   { "/membership/heartbeat_ms", SettingType::Integer, "ms", 100, 60'000, "5000", "Time between two heartbeats to an entry." },
   { "/membership/reply_timeout_ms", SettingType::Integer, "ms", 50, 60'000, "1000", "An entry that has not answered by then is asked again or left." },
   { "/membership/retry_ms", SettingType::Integer, "ms", 20, 60'000, "500", "Delay before entries are contacted again." },
-  { "/membership/refresh_ms", SettingType::Integer, "ms", 500, 3'600'000, "300000", "Time between two readings of the list of entries." },
+  { "/membership/refresh_ms", SettingType::Integer, "ms", 500, 3'600'000, "5000", "Time between two readings of the list of entries while entries send no digest of it." },
   { "/membership/orphan_ms", SettingType::Integer, "ms", 1'000, 3'600'000, "120000", "Tasks stop after this time without a word from any entry." },
   { "/requests/max_timeout_ms", SettingType::Integer, "ms", 100, 600'000, "60000", "Longest run time of a short request." },
   { "/requests/answer_retention_s", SettingType::Integer, "s", 1, 86'400, "600", "How long answers of non-idempotent requests are kept for queries." },
@@ -182,6 +182,11 @@
 void
 check_ports(kernel::SettingsReader& reader, const AgentSettings& settings)
 {
+  // Peers dial the listen address, so it must name one host.
+  if (settings.peer_listen.rfind("0.0.0.0:", 0) == 0)
+    reader.add_fault({ SettingFaultKind::OutOfRange,
+                       "/peer/listen",
+                       "the IP number at which peers reach this VM" });
   if (collide(settings.peer_listen, settings.http_listen))
     reader.add_fault({ SettingFaultKind::Conflict,
                        "/http/listen",
