Claim reclaimed resources in the cell row

Holding victims back was ruled out, since any other queued job would do the same. The claim is committed before the victims stop and other jobs are not placed on it. Cells are also read before a new job is placed, so that it does not start with a refused prepare.

--- a/entry/allocations.cpp
+++ b/entry/allocations.cpp
@@ -2,6 +2,7 @@
 
 #include "core/witness.h"
 #include "entry/convert.h"
+#include "kernel/clock.h"
 
 #include <algorithm>
 #include <set>
@@ -60,6 +61,35 @@
          used.memory_mb + shape.memory_mb() <= server.memory_mb();
 }
 
+/// Removes the claims of the job and those that are void.
+void
+remove_claims(v1::CellRow& row, const std::string& job, std::int64_t now_ms)
+{
+  google::protobuf::RepeatedPtrField<v1::Claim>* claims = row.mutable_claims();
+  claims->erase(std::remove_if(claims->begin(),
+                               claims->end(),
+                               [&](const v1::Claim& claim) {
+                                 return claim.job() == job ||
+                                        claim.until_ms() <= now_ms;
+                               }),
+                claims->end());
+}
+
+bool
+holds_free_resources(const v1::CellRow& row, const v1::Claim& claim)
+{
+  for (const v1::Member& server : row.members()) {
+    if (server.server() != claim.server())
+      continue;
+    Used used = used_on(row, server.server());
+    return (used.accelerators & claim.accelerators()) == 0 &&
+           used.slots < server.slots() &&
+           used.cores + claim.cores() <= server.cores() &&
+           used.memory_mb + claim.memory_mb() <= server.memory_mb();
+  }
+  return false;
+}
+
 v1::Allocation
 make_allocation(const v1::JobRow& job, int member, bool guaranteed)
 {
@@ -89,6 +119,11 @@
   if (server == nullptr)
     return false;
   Used used = used_on(row, placement.server());
+  for (const v1::Allocation& claim :
+       effective_claims(row, job.job().id(), kernel::unix_ms())) {
+    if (claim.server() == placement.server())
+      used.accelerators |= claim.accelerators();
+  }
   if (!fits(*server, used, placement, job.job().spec().shape()))
     return false;
   *row.add_allocations() = make_allocation(job, index, guaranteed);
@@ -120,6 +155,8 @@
                 bool guaranteed,
                 const v1::Configuration& configuration)
 {
+  for (auto& [zone, view] : cells)
+    remove_claims(view.row, job.job().id(), kernel::unix_ms());
   for (int index = 0; index < job.members_size(); ++index) {
     if (!add_member(cells, job, index, guaranteed))
       return false;
@@ -129,10 +166,57 @@
   });
 }
 
+void
+add_claims(CellMap& cells,
+           const v1::Job& job,
+           const std::vector<v1::MemberPlacement>& members,
+           std::int64_t now_ms,
+           std::int64_t until_ms)
+{
+  for (auto& [zone, view] : cells)
+    remove_claims(view.row, job.id(), now_ms);
+  for (const v1::MemberPlacement& member : members) {
+    v1::Claim& claim = *cells.at(member.zone()).row.add_claims();
+    claim.set_job(job.id());
+    claim.set_server(member.server());
+    claim.set_accelerators(member.accelerators());
+    claim.set_cores(job.spec().shape().cores());
+    claim.set_memory_mb(job.spec().shape().memory_mb());
+    claim.set_organisation(job.organisation());
+    claim.set_until_ms(until_ms);
+  }
+}
+
+std::vector<v1::Allocation>
+effective_claims(const v1::CellRow& row,
+                 const std::string& job,
+                 std::int64_t now_ms)
+{
+  std::vector<v1::Allocation> result;
+  for (const v1::Claim& claim : row.claims()) {
+    bool holds = claim.job() != job && claim.until_ms() > now_ms &&
+                 holds_free_resources(row, claim);
+    if (!holds)
+      continue;
+    // The witness may use the claimed resources: they serve a guarantee.
+    v1::Allocation allocation;
+    allocation.set_job(CLAIM_PREFIX + claim.job());
+    allocation.set_server(claim.server());
+    allocation.set_accelerators(claim.accelerators());
+    allocation.set_cores(claim.cores());
+    allocation.set_memory_mb(claim.memory_mb());
+    allocation.set_organisation(claim.organisation());
+    allocation.set_preemptible(true);
+    result.push_back(std::move(allocation));
+  }
+  return result;
+}
+
 void
 remove_allocations(CellMap& cells, const std::string& job)
 {
   for (auto& [zone, view] : cells) {
+    remove_claims(view.row, job, kernel::unix_ms());
     google::protobuf::RepeatedPtrField<v1::Allocation>* allocations =
       view.row.mutable_allocations();
     allocations->erase(std::remove_if(allocations->begin(),
--- a/entry/allocations.h
+++ b/entry/allocations.h
@@ -10,6 +10,9 @@
 
 namespace geraniumhinge::entry {
 
+/// Prefix of the job in the allocation that stands for a claim.
+inline constexpr char CLAIM_PREFIX[] = "claim:";
+
 /// Adds the allocations of a job to the cell rows. False, and the rows are of
 /// no use, if a server is gone, not ready or too full, or if a touched cell
 /// would lose its witness under `configuration`.
@@ -19,7 +22,23 @@
                 bool guaranteed,
                 const v1::Configuration& configuration);
 
-/// Removes every allocation of the job.
+/// Claims the resources of a placement for a job, in place of its earlier
+/// claims. Claims that are void are removed.
+void
+add_claims(CellMap& cells,
+           const v1::Job& job,
+           const std::vector<v1::MemberPlacement>& members,
+           std::int64_t now_ms,
+           std::int64_t until_ms);
+
+/// The claims of other jobs that hold free resources now, as allocations.
+/// Those still occupied by the jobs to be stopped are left out.
+std::vector<v1::Allocation>
+effective_claims(const v1::CellRow& row,
+                 const std::string& job,
+                 std::int64_t now_ms);
+
+/// Removes every allocation and claim of the job.
 void
 remove_allocations(CellMap& cells, const std::string& job);
 
--- a/entry/convert.cpp
+++ b/entry/convert.cpp
@@ -1,5 +1,8 @@
 #include "entry/convert.h"
 
+#include "entry/allocations.h"
+#include "kernel/clock.h"
+
 #include <algorithm>
 
 namespace geraniumhinge::entry {
@@ -147,6 +150,16 @@
   return result;
 }
 
+void
+Snapshot::drop_claims(const std::string& job)
+{
+  for (core::Cell& cell : this->cells) {
+    std::erase_if(cell.allocations, [&job](const core::Allocation& allocation) {
+      return allocation.job == CLAIM_PREFIX + job;
+    });
+  }
+}
+
 void
 Snapshot::take(const core::Demand& demand, const core::Placement& placement)
 {
@@ -164,9 +177,13 @@
               const std::function<bool(const std::string&)>& withheld)
 {
   Snapshot snapshot;
+  std::int64_t now = kernel::unix_ms();
   std::vector<core::Guarantee> guarantees = to_core(names, configuration);
   for (const auto& [zone, view] : cells) {
-    snapshot.cells.push_back(to_core(names, view.row, withheld));
+    v1::CellRow claimed = view.row;
+    for (v1::Allocation& claim : effective_claims(view.row, "", now))
+      *claimed.add_allocations() = std::move(claim);
+    snapshot.cells.push_back(to_core(names, claimed, withheld));
     snapshot.homed.push_back(core::homed_in(names.id(zone), guarantees));
     snapshot.rows.push_back(&view.row);
   }
--- a/entry/convert.h
+++ b/entry/convert.h
@@ -38,6 +38,8 @@
   std::vector<const v1::CellRow*> rows;
 
   std::vector<core::CellState> states() const;
+  /// Removes the claims of a job, which may use them itself.
+  void drop_claims(const std::string& job);
   /// Adds the allocations of a placement that is not committed yet.
   void take(const core::Demand& demand, const core::Placement& placement);
 };
--- a/entry/driver_start.cpp
+++ b/entry/driver_start.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::int64_t AVOID_MS = 5'000;
+// A busy server mostly means that the cell row was read too early.
+constexpr std::int64_t AVOID_BUSY_MS = 250;
 // An agent has seen a newer generation than the row has, from a driver that
 // did not commit.
 constexpr std::uint32_t STALE_GENERATION_STEP = 16;
@@ -61,6 +63,8 @@
   const std::string& server = this->placement.members[member].server();
   if (result == v1::PREPARE_RESULT_HELD)
     this->members[member].state = v1::MEMBER_STATE_HELD;
+  else if (result == v1::PREPARE_RESULT_BUSY)
+    this->avoid_until_ms[server] = kernel::boot_ms() + AVOID_BUSY_MS;
   else
     this->avoid_until_ms[server] = kernel::boot_ms() + AVOID_MS;
   if (result == v1::PREPARE_RESULT_STALE)
--- a/entry/scheduler.cpp
+++ b/entry/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "entry/scheduler.h"
 
 #include "core/estimate.h"
+#include "entry/allocations.h"
 #include "entry/events.h"
 
 #include <algorithm>
@@ -12,8 +13,12 @@
 
 // Jobs of at least this many accelerators get a reservation when they wait.
 constexpr std::uint32_t LARGE_JOB_ACCELERATORS = 8;
-// A victim is asked again after this time if it has not ended.
+// A reclaim is planned anew after its bound, at least after this time, if its
+// job has no place yet.
 constexpr std::int64_t RECLAIM_REPEAT_MS = 2'000;
+// A claim outlives the bound of its plan by this time, in which the job is
+// placed.
+constexpr std::int64_t CLAIM_MARGIN_MS = 5'000;
 
 } // namespace
 
@@ -57,7 +62,8 @@
   // Accepted jobs are never refused here; submission checks the limit.
   static_cast<void>(this->queue.push(
     std::move(entry), std::numeric_limits<std::uint32_t>::max()));
-  this->wake();
+  // A placement on rows read too early costs a refused prepare.
+  this->refresh_blocked();
 }
 
 void
@@ -122,12 +128,14 @@
 void
 Scheduler::refresh_blocked()
 {
-  this->wake();
   if (this->refreshing)
     return;
   // What blocks a job may have ended through another entry.
   this->refreshing = true;
-  this->context.cells.refresh([this](bool) { this->refreshing = false; });
+  this->context.cells.refresh(this->guarded([this](bool) {
+    this->refreshing = false;
+    this->wake();
+  }));
 }
 
 void
@@ -269,6 +277,8 @@
   if (driver == nullptr || driver->state() != DriverState::Queued)
     return true;
   core::Demand demand = this->demand_of(entry);
+  if (entry.use_guarantee)
+    snapshot.drop_claims(entry.job);
   std::span<const core::PlacedMember> reserved;
   bool reserves =
     this->reservation && this->reservation->job != entry.job && !entry.urgent &&
@@ -295,7 +305,7 @@
     return true;
   }
   if (demand.use_guarantee)
-    this->reclaim(snapshot, demand);
+    this->reclaim(snapshot, *driver, demand);
   return false;
 }
 
@@ -314,25 +324,69 @@
 }
 
 void
-Scheduler::reclaim(const Snapshot& snapshot, const core::Demand& demand)
+Scheduler::reclaim(const Snapshot& snapshot,
+                   const Driver& driver,
+                   const core::Demand& demand)
 {
   const EntrySettings& settings = this->context.settings;
   core::ReclaimTimes times{ settings.checkpoint_limit.count(),
                             settings.stop_grace.count(),
                             settings.lease_period.count() };
   std::int64_t now = kernel::unix_ms();
+  std::erase_if(this->claimed_ms,
+                [now](const auto& claim) { return claim.second <= now; });
+  if (this->claimed_ms.contains(demand.job))
+    return;
   tl::expected<core::ReclaimPlan, core::PlaceError> plan =
     core::plan_reclaim(snapshot.states(), demand, this->policy, times, now);
   if (!plan)
     return;
-  std::erase_if(this->reclaimed_ms, [now](const auto& request) {
-    return now - request.second >= RECLAIM_REPEAT_MS;
-  });
-  for (const core::Victim& victim : plan->victims) {
-    if (!this->reclaimed_ms.emplace(victim.job, now).second)
+  this->claimed_ms[demand.job] =
+    now + std::max(plan->bound_ms, RECLAIM_REPEAT_MS);
+  this->claim(driver,
+              member_placements(snapshot, plan->placement),
+              now + plan->bound_ms + CLAIM_MARGIN_MS,
+              std::move(plan->victims));
+}
+
+void
+Scheduler::claim(const Driver& driver,
+                 std::vector<v1::MemberPlacement> members,
+                 std::int64_t until_ms,
+                 std::vector<core::Victim> victims)
+{
+  const v1::Job& job = driver.row().job();
+  std::set<std::string> zones;
+  for (const v1::MemberPlacement& member : members)
+    zones.insert(member.zone());
+  CellUpdate update;
+  update.zones.assign(zones.begin(), zones.end());
+  update.change =
+    [job, until_ms, members = std::move(members)](CellMap& cells) {
+      add_claims(cells, job, members, kernel::unix_ms(), until_ms);
+      return true;
+    };
+  this->context.cells.update(
+    std::move(update),
+    this->guarded([this, id = job.id(), victims = std::move(victims)](
+                    const Cells::UpdateResult& result) {
+      if (result)
+        this->stop_victims(id, victims);
+      else
+        this->claimed_ms.erase(id);
+    }));
+}
+
+void
+Scheduler::stop_victims(const std::string& job,
+                        const std::vector<core::Victim>& victims)
+{
+  for (const core::Victim& victim : victims) {
+    // Another job on a guarantee claims the place: a later plan finds another.
+    if (victim.job.starts_with(CLAIM_PREFIX))
       continue;
-    this->context.log.write(
-      RECLAIM_STARTED, { { "job", demand.job }, { "victim", victim.job } });
+    this->context.log.write(RECLAIM_STARTED,
+                            { { "job", job }, { "victim", victim.job } });
     this->context.metrics.counter("entry_reclaims_total").add();
     this->stopper.request(victim.job, v1::STOP_PURPOSE_RECLAIM);
   }
--- a/entry/scheduler.h
+++ b/entry/scheduler.h
@@ -45,7 +45,15 @@
                  Driver& driver,
                  const core::Demand& demand,
                  const core::Placement& placement);
-  void reclaim(const Snapshot& snapshot, const core::Demand& demand);
+  void reclaim(const Snapshot& snapshot,
+               const Driver& driver,
+               const core::Demand& demand);
+  void claim(const Driver& driver,
+             std::vector<v1::MemberPlacement> members,
+             std::int64_t until_ms,
+             std::vector<core::Victim> victims);
+  void stop_victims(const std::string& job,
+                    const std::vector<core::Victim>& victims);
   void reserve(const Snapshot& snapshot);
   bool withheld(const std::string& server);
   Snapshot snapshot();
@@ -61,7 +69,7 @@
   core::FailureTracker failures;
   core::Policy policy;
   std::optional<core::Reservation> reservation;
-  std::map<std::string, std::int64_t> reclaimed_ms; ///< Victim to its request.
+  std::map<std::string, std::int64_t> claimed_ms; ///< Job to its next plan.
   bool awake = false;
   bool refreshing = false;
   kernel::Subscription timer;
