Read the entry rows after writing the own one

Entries that start together did not know each other for the 10 s of the poll, because each read the rows before the other had written its own.

--- a/entry/membership.cpp
+++ b/entry/membership.cpp
@@ -82,7 +82,9 @@
         this->timers.every(SILENCE_CHECK, [this] { this->tick(); });
       this->poll_timer =
         this->timers.every(this->settings.entry_poll, [this] { this->poll(); });
-      this->heartbeat_all();
+      // Entries that start at the same time see each other only in a read that
+      // follows the write.
+      this->poll();
       joined();
     }));
 }
