--- a/core/queue.cpp
+++ b/core/queue.cpp
@@ -15,11 +15,15 @@
 using Entries = std::vector<const QueueEntry*>;
 
 double
-response_ratio(const QueueEntry& entry, std::int64_t now_ms)
+priority(const QueueEntry& entry, QueueOrder rule, std::int64_t now_ms)
 {
   const auto run =
     static_cast<double>(std::max(entry.expected_run_ms, SHORTEST_RUN_MS));
-  return (static_cast<double>(now_ms - entry.submitted_ms) + run) / run;
+  const double ratio =
+    (static_cast<double>(now_ms - entry.submitted_ms) + run) / run;
+  return rule == QueueOrder::ResponseRatioPerAccelerator
+           ? ratio / std::max(total_accelerators(entry.shape), 1U)
+           : ratio;
 }
 
 void
@@ -30,9 +34,9 @@
   }
   std::stable_sort(entries.begin(),
                    entries.end(),
-                   [now_ms](const QueueEntry* left, const QueueEntry* right) {
-                     return response_ratio(*left, now_ms) >
-                            response_ratio(*right, now_ms);
+                   [=](const QueueEntry* left, const QueueEntry* right) {
+                     return priority(*left, rule, now_ms) >
+                            priority(*right, rule, now_ms);
                    });
 }
 
--- a/core/queue.h
+++ b/core/queue.h
@@ -44,6 +44,9 @@
   /// Highest (waiting + expected run) / expected run first: short jobs go
   /// ahead, and every job's priority grows while it waits.
   ResponseRatio,
+  /// The same ratio divided by the job's accelerators: the order that serves
+  /// most jobs early.
+  ResponseRatioPerAccelerator,
 };
 
 enum class QueueError : std::uint8_t
