--- a/core/evict.cpp
+++ b/core/evict.cpp
@@ -41,8 +41,16 @@
 
 Evictions::Evictions(std::span<const CellState> cells,
                      std::int64_t now_ms,
-                     bool single_members)
+                     bool single_members,
+                     std::span<const NameId> avoid)
 {
+  for (const CellState& state : cells) {
+    std::vector<char>& flags = this->avoided.emplace_back();
+    for (const Server& server : state.cell->servers) {
+      const auto found = std::find(avoid.begin(), avoid.end(), server.name);
+      flags.push_back(found == avoid.end() ? 0 : 1);
+    }
+  }
   std::unordered_map<std::string_view, std::uint32_t> numbers;
   for (std::uint32_t cell = 0; cell < cells.size(); ++cell) {
     this->free.push_back(capacity_of(*cells[cell].cell, Counted::Free));
@@ -102,6 +110,9 @@
                     std::uint32_t members) const
 {
   const Available& available = trial.free[at.cell].servers[at.server];
+  if (this->avoided[at.cell][at.server] != 0) {
+    return std::nullopt;
+  }
   if (members_on(available, shape) >= members) {
     return std::vector<std::uint32_t>{};
   }
--- a/core/evict.h
+++ b/core/evict.h
@@ -24,10 +24,12 @@
 class Evictions
 {
 public:
-  /// With `single_members`, only jobs of one member may be stopped.
+  /// With `single_members`, only jobs of one member may be stopped. Nothing is
+  /// chosen on the servers in `avoid`.
   Evictions(std::span<const CellState> cells,
             std::int64_t now_ms,
-            bool single_members);
+            bool single_members,
+            std::span<const NameId> avoid);
 
   struct Choice
   {
@@ -76,6 +78,7 @@
   std::vector<Job> jobs;
   /// Jobs by cell and server.
   std::vector<std::vector<std::vector<std::uint32_t>>> on_server;
+  std::vector<std::vector<char>> avoided; // By cell and server.
 };
 
 } // namespace geraniumhinge::core
--- a/core/reclaim.cpp
+++ b/core/reclaim.cpp
@@ -270,7 +270,7 @@
   if (groups.empty()) {
     return tl::unexpected(PlaceError::NoUnusedGuarantee);
   }
-  const Evictions evictions(cells, now_ms, false);
+  const Evictions evictions(cells, now_ms, false, demand.avoid);
   std::vector<Claimed> choices;
   for (const std::vector<Claim>& claims : groups) {
     for (Choice& choice : claim_choices(evictions, cells, demand, claims)) {
@@ -299,7 +299,7 @@
                const ReclaimTimes& times,
                std::int64_t now_ms)
 {
-  const Evictions evictions(cells, now_ms, true);
+  const Evictions evictions(cells, now_ms, true, demand.avoid);
   std::vector<Choice> choices;
   if (demand.shape.adjacency == Adjacency::Any && demand.shape.members > 1) {
     return tl::unexpected(PlaceError::NoCapacity); // Moving frees nothing.
--- a/tests/core/place_test.cpp
+++ b/tests/core/place_test.cpp
@@ -137,6 +137,13 @@
   BOOST_REQUIRE(plan->victims.size() == 1);
   BOOST_TEST(plan->victims.front().job == "small-1");
 
+  Demand elsewhere = large;
+  elsewhere.avoid = { fleet.cells[0].servers[1].name };
+  const auto other =
+    plan_migration(fleet.states(), elsewhere, {}, { 5, 2, 6 }, fleet.now_ms);
+  BOOST_REQUIRE(other.has_value());
+  BOOST_TEST(other->placement.members.front().server == 0);
+
   Allocation pinned = fleet.cells[0].allocations.front();
   pinned.job = "pinned";
   pinned.accelerators = 0b1110;
