--- a/tests/core/place_test.cpp
+++ b/tests/core/place_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE place
 #include "tests/core/fleet.h"
 
+#include "core/compact.h"
 #include "core/fragmentation.h"
 #include "core/reclaim.h"
 
@@ -154,6 +155,35 @@
        .has_value());
 }
 
+// Guards against moves that free no whole shape, and jobs that move at once
+// after their start.
+BOOST_AUTO_TEST_CASE(compaction_frees_a_whole_server)
+{
+  Fleet fleet = make_fleet({ 2 }, 1, 4);
+  Allocation small;
+  small.job = "small";
+  small.accelerators = 1;
+  small.preemptible = true;
+  small.started_ms = 10;
+  Allocation pinned = small;
+  pinned.job = "pinned";
+  pinned.server = 1;
+  pinned.accelerators = 0b0011;
+  pinned.preemptible = false;
+  fleet.cells[0].allocations = { small, pinned };
+  const std::vector<WeightedShape> shapes = {
+    { { 1, 4, 0, 0, Adjacency::Server }, 1 }
+  };
+  const Policy policy{ PlacementRule::FragmentationGradient, shapes, true };
+  const auto move = plan_compaction(fleet.states(), shapes, policy, 1.0, 20);
+  BOOST_REQUIRE(move.has_value());
+  BOOST_TEST(move->job == "small");
+  BOOST_TEST(move->placement.members.front().server == 1);
+  BOOST_TEST(move->gain == 4.0);
+  BOOST_TEST(
+    !plan_compaction(fleet.states(), shapes, policy, 1.0, 5).has_value());
+}
+
 // Guards against a fragmentation figure that counts accelerators twice or
 // overlooks the adjacency of a shape.
 BOOST_AUTO_TEST_CASE(fragmentation_follows_the_shapes)
