End a member whose backend server no longer accepts its lease

Cause: the agent extended its own copy of the lease with each complete round, whether or not the backend server had accepted the renewal. Change: the lease that counts is the one that the backend server is known to have accepted. Ruled out: counting failed renewals; one lost answer may not end a task. Conclusion: the rest of the gang stops; refusing work on an agent whose backend server is gone remains open.

--- a/agent/backend_task.cpp
+++ b/agent/backend_task.cpp
@@ -74,7 +74,8 @@
 {
   if (this->finished)
     return;
-  this->started = this->started || result.has_value();
+  if (result && !std::exchange(this->started, true))
+    this->accepted_until = this->start.lease_until_ms;
   bool no_answer = !result && result.error() == BackendError::NoAnswer;
   this->ambiguous = this->ambiguous || no_answer;
   if (this->stopping)
@@ -134,7 +135,7 @@
 {
   if (this->finished || this->stopping || lease_until_ms <= this->lease_until)
     return;
-  if (kernel::boot_ms() >= this->lease_until)
+  if (kernel::boot_ms() >= this->lease_until_ms())
     return this->on_lease_end();
   this->lease_until = lease_until_ms;
   this->watch_lease();
@@ -148,8 +149,13 @@
   this->backend.renew(
     this->start.key,
     this->lease_until,
-    this->guarded([this](const tl::expected<TaskReport, BackendError>& result) {
+    this->guarded([this, lease_until_ms = this->lease_until](
+                    const tl::expected<TaskReport, BackendError>& result) {
       bool ended = result && result->state != TaskState::Running;
+      // Without this answer the lease ends: a backend server that is gone must
+      // not keep its gang running.
+      if (result && !ended)
+        this->accepted_until = std::max(this->accepted_until, lease_until_ms);
       if (ended && !this->finished)
         this->finish_with(*result);
     }));
@@ -159,7 +165,7 @@
 BackendTask::watch_lease()
 {
   std::int64_t left =
-    std::max<std::int64_t>(this->lease_until - kernel::boot_ms(), 0);
+    std::max<std::int64_t>(this->lease_until_ms() - kernel::boot_ms(), 0);
   this->lease_timer = this->timers.after(kernel::Milliseconds(left + 1),
                                          [this] { this->on_lease_end(); });
 }
@@ -169,7 +175,7 @@
 {
   if (this->finished || this->stopping)
     return;
-  if (kernel::boot_ms() < this->lease_until)
+  if (kernel::boot_ms() < this->lease_until_ms())
     return this->watch_lease();
   // The backend server knows whether the task ended before its lease did.
   this->stop(false, kernel::Milliseconds(0));
--- a/agent/backend_task.h
+++ b/agent/backend_task.h
@@ -51,7 +51,11 @@
 
   void checkpoint(platform::Backend::Done<std::string> done);
 
-  std::int64_t lease_until_ms() const { return this->lease_until; }
+  /// End of the lease that the backend server is known to have accepted.
+  std::int64_t lease_until_ms() const
+  {
+    return this->started ? this->accepted_until : this->lease_until;
+  }
 
 private:
   void call_start();
@@ -75,7 +79,8 @@
   const BackendSettings& settings;
   platform::TaskStart start;
   std::function<void(TaskEnd)> ended;
-  std::int64_t lease_until;
+  std::int64_t lease_until;        ///< As the rounds allow it.
+  std::int64_t accepted_until = 0; ///< As the backend server accepted it.
   std::int64_t begun_ms = 0;
   bool start_pending = false; ///< A start call waits for its answer.
   bool ambiguous = false;     ///< A start call got no answer.
