--- a/tests/support/tenants.h
+++ b/tests/support/tenants.h
@@ -16,6 +16,10 @@
   Caller caller; ///< Through any entry.
 };
 
+/// Token of the caller that `create_tenants` assigns to an organisation.
+std::string
+caller_token(const std::string& organisation);
+
 /// Creates organisations with wide limits and a caller each, and waits until
 /// every entry has the configuration. Empty if that failed.
 std::vector<Tenant>
--- /dev/null
+++ b/tests/system/outage_test.cpp
@@ -0,0 +1,112 @@
+#define BOOST_TEST_MODULE outage
+#include "tests/support/fixture.h"
+
+#include <fmt/format.h>
+
+using namespace geraniumhinge;
+using namespace geraniumhinge::tests;
+
+namespace {
+
+constexpr kernel::Milliseconds CALL_LIMIT{ 3'000 };
+// At once, as opposed to after the caller's limit of 3 s.
+constexpr std::int64_t AT_ONCE_MS = 1'500;
+// Ten minutes of outage, in the measure of an orphan period of 120 s, are five
+// orphan periods; the tests shorten the orphan period to 2 s.
+constexpr std::int64_t OUTAGE_MS = 10'000;
+constexpr int LONG_RUN_MS = 14'000;
+
+DeploymentPlan
+short_orphan_plan()
+{
+  DeploymentPlan plan = small_plan(2, 1, 3);
+  plan.entry_settings["jobs"]["orphan_ms"] = 2'000;
+  plan.agent_settings["membership"]["orphan_ms"] = 2'000;
+  plan.agent_settings["membership"]["heartbeat_ms"] = 500;
+  return plan;
+}
+
+} // namespace
+
+// Invariant 4 and rule 7. Guards against running work that a store outage
+// ends, and against non-idempotent work that is not refused at once or is
+// reported as not run and runs.
+BOOST_AUTO_TEST_CASE(store_outage_keeps_running_work_and_refuses_new_work)
+{
+  Fleet fleet(short_orphan_plan());
+  JobPlan plan;
+  plan.request_id = "long";
+  plan.members = 3;
+  plan.accelerators = 8;
+  plan.run_ms = LONG_RUN_MS;
+  std::string job = submit(fleet.alpha(), plan);
+  BOOST_REQUIRE(fleet.wait_running(job, 3));
+  BOOST_REQUIRE(fleet.deployment.set_store_faults({ { "down", 1 } }));
+  std::int64_t down_ms = kernel::boot_ms();
+  int number = 0;
+  while (kernel::boot_ms() - down_ms < OUTAGE_MS) {
+    std::string id = fmt::format("refused-{}", number++);
+    std::int64_t asked_ms = kernel::boot_ms();
+    RunResult refused =
+      fleet.alpha().run(id, false, work_input(0, id), CALL_LIMIT);
+    BOOST_TEST(outcome_of(refused) == v1::OUTCOME_NOT_RUN);
+    BOOST_TEST(kernel::boot_ms() - asked_ms <= AT_ONCE_MS);
+    JobPlan late;
+    late.request_id = id;
+    JobResult rejected = fleet.alpha().submit(late);
+    BOOST_REQUIRE(!rejected.has_value());
+    BOOST_TEST(rejected.error().detail.outcome() == v1::OUTCOME_NOT_RUN);
+    RunResult idempotent =
+      fleet.beta().run(id, true, work_input(0, id), CALL_LIMIT);
+    BOOST_TEST(outcome_of(idempotent) == v1::OUTCOME_SUCCEEDED);
+  }
+  BOOST_TEST(fleet.running(job).size() == 3);
+  BOOST_REQUIRE(fleet.deployment.set_store_faults({ { "down", 0 } }));
+  JobResult done = fleet.alpha().wait(job, LONG);
+  BOOST_TEST(outcome_of(done) == v1::OUTCOME_SUCCEEDED);
+  BOOST_TEST((done && done->generation() == 1));
+  // Of the short requests only the idempotent ones ran, one each.
+  int runs = 0;
+  for (const JournalEvent& event : fleet.deployment.journal())
+    runs += event.event == "run" ? 1 : 0;
+  BOOST_TEST(runs == number);
+  std::vector<TaskSpan> spans = fleet.spans();
+  BOOST_TEST(std::all_of(spans.begin(), spans.end(), [&](const TaskSpan& span) {
+    return span.job == job;
+  }));
+}
+
+// Guards against a job that is reported as not run although its commit, whose
+// sender lost the connection, is applied later and starts it.
+BOOST_AUTO_TEST_CASE(commit_that_arrives_late_starts_nothing_reported_as_not_run)
+{
+  Fleet fleet(small_plan(2, 1, 2));
+  constexpr int DELAY_MS = 1'000;
+  constexpr int JOBS = 6;
+  std::size_t not_run = 0;
+  std::size_t started = 0;
+  for (int i = 0; i < JOBS; i++) {
+    fleet.deployment.set_store_faults(
+      { { "delay_next", 1 }, { "delay_ms", DELAY_MS } });
+    JobPlan plan;
+    plan.request_id = fmt::format("late-{}", i);
+    JobResult job = fleet.alpha().submit(plan);
+    if (!job) {
+      BOOST_TEST(job.error().detail.outcome() == v1::OUTCOME_NOT_RUN);
+      not_run++;
+      continue;
+    }
+    started++;
+    BOOST_TEST(outcome_of(fleet.alpha().wait(job->id(), LONG)) ==
+               v1::OUTCOME_SUCCEEDED);
+  }
+  // A later job is accepted after all late commits have been applied.
+  JobPlan last;
+  last.request_id = "last";
+  std::string job = submit(fleet.alpha(), last);
+  BOOST_TEST(outcome_of(fleet.alpha().wait(job, LONG)) ==
+             v1::OUTCOME_SUCCEEDED);
+  BOOST_TEST(fleet.spans().size() == started + 1);
+  BOOST_TEST_MESSAGE(
+    fmt::format("{} not run, {} started", not_run, started));
+}
