--- a/agent/agent.cpp
+++ b/agent/agent.cpp
@@ -342,7 +342,9 @@
   std::int64_t end_ms = this->drain_until_ms +
                         this->settings.backend.checkpoint_timeout.count() +
                         this->settings.lease.lease.count();
-  if (!busy || now >= end_ms) {
+  // Idle for one more period, so that the last answers leave the process.
+  bool was_idle = std::exchange(this->drain_idle, !busy);
+  if ((!busy && was_idle) || now >= end_ms) {
     this->drain_checks.reset();
     return this->drained();
   }
--- a/agent/agent.h
+++ b/agent/agent.h
@@ -74,6 +74,7 @@
   bool orphaned = false;
   std::int64_t drain_until_ms = 0;
   bool drain_forced = false;
+  bool drain_idle = false;
   std::function<void()> drained;
   kernel::Gauge& slots_used;
   kernel::Subscription orphan_checks;
--- a/tests/agent/members_test.cpp
+++ b/tests/agent/members_test.cpp
@@ -95,15 +95,21 @@
              v1::PREPARE_RESULT_STALE);
 
   this->server.prepare(this->server.key(2));
-  this->start(this->server.key(2));
+  BOOST_TEST(this->stop(this->server.key(2)).state() ==
+             v1::MEMBER_STATE_NEVER_STARTED);
+  BOOST_TEST(this->start(this->server.key(2)) ==
+             v1::MEMBER_STATE_NEVER_STARTED);
+
+  this->server.prepare(this->server.key(3));
+  this->start(this->server.key(3));
   BOOST_TEST(this->server.backend.running() == 1);
-  v1::StopReply reply = this->stop(this->server.key(2), true);
+  v1::StopReply reply = this->stop(this->server.key(3), true);
   BOOST_TEST(reply.state() == v1::MEMBER_STATE_STOPPED);
   BOOST_TEST(reply.checkpoint_key() == "checkpoint/1");
-  BOOST_TEST(this->stop(this->server.key(2)).checkpoint_key() ==
+  BOOST_TEST(this->stop(this->server.key(3)).checkpoint_key() ==
              "checkpoint/1");
-  BOOST_TEST(this->start(this->server.key(2)) == v1::MEMBER_STATE_STOPPED);
-  BOOST_TEST(this->server.prepare(this->server.key(2)) ==
+  BOOST_TEST(this->start(this->server.key(3)) == v1::MEMBER_STATE_STOPPED);
+  BOOST_TEST(this->server.prepare(this->server.key(3)) ==
              v1::PREPARE_RESULT_STALE);
   BOOST_TEST(this->server.backend.running() == 0);
 }
@@ -188,6 +194,9 @@
   BOOST_TEST(this->members.query(this->server.key(1)).state() ==
              v1::MEMBER_STATE_DONE);
   BOOST_TEST(this->server.slots.slots_used() == 0);
+  // A prepare that is late by the whole run must not run the task again.
+  BOOST_TEST(this->server.prepare(this->server.key(1)) ==
+             v1::PREPARE_RESULT_STALE);
 }
 
 // Guards against a task that ran but is reported as never started, because the
--- a/tests/peer/peer_fixture.h
+++ b/tests/peer/peer_fixture.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <netinet/in.h>
 #include <poll.h>
