--- a/tests/agent/agent_process.h
+++ b/tests/agent/agent_process.h
@@ -23,6 +23,7 @@
   explicit Process(std::vector<std::string> arguments)
   {
     std::vector<char*> argv;
+    argv.reserve(arguments.size() + 1);
     for (std::string& argument : arguments)
       argv.push_back(argument.data());
     argv.push_back(nullptr);
