--- a/entry/server_pick.cpp
+++ b/entry/server_pick.cpp
@@ -43,11 +43,13 @@
   std::string server = *servers[*index];
   ServerView* view = this->fleet.find(server);
   ++view->own_in_flight;
-  std::shared_ptr<void> in_flight(nullptr, [this, server](void*) {
-    ServerView* view = this->fleet.find(server);
-    if (view != nullptr && view->own_in_flight > 0)
-      --view->own_in_flight;
-  });
+  // A callback of the transport may outlive the fleet when the program ends.
+  std::shared_ptr<void> in_flight(
+    nullptr, [release = this->fleet.guarded([&fleet = this->fleet, server] {
+      ServerView* view = fleet.find(server);
+      if (view != nullptr && view->own_in_flight > 0)
+        --view->own_in_flight;
+    })](void*) mutable { release(); });
   return PickedServer{ server,
                        view->member.agent_address(),
                        view->member.incarnation(),
