Estimate run times from finished jobs in the queue

The declared run time is off by up to ten times; backfill behind a reservation relied on it alone. The estimator of core now learns from each job that this entry saw succeed.

--- a/bench/requests.cpp
+++ b/bench/requests.cpp
@@ -24,8 +24,9 @@
 constexpr int SERVERS = 3;
 constexpr int WARM_UP = 200;
 constexpr int PAIRS = 2'000;
-constexpr int RATE = 500; // Requests per second of the steady load.
-constexpr int SECONDS = 10;
+constexpr std::int64_t RATE = 500; // Requests per second.
+constexpr std::int64_t SECONDS = 10;
+constexpr std::int64_t STEADY_REQUESTS = RATE * SECONDS;
 constexpr int PORTS_LIMIT = 64;
 constexpr std::uint32_t TIMEOUT_MS = 5'000;
 constexpr kernel::Milliseconds START_LIMIT{ 30'000 };
@@ -308,14 +309,13 @@
 steady_load(Bench& bench)
 {
   std::vector<double> latencies;
-  int sent = 0;
-  int answered = 0;
+  std::int64_t sent = 0;
+  std::int64_t answered = 0;
   int wrong = 0;
   std::int64_t started = kernel::boot_us();
   kernel::Subscription sender = bench.timers.every(TICK, [&] {
     std::int64_t elapsed = kernel::boot_us() - started;
-    std::int64_t due =
-      std::min<std::int64_t>(elapsed * RATE / 1'000'000, RATE * SECONDS);
+    std::int64_t due = std::min(elapsed * RATE / 1'000'000, STEADY_REQUESTS);
     for (; sent < due; ++sent)
       bench.through(fmt::format("steady load {}", sent),
                     [&](bool correct, double ms) {
@@ -324,7 +324,7 @@
                       latencies.push_back(ms);
                     });
   });
-  bench.run_until([&] { return answered == RATE * SECONDS; });
+  bench.run_until([&] { return answered == STEADY_REQUESTS; });
   double seconds = static_cast<double>(kernel::boot_us() - started) / 1'000'000;
   return { { "rate_per_s", RATE },
            { "seconds", seconds },
--- a/entry/scheduler.cpp
+++ b/entry/scheduler.cpp
@@ -1,6 +1,5 @@
 #include "entry/scheduler.h"
 
-#include "core/estimate.h"
 #include "entry/allocations.h"
 #include "entry/events.h"
 
@@ -33,6 +32,31 @@
   , failures(core::QuarantineLimits{})
 {
   this->context.cells.on_change([this] { this->wake(); });
+  this->drivers.on_finished(
+    [this](const v1::JobRow& row) { this->learn(row.job()); });
+}
+
+void
+Scheduler::learn(const v1::Job& job)
+{
+  if (job.outcome() != v1::OUTCOME_SUCCEEDED || job.started_ms() == 0)
+    return;
+  this->estimator.observe_run(this->names.id(job.organisation()),
+                              job.spec().job_class(),
+                              std::int64_t{ job.spec().declared_run_time_s() } *
+                                1'000,
+                              job.finished_ms() - job.started_ms());
+}
+
+std::int64_t
+Scheduler::expected_run_ms(const v1::Job& job)
+{
+  core::JobSize declared;
+  declared.run_ms = std::int64_t{ job.spec().declared_run_time_s() } * 1'000;
+  return this->estimator
+    .estimate(
+      this->names.id(job.organisation()), job.spec().job_class(), declared)
+    .run_ms;
 }
 
 void
@@ -57,8 +81,7 @@
   entry.use_guarantee = job.spec().use_guarantee();
   entry.preemptible = !entry.use_guarantee;
   entry.submitted_ms = job.submitted_ms();
-  entry.expected_run_ms =
-    std::int64_t{ job.spec().declared_run_time_s() } * 1'000;
+  entry.expected_run_ms = this->expected_run_ms(job);
   // Accepted jobs are never refused here; submission checks the limit.
   static_cast<void>(this->queue.push(
     std::move(entry), std::numeric_limits<std::uint32_t>::max()));
@@ -239,7 +262,7 @@
   std::int64_t now = kernel::unix_ms();
   for (const auto& [job, driver] : this->drivers.all()) {
     const v1::Job& row = driver->row().job();
-    std::int64_t run = std::int64_t{ row.spec().declared_run_time_s() } * 1'000;
+    std::int64_t run = this->expected_run_ms(row);
     if (row.state() != v1::JOB_STATE_RUNNING || run == 0)
       continue;
     std::int64_t elapsed = now - row.started_ms();
--- a/entry/scheduler.h
+++ b/entry/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/estimate.h"
 #include "core/quarantine.h"
 #include "core/queue.h"
 #include "core/reclaim.h"
@@ -60,6 +61,10 @@
   void take_uncommitted(Snapshot& snapshot);
   std::vector<core::OrganisationShare> shares(const Snapshot& snapshot);
   void refresh_blocked();
+  /// Learns the actual run time of a job that has succeeded.
+  void learn(const v1::Job& job);
+  /// Expected run time in ms, 0 if unknown.
+  std::int64_t expected_run_ms(const v1::Job& job);
 
   const DriverContext& context;
   DriverTable& drivers;
@@ -67,6 +72,7 @@
   core::Names names;
   core::JobQueue queue;
   core::FailureTracker failures;
+  core::Estimator estimator;
   core::Policy policy;
   std::optional<core::Reservation> reservation;
   std::map<std::string, std::int64_t> claimed_ms; ///< Job to its next plan.
