Ignore silence that a pause of the entry itself explains

After SIGSTOP for 4 s an entry declared both others down at once, since their heartbeats still waited in its own queues; for longer pauses it would have marked its backend servers lost. A gap between two checks now restarts the limit.

--- a/entry/membership.cpp
+++ b/entry/membership.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t HEARTBEAT_TARGETS = 3;
 // Finds silence within 5% of the limit of 1 s.
 constexpr kernel::Milliseconds SILENCE_CHECK{ 50 };
+constexpr std::int64_t MAX_CHECK_GAP_MS = 500;
 
 } // namespace
 
@@ -220,6 +221,13 @@
 void
 Membership::check_silence(std::int64_t now)
 {
+  // This process was paused: heartbeats may wait in its own queues.
+  bool paused = now - this->checked_ms > MAX_CHECK_GAP_MS;
+  this->checked_ms = now;
+  if (paused) {
+    for (auto& [name, peer] : this->others)
+      peer.heard_ms = now;
+  }
   std::vector<PeerEntry*> silent;
   for (auto& [name, peer] : this->others) {
     if (peer.live && peer.expected &&
--- a/entry/membership.h
+++ b/entry/membership.h
@@ -111,6 +111,7 @@
   bool ready = false;
   bool draining = false;
   bool polling = false;
+  std::int64_t checked_ms = 0;
   std::map<std::string, PeerEntry> others;
   std::vector<std::function<void()>> listeners;
   kernel::Subscription heartbeat_timer;
--- a/entry/program.cpp
+++ b/entry/program.cpp
@@ -246,8 +246,9 @@
     this->timers,
     this->settings.http_listen,
     this->settings.max_body_bytes,
-    [this](gateway::HttpRequest request, gateway::HttpServer::Respond respond) {
-      this->unary->handle(std::move(request), std::move(respond));
+    [this](const gateway::HttpRequest& request,
+           gateway::HttpServer::Respond respond) {
+      this->unary->handle(request, std::move(respond));
     });
 }
 
--- a/entry/registrar.cpp
+++ b/entry/registrar.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr kernel::Milliseconds SILENCE_CHECK{ 500 };
+constexpr std::int64_t MAX_CHECK_GAP_MS = 3'000;
 
 v1::Member*
 find_member(v1::CellRow& row, const std::string& server)
@@ -134,6 +135,10 @@
 Registrar::check_silence()
 {
   std::int64_t now = kernel::boot_ms();
+  // This process was paused: heartbeats may wait in its own queues.
+  if (now - this->checked_ms > MAX_CHECK_GAP_MS)
+    this->owned_since_ms.clear();
+  this->checked_ms = now;
   for (const auto& [zone, cell] : this->cells.all()) {
     if (!this->owns(zone)) {
       this->owned_since_ms.erase(zone);
--- a/entry/registrar.h
+++ b/entry/registrar.h
@@ -49,6 +49,7 @@
   Fleet& fleet;
   Cells& cells;
   std::int64_t watching_since_ms = 0;
+  std::int64_t checked_ms = 0;
   kernel::Subscription silence_timer;
   kernel::Subscription batch_timer;
   /// Zone to server to its new value.
