Keep placing work in a cell whose guarantee is broken; report the break

Cause: the commit of a placement required a whole witness of each touched cell. After a loss that breaks a guarantee no commit could satisfy it, so the cell took no work at all, not even its owner's. Found by reading the commit against core/check.h, which already allows it for the decision. The event guarantee_broken was in the catalogue but never written.

Ruled out: dropping the check at commit, because rows may have changed since the decision.

Change: the commit asks core::keeps_witness, which compares the broken shapes before and after. Allocation.claim records the consumed shape, so that several similar guarantees of an organisation are matched as they were placed. GuaranteeWatch logs guarantee_broken and guarantee_restored from the cell's preferred entry. The version of both programs comes from the build.

Conclusion: a loss now costs only the guarantees that it breaks.

--- a/agent/main.cpp
+++ b/agent/main.cpp
@@ -21,7 +21,7 @@
 constexpr int EXIT_OK = 0;
 constexpr int EXIT_FAILED = 1;
 constexpr int EXIT_UNUSABLE = 2; // Arguments or settings.
-constexpr const char* VERSION = "0.1.0";
+constexpr char VERSION[] = GERANIUMHINGE_VERSION;
 constexpr std::size_t MAX_HTTP_BODY_BYTES = 4'096;
 constexpr int HTTP_NOT_FOUND = 404;
 
--- a/core/check.cpp
+++ b/core/check.cpp
@@ -23,27 +23,27 @@
   return after;
 }
 
+} // namespace
+
 bool
-cell_keeps_witness(const CellState& state, const Cell& after)
+keeps_witness(const CellState& before, const Cell& after)
 {
   const std::vector<std::uint32_t> now =
-    broken_guarantees(after, state.guarantees);
+    broken_guarantees(after, before.guarantees);
   if (std::count(now.begin(), now.end(), 0U) ==
       static_cast<std::ptrdiff_t>(now.size())) {
     return true;
   }
-  const std::vector<std::uint32_t> before =
-    broken_guarantees(*state.cell, state.guarantees);
+  const std::vector<std::uint32_t> earlier =
+    broken_guarantees(*before.cell, before.guarantees);
   for (std::size_t i = 0; i < now.size(); ++i) {
-    if (now[i] > before[i]) {
+    if (now[i] > earlier[i]) {
       return false;
     }
   }
   return true;
 }
 
-} // namespace
-
 bool
 keeps_witness(std::span<const CellState> cells,
               const Demand& demand,
@@ -58,7 +58,7 @@
       continue;
     }
     const Cell after = with_placement(cells[i], i, demand, placement);
-    if (!cell_keeps_witness(cells[i], after)) {
+    if (!keeps_witness(cells[i], after)) {
       return false;
     }
   }
--- a/core/check.h
+++ b/core/check.h
@@ -14,4 +14,8 @@
               const Demand& demand,
               const Placement& placement);
 
+/// The same for a change of one cell that is already made in `after`.
+bool
+keeps_witness(const CellState& before, const Cell& after);
+
 } // namespace geraniumhinge::core
--- a/entry/allocations.cpp
+++ b/entry/allocations.cpp
@@ -1,5 +1,6 @@
 #include "entry/allocations.h"
 
+#include "core/check.h"
 #include "core/witness.h"
 #include "entry/convert.h"
 #include "kernel/clock.h"
@@ -91,7 +92,7 @@
 }
 
 v1::Allocation
-make_allocation(const v1::JobRow& job, int member, bool guaranteed)
+make_allocation(const v1::JobRow& job, int member, const GuaranteeUse& use)
 {
   const v1::MemberPlacement& placement = job.members(member);
   const v1::Shape& shape = job.job().spec().shape();
@@ -104,14 +105,18 @@
   allocation.set_cores(shape.cores());
   allocation.set_memory_mb(shape.memory_mb());
   allocation.set_organisation(job.job().organisation());
-  allocation.set_preemptible(!guaranteed);
-  allocation.set_guaranteed(guaranteed);
+  allocation.set_preemptible(!use.guaranteed);
+  allocation.set_guaranteed(use.guaranteed);
+  allocation.set_claim(use.claim);
   allocation.set_started_ms(job.job().started_ms());
   return allocation;
 }
 
 bool
-add_member(CellMap& cells, const v1::JobRow& job, int index, bool guaranteed)
+add_member(CellMap& cells,
+           const v1::JobRow& job,
+           int index,
+           const GuaranteeUse& use)
 {
   const v1::MemberPlacement& placement = job.members(index);
   v1::CellRow& row = cells.at(placement.zone()).row;
@@ -126,7 +131,7 @@
   }
   if (!fits(*server, used, placement, job.job().spec().shape()))
     return false;
-  *row.add_allocations() = make_allocation(job, index, guaranteed);
+  *row.add_allocations() = make_allocation(job, index, use);
   return true;
 }
 
@@ -136,6 +141,20 @@
   return false;
 }
 
+bool
+keeps_witness(const v1::CellRow& before,
+              const v1::CellRow& after,
+              const v1::Configuration& configuration)
+{
+  core::Names names;
+  core::Cell old_cell = to_core(names, before, never_withheld);
+  core::Cell new_cell = to_core(names, after, never_withheld);
+  std::vector<core::Guarantee> guarantees = to_core(names, configuration);
+  std::vector<core::HomedGuarantee> homed =
+    core::homed_in(new_cell.zone, guarantees);
+  return core::keeps_witness(core::CellState{ &old_cell, homed }, new_cell);
+}
+
 } // namespace
 
 bool
@@ -152,17 +171,19 @@
 bool
 add_allocations(CellMap& cells,
                 const v1::JobRow& job,
-                bool guaranteed,
+                const GuaranteeUse& use,
                 const v1::Configuration& configuration)
 {
+  const CellMap before = cells;
   for (auto& [zone, view] : cells)
     remove_claims(view.row, job.job().id(), kernel::unix_ms());
   for (int index = 0; index < job.members_size(); ++index) {
-    if (!add_member(cells, job, index, guaranteed))
+    if (!add_member(cells, job, index, use))
       return false;
   }
   return std::all_of(cells.begin(), cells.end(), [&](const auto& cell) {
-    return witness_holds(cell.second.row, configuration);
+    return keeps_witness(
+      before.at(cell.first).row, cell.second.row, configuration);
   });
 }
 
--- a/entry/allocations.h
+++ b/entry/allocations.h
@@ -13,13 +13,21 @@
 /// Prefix of the job in the allocation that stands for a claim.
 inline constexpr char CLAIM_PREFIX[] = "claim:";
 
+/// How a placement uses the organisation's guarantee.
+struct GuaranteeUse
+{
+  bool guaranteed = false;
+  std::uint64_t claim = 0; ///< Key of the shape it consumes.
+};
+
 /// Adds the allocations of a job to the cell rows. False, and the rows are of
 /// no use, if a server is gone, not ready or too full, or if a touched cell
-/// would lose its witness under `configuration`.
+/// would lose its witness under `configuration`. In a cell that lost it by a
+/// failure, no more guaranteed shapes may break.
 bool
 add_allocations(CellMap& cells,
                 const v1::JobRow& job,
-                bool guaranteed,
+                const GuaranteeUse& use,
                 const v1::Configuration& configuration);
 
 /// Claims the resources of a placement for a job, in place of its earlier
--- a/entry/cli.cpp
+++ b/entry/cli.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr char VERSION[] = "0.1.0";
+constexpr char VERSION[] = GERANIUMHINGE_VERSION;
 constexpr char TOKEN_VARIABLE[] = "GERANIUMHINGE_TOKEN";
 constexpr char DEFAULT_ADDRESS[] = "127.0.0.1:8080";
 constexpr std::int64_t DEFAULT_TIMEOUT_MS = 30'000;
--- a/entry/convert.cpp
+++ b/entry/convert.cpp
@@ -70,6 +70,7 @@
   allocation.preemptible = row.preemptible();
   allocation.guaranteed = row.guaranteed();
   allocation.started_ms = row.started_ms();
+  allocation.claim = row.claim();
   return allocation;
 }
 
--- a/entry/driver.h
+++ b/entry/driver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/allocations.h"
 #include "entry/cells.h"
 #include "entry/fleet.h"
 #include "entry/settings.h"
@@ -83,7 +84,7 @@
 struct JobPlacement
 {
   std::vector<v1::MemberPlacement> members;
-  bool guaranteed = false;
+  GuaranteeUse use;
 };
 
 /// Drives one job by the state in its row: every step is a compare-and-set on
--- a/entry/driver_start.cpp
+++ b/entry/driver_start.cpp
@@ -139,10 +139,9 @@
   v1::JobRow next = this->placed_row();
   CellUpdate update;
   update.zones = zones_of(next);
-  update.change =
-    [this, next, guaranteed = this->placement.guaranteed](CellMap& cells) {
-      return add_allocations(cells, next, guaranteed, this->context.config());
-    };
+  update.change = [this, next, use = this->placement.use](CellMap& cells) {
+    return add_allocations(cells, next, use, this->context.config());
+  };
   update.rest.checks.push_back({ job_key(this->id), this->version });
   update.rest.checks.push_back(
     { CONFIG_KEY, this->context.config_row_version() });
--- a/entry/events.h
+++ b/entry/events.h
@@ -133,7 +133,14 @@
   Severity::Error,
   "guarantee_broken",
   "The unused guarantees of a cell no longer pack.",
-  "Replace lost VMs or lower the guarantees named in the event."
+  "Replace lost VMs or lower the guarantees homed in that zone."
+};
+inline constexpr EventInfo GUARANTEE_RESTORED{
+  619,
+  Severity::Info,
+  "guarantee_restored",
+  "The unused guarantees of a cell pack again.",
+  "None."
 };
 
 inline constexpr EventInfo ENTRY_EVENTS[] = {
@@ -143,7 +150,7 @@
   JOB_STARTED,      JOB_STOPPING,        JOB_DONE,
   JOB_TAKEN_OVER,   COMMIT_CONFLICT,     LEASE_LAPSE_ASSUMED,
   RECLAIM_STARTED,  ANSWER_NOT_RECORDED, ROW_MALFORMED,
-  GUARANTEE_BROKEN,
+  GUARANTEE_BROKEN, GUARANTEE_RESTORED,
 };
 
 } // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/guarantee_watch.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "entry/cells.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+
+#include "geraniumhinge/v1/scheduler.pb.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace geraniumhinge::entry {
+
+/// Reports guarantees that can't be reclaimed any more, and those that can be
+/// again, for the cells whose preferred entry this is.
+class GuaranteeWatch
+{
+public:
+  using IsPreferred = std::function<bool(const std::string& zone)>;
+
+  GuaranteeWatch(Cells& cells,
+                 const kernel::Log& log,
+                 kernel::Metrics& metrics,
+                 std::function<const v1::Configuration&()> config,
+                 IsPreferred is_preferred);
+
+  /// Looks at every cell that changed, or all after a change of configuration.
+  void check();
+
+private:
+  struct Seen
+  {
+    std::uint64_t cell_version = 0;
+    std::uint64_t config_version = 0;
+    bool broken = false;
+  };
+
+  void check_cell(const std::string& zone, const CellView& cell);
+
+  Cells& cells;
+  const kernel::Log& log;
+  kernel::Metrics& metrics;
+  std::function<const v1::Configuration&()> config;
+  IsPreferred is_preferred;
+  std::map<std::string, Seen> seen;
+};
+
+} // namespace geraniumhinge::entry
--- a/entry/program.cpp
+++ b/entry/program.cpp
@@ -1,6 +1,7 @@
 #include "entry/program.h"
 
 #include "entry/events.h"
+#include "entry/guarantee_watch.h"
 #include "entry/operator_api.h"
 #include "entry/status.h"
 #include "entry/sweeper.h"
@@ -225,6 +226,17 @@
     this->services.get<DriverTable>("drivers"),
     this->services.get<Scheduler>("scheduler"),
     [&config]() -> const v1::Configuration& { return config.current(); });
+  Membership& membership = this->services.get<Membership>("membership");
+  GuaranteeWatch& watch = this->services.make<GuaranteeWatch>(
+    "guarantee_watch",
+    this->services.get<Cells>("cells"),
+    this->log,
+    this->metrics,
+    [&config]() -> const v1::Configuration& { return config.current(); },
+    [this, &membership](const std::string& zone) {
+      return membership.preferred_entry(zone) == this->settings.name;
+    });
+  config.on_change([&watch](const v1::Configuration&) { watch.check(); });
   OperatorHooks hooks;
   hooks.status = [&status] { return status.status(); };
   hooks.servers = [&status](const std::string& zone) {
--- a/entry/scheduler.cpp
+++ b/entry/scheduler.cpp
@@ -202,8 +202,9 @@
           held.cores = row.spec().shape().cores();
           held.memory_mb = row.spec().shape().memory_mb();
           held.organisation = this->names.id(row.organisation());
-          held.preemptible = !placement->guaranteed;
-          held.guaranteed = placement->guaranteed;
+          held.preemptible = !placement->use.guaranteed;
+          held.guaranteed = placement->use.guaranteed;
+          held.claim = placement->use.claim;
           snapshot.cells[cell].allocations.push_back(std::move(held));
         }
       }
@@ -340,7 +341,7 @@
 {
   JobPlacement result;
   result.members = member_placements(snapshot, placement);
-  result.guaranteed = placement.guaranteed;
+  result.use = { placement.guaranteed, placement.claim };
   snapshot.take(demand, placement);
   this->context.metrics.counter("entry_placements_total").add();
   driver.place(std::move(result));
