Refuse prepares while the backend server does not answer

Cause: a backend server can end while its agent lives. The agent accepted the next prepare, the start failed, and the gang was placed there again in generation after generation.

Ruled out: marking the backend server lost at the entries, because its agent is live and announces itself.

--- a/agent/agent.cpp
+++ b/agent/agent.cpp
@@ -30,6 +30,11 @@
             settings.result_retry,
             this->make_transport(),
             [this] { return this->membership.addresses(); })
+  , health(services.loop,
+           services.timers,
+           services.log,
+           services.backend,
+           settings.backend.probe)
   , members(services.loop,
             services.timers,
             services.log,
@@ -90,6 +95,7 @@
   hooks.may_renew = [this] {
     return this->membership.heard_within(this->settings.membership.orphan);
   };
+  hooks.backend_available = [this] { return this->health.available(); };
   return hooks;
 }
 
@@ -167,6 +173,7 @@
     [this] { return this->membership.config_version(); });
   this->orphan_checks = this->services.timers.every(
     ORPHAN_CHECK_PERIOD, [this] { this->check_orphaned(); });
+  this->health.start();
   this->membership.start();
 }
 
--- a/agent/agent.h
+++ b/agent/agent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/backend_health.h"
 #include "agent/gangs.h"
 #include "agent/members.h"
 #include "agent/membership.h"
@@ -67,6 +68,7 @@
   Slots slots;
   Membership membership;
   Results results;
+  BackendHealth health;
   Members members;
   Gangs gangs;
   Requests requests;
--- a/agent/events.h
+++ b/agent/events.h
@@ -98,7 +98,7 @@
   513,
   Severity::Warning,
   "agent_backend_failing",
-  "The backend server does not answer calls.",
+  "The backend server does not answer probes; prepares are refused.",
   "Check the backend server's process."
 };
 inline constexpr EventInfo HTTP_LISTEN_FAILED{
@@ -108,12 +108,19 @@
   "The listen address of the metrics port can't be used.",
   "Check /http/listen and whether another process holds the port."
 };
+inline constexpr EventInfo BACKEND_ANSWERING{
+  515,
+  Severity::Info,
+  "agent_backend_answering",
+  "The backend server answers probes; prepares are accepted.",
+  "None."
+};
 
 inline constexpr EventInfo AGENT_EVENTS[] = {
   ENTRIES_CHANGED, NO_ENTRY,        ORPHANED,           LEAVING_STARTED,
   DRAIN_LIMIT,     MEMBER_HELD,     MEMBER_REFUSED,     MEMBER_RUNNING,
   MEMBER_ENDED,    MEMBER_EXPIRED,  LEASE_LAPSED,       GANG_OPENED,
-  ROUND_FAILED,    BACKEND_FAILING, HTTP_LISTEN_FAILED,
+  ROUND_FAILED,    BACKEND_FAILING, HTTP_LISTEN_FAILED, BACKEND_ANSWERING,
 };
 
 } // namespace geraniumhinge::agent
--- a/agent/members.cpp
+++ b/agent/members.cpp
@@ -112,6 +112,8 @@
     return this->refuse(prepare, v1::PREPARE_RESULT_LEAVING);
   if (this->quarantined)
     return this->refuse(prepare, v1::PREPARE_RESULT_QUARANTINED);
+  if (!this->hooks.backend_available())
+    return this->refuse(prepare, v1::PREPARE_RESULT_BACKEND_UNAVAILABLE);
   return this->hold(prepare, driver, trace);
 }
 
--- a/agent/members.h
+++ b/agent/members.h
@@ -38,6 +38,8 @@
   std::function<void()> changed;
   /// Whether an entry was heard within the orphan period.
   std::function<bool()> may_renew;
+  /// Whether the backend server answers.
+  std::function<bool()> backend_available;
 };
 
 /// The members of gangs on this backend server, from prepare to their end, and
--- a/agent/settings.cpp
+++ b/agent/settings.cpp
@@ -40,6 +40,7 @@
   { "/membership/reply_timeout_ms", SettingType::Integer, "ms", 50, 60'000, "1000", "An entry that has not answered by then is asked again or left." },
   { "/membership/retry_ms", SettingType::Integer, "ms", 20, 60'000, "500", "Delay before entries are contacted again." },
   { "/membership/refresh_ms", SettingType::Integer, "ms", 500, 3'600'000, "5000", "Time between two readings of the list of entries while entries send no digest of it." },
+  { "/backend/probe_ms", SettingType::Integer, "ms", 50, 60'000, "1000", "Time between two probes of the backend server; without an answer the agent takes no jobs." },
   { "/membership/orphan_ms", SettingType::Integer, "ms", 1'000, 3'600'000, "120000", "Tasks stop after this time without a word from any entry." },
   { "/requests/max_timeout_ms", SettingType::Integer, "ms", 100, 600'000, "60000", "Longest run time of a short request." },
   { "/requests/answer_retention_s", SettingType::Integer, "s", 1, 86'400, "600", "How long answers of non-idempotent requests are kept for queries." },
@@ -105,6 +106,7 @@
 void
 read_backend(kernel::SettingsReader& reader, BackendSettings& backend)
 {
+  backend.probe = duration(reader, SETTING("/backend/probe_ms"));
   backend.address = reader.text(SETTING("/backend/address"));
   backend.call_timeout = duration(reader, SETTING("/backend/call_timeout_ms"));
   backend.checkpoint_timeout =
--- a/agent/settings.h
+++ b/agent/settings.h
@@ -28,6 +28,7 @@
   kernel::Milliseconds wait{ 0 };
   kernel::Milliseconds retry{ 0 };
   kernel::Milliseconds start_limit{ 0 };
+  kernel::Milliseconds probe{ 0 };
 };
 
 struct LeaseSettings
--- a/tests/agent/agent_fixture.h
+++ b/tests/agent/agent_fixture.h
@@ -45,6 +45,7 @@
   kernel::Tracer tracer{ "test", "" };
   agent::Slots slots{ this->settings.capacity };
   std::vector<v1::MemberDone> results;
+  bool backend_available = true;
   std::unique_ptr<agent::Gangs> gangs;
   agent::Members members;
 
@@ -79,6 +80,7 @@
     };
     hooks.changed = [] {};
     hooks.may_renew = [] { return true; };
+    hooks.backend_available = [this] { return this->backend_available; };
     return hooks;
   }
 
--- a/tests/agent/members_test.cpp
+++ b/tests/agent/members_test.cpp
@@ -225,3 +225,15 @@
   BOOST_TEST(this->server.prepare(other) == v1::PREPARE_RESULT_LEAVING);
   BOOST_TEST(this->start(this->server.key(2)) == v1::MEMBER_STATE_STARTED);
 }
+
+// Guards against a gang that is placed again and again on a backend server that
+// has ended while its agent lives.
+BOOST_FIXTURE_TEST_CASE(takes_no_member_while_the_backend_is_silent, OneServer)
+{
+  this->server.backend_available = false;
+  BOOST_TEST(this->server.prepare(this->server.key(1)) ==
+             v1::PREPARE_RESULT_BACKEND_UNAVAILABLE);
+  this->server.backend_available = true;
+  BOOST_TEST(this->server.prepare(this->server.key(2)) ==
+             v1::PREPARE_RESULT_HELD);
+}
