Add the benchmark of control costs

Cause: docs/design.md refers to figures from measured slopes, and nothing measured them.

Ruled out: /proc/PID/stat for processor time, since its step of 10 ms is more than an idle agent uses in a second; schedstat of all threads is read.

Change: bench/capacity.cpp runs real processes on loopback with 10 to 200 agents and up to three entries, then up to 4,001 open jobs, and prints processor time, memory, bytes, messages and table accesses.

--- /dev/null
+++ b/bench/capacity.cpp
@@ -0,0 +1,399 @@
+// Measures processor time, memory, bytes and table accesses of entries and
+// agents as real processes on loopback, and prints them as one JSON document.
+
+#include "tests/support/tenants.h"
+#include "tests/support/wait.h"
+
+#include <algorithm>
+#include <atomic>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <numeric>
+#include <sstream>
+#include <thread>
+#include <unistd.h>
+
+using namespace geraniumhinge;
+using namespace geraniumhinge::tests;
+using nlohmann::json;
+
+namespace {
+
+constexpr kernel::Milliseconds IDLE_WINDOW{ 10'000 };
+constexpr kernel::Milliseconds GANG_WINDOW{ 6'000 };
+// Covers the agents' heartbeat of 5 s, which may carry the last digest.
+constexpr kernel::Milliseconds CHANGE_WINDOW{ 6'000 };
+constexpr std::uint32_t CHANGES = 10;
+constexpr kernel::Milliseconds QUEUE_IDLE_WINDOW{ 2'000 };
+constexpr std::size_t SHORT_JOBS = 40;
+constexpr std::size_t ORGANISATIONS = 74;
+constexpr int SHORT_RUN_MS = 100;
+constexpr int LONG_RUN_MS = 600'000;
+constexpr std::uint32_t WHOLE_SERVER = 8;
+constexpr std::uint32_t QUEUE_LIMIT = 10'000;
+constexpr int SUBMITTERS = 8;
+constexpr double NS_PER_MS = 1e6;
+constexpr double MS_PER_S = 1e3;
+constexpr double KB_PER_MB = 1024;
+constexpr kernel::Milliseconds LIMIT{ 30'000 };
+
+struct Node
+{
+  std::string role;
+  pid_t pid;
+  std::string address;
+};
+
+using Reading = std::map<std::string, double>;
+
+struct Snapshot
+{
+  std::int64_t at_ms = 0;
+  std::vector<Reading> nodes;
+  Reading table;
+};
+
+struct Case
+{
+  std::size_t agents;
+  std::size_t entries;
+  std::uint32_t gang;
+  bool changes;
+  std::size_t organisations;
+};
+
+const std::vector<Case> CASES{
+  { 10, 1, 8, true, 1 },   { 50, 1, 32, false, 1 },
+  { 100, 1, 64, true, 1 }, { 200, 1, 128, true, 1 },
+  { 10, 2, 8, false, 1 },  { 10, 3, 0, true, ORGANISATIONS }
+};
+
+std::string
+read_text(const std::string& path)
+{
+  std::ifstream file(path);
+  return { std::istreambuf_iterator<char>(file), {} };
+}
+
+/// Our child process with this text among its arguments; 0 if there is none.
+pid_t
+find_child(const std::string& argument)
+{
+  std::istringstream children(
+    read_text(fmt::format("/proc/self/task/{}/children", getpid())));
+  pid_t pid = 0;
+  while (children >> pid) {
+    std::string line = read_text(fmt::format("/proc/{}/cmdline", pid));
+    if (line.find(argument) != std::string::npos)
+      return pid;
+  }
+  return 0;
+}
+
+/// Processor time of all threads. /proc/PID/stat counts in 10 ms, too coarse
+/// for an agent that uses less than that in a second.
+double
+read_cpu_ms(pid_t pid)
+{
+  double total = 0;
+  for (const std::filesystem::directory_entry& thread :
+       std::filesystem::directory_iterator(fmt::format("/proc/{}/task", pid)))
+    total += std::stod(read_text(thread.path().string() + "/schedstat"));
+  return total / NS_PER_MS;
+}
+
+double
+read_memory_mb(pid_t pid)
+{
+  std::string text = read_text(fmt::format("/proc/{}/status", pid));
+  return std::stod(text.substr(text.find("VmRSS:") + 6)) / KB_PER_MB;
+}
+
+void
+read_counters(const std::string& address, Reading& reading)
+{
+  HttpCall call;
+  call.url = "http://" + address + "/metrics";
+  std::optional<HttpReply> reply = call_http(call);
+  std::istringstream lines(reply ? reply->body : "");
+  std::string line;
+  while (std::getline(lines, line)) {
+    if (line.starts_with("peer_") || line.starts_with("entry_jobs_queued"))
+      reading[line.substr(0, line.find(' '))] =
+        std::stod(line.substr(line.find(' ')));
+  }
+}
+
+/// Reads processor time next to the window and counters outside it, so that
+/// serving /metrics is not part of the processor time.
+class Observer
+{
+public:
+  explicit Observer(Deployment& deployment)
+    : deployment(deployment)
+  {
+    for (const EntryNode& node : this->deployment.entries())
+      this->nodes.push_back(
+        { "entry", find_child(node.settings_path), node.http_address });
+    for (const ServerNode& node : this->deployment.servers())
+      this->nodes.push_back(
+        { "agent", find_child(node.settings_path), node.http_address });
+  }
+
+  Snapshot take(bool begins) const
+  {
+    Snapshot result;
+    result.nodes.resize(this->nodes.size());
+    if (begins)
+      this->read_all_counters(result);
+    result.at_ms = kernel::boot_ms();
+    for (std::size_t i = 0; i < this->nodes.size(); i++) {
+      result.nodes[i]["cpu_ms"] = read_cpu_ms(this->nodes[i].pid);
+      result.nodes[i]["memory_mb"] = read_memory_mb(this->nodes[i].pid);
+    }
+    if (!begins)
+      this->read_all_counters(result);
+    return result;
+  }
+
+  json measure(const std::function<void()>& work) const
+  {
+    Snapshot before = this->take(true);
+    work();
+    Snapshot after = this->take(false);
+    double seconds = static_cast<double>(after.at_ms - before.at_ms) / MS_PER_S;
+    json result{ { "seconds", seconds } };
+    result["load"] = read_text("/proc/loadavg");
+    for (const char* role : { "entry", "agent" })
+      result[role] = this->compare(role, before, after, seconds);
+    for (const Reading::value_type& item : after.table)
+      result["table"][item.first] = item.second - before.table.at(item.first);
+    return result;
+  }
+
+private:
+  void read_all_counters(Snapshot& result) const
+  {
+    for (std::size_t i = 0; i < this->nodes.size(); i++)
+      read_counters(this->nodes[i].address, result.nodes[i]);
+    result.table = this->deployment.store_counters().get<Reading>();
+  }
+
+  /// Mean and maximum over the nodes of a role: memory in megabytes, all else
+  /// as a change in a second.
+  json compare(const std::string& role,
+               const Snapshot& before,
+               const Snapshot& after,
+               double seconds) const
+  {
+    std::map<std::string, std::vector<double>> values;
+    for (std::size_t i = 0; i < this->nodes.size(); i++) {
+      if (this->nodes[i].role != role)
+        continue;
+      for (const Reading::value_type& item : after.nodes[i]) {
+        Reading::const_iterator old = before.nodes[i].find(item.first);
+        if (item.first == "memory_mb")
+          values[item.first].push_back(item.second);
+        else if (old != before.nodes[i].end())
+          values[item.first].push_back((item.second - old->second) / seconds);
+      }
+    }
+    json result;
+    for (std::pair<const std::string, std::vector<double>>& item : values) {
+      std::sort(item.second.begin(), item.second.end());
+      double sum = std::reduce(item.second.begin(), item.second.end());
+      double count = static_cast<double>(item.second.size());
+      result[item.first] = { { "mean", sum / count },
+                             { "max", item.second.back() } };
+    }
+    return result;
+  }
+
+  Deployment& deployment;
+  std::vector<Node> nodes;
+};
+
+JobPlan
+make_job(const std::string& id, std::uint32_t members, int run_ms)
+{
+  return { .request_id = id,
+           .members = members,
+           .accelerators = WHOLE_SERVER,
+           .run_ms = run_ms };
+}
+
+json
+measure_gang(const Observer& observer,
+             const Caller& caller,
+             std::uint32_t members)
+{
+  JobResult job = caller.submit(make_job("gang", members, LONG_RUN_MS));
+  bool running = job && wait_until(LIMIT, [&] {
+                   JobResult found = caller.get(job->id());
+                   return found && found->state() == v1::JOB_STATE_RUNNING;
+                 });
+  if (!running)
+    return { { "error", "the gang does not run" } };
+  json result =
+    observer.measure([] { std::this_thread::sleep_for(GANG_WINDOW); });
+  result["members"] = members;
+  caller.cancel(job->id());
+  caller.wait(job->id(), LIMIT);
+  return result;
+}
+
+json
+measure_jobs(const Observer& observer, const Caller& caller)
+{
+  int done = 0;
+  json result = observer.measure([&] {
+    std::vector<JobResult> jobs(SHORT_JOBS);
+    for (std::size_t i = 0; i < SHORT_JOBS; i++)
+      jobs[i] =
+        caller.submit(make_job(fmt::format("job-{}", i), 1, SHORT_RUN_MS));
+    for (const JobResult& job : jobs)
+      done += job && caller.wait(job->id(), LIMIT) ? 1 : 0;
+  });
+  result["jobs_done"] = done;
+  return result;
+}
+
+json
+measure_changes(const Observer& observer, const Operator& operator_calls)
+{
+  int done = 0;
+  json result = observer.measure([&] {
+    v1::Limits limits = wide_limits();
+    for (std::uint32_t i = 0; i < CHANGES; i++) {
+      limits.set_max_queued_jobs(QUEUE_LIMIT - i);
+      done += operator_calls.limit("organisation-0", limits) ? 1 : 0;
+      std::this_thread::sleep_for(CHANGE_WINDOW / CHANGES);
+    }
+  });
+  result["changes_done"] = done;
+  return result;
+}
+
+/// Empty if the deployment or its organisations did not come up.
+std::vector<Tenant>
+start_with_tenants(Deployment& deployment, const Case& size)
+{
+  if (!deployment.start())
+    return {};
+  std::vector<std::string> names(size.organisations);
+  for (std::size_t i = 0; i < names.size(); i++)
+    names[i] = fmt::format("organisation-{}", i);
+  return create_tenants(deployment, size.entries, names);
+}
+
+json
+measure_case(const Case& size)
+{
+  json result{ { "agents", size.agents }, { "entries", size.entries } };
+  result["organisations"] = size.organisations;
+  Deployment deployment(small_plan(size.entries, 1, size.agents));
+  std::vector<Tenant> tenants = start_with_tenants(deployment, size);
+  if (tenants.empty()) {
+    result["error"] = "the deployment did not come up";
+    return result;
+  }
+  Observer observer(deployment);
+  result["idle"] =
+    observer.measure([] { std::this_thread::sleep_for(IDLE_WINDOW); });
+  if (size.gang > 0)
+    result["gang"] = measure_gang(observer, tenants[0].caller, size.gang);
+  result["jobs"] = measure_jobs(observer, tenants[0].caller);
+  if (size.changes)
+    result["changes"] =
+      measure_changes(observer, Operator(deployment.operator_client()));
+  return result;
+}
+
+/// Submits jobs `from` to `to`. Returns how many were accepted.
+int
+submit_many(const Caller& caller, int from, int to)
+{
+  std::atomic<int> next = from;
+  std::atomic<int> accepted = 0;
+  std::vector<std::thread> threads(SUBMITTERS);
+  for (std::thread& thread : threads)
+    thread = std::thread([&] {
+      for (int i = next++; i < to; i = next++) {
+        JobPlan job = make_job(fmt::format("queued-{}", i), 1, LONG_RUN_MS);
+        accepted += caller.submit(job) ? 1 : 0;
+      }
+    });
+  for (std::thread& thread : threads)
+    thread.join();
+  return accepted;
+}
+
+/// Replaces the entry and waits until it drives all open jobs again.
+json
+measure_restart(Deployment& deployment, int queued)
+{
+  json before = deployment.store_counters();
+  std::int64_t begin = kernel::boot_ms();
+  deployment.replace_entry(0);
+  wait_until(LIMIT, [&] { return deployment.is_ready(0); });
+  std::int64_t ready_ms = kernel::boot_ms() - begin;
+  json at_ready = deployment.store_counters();
+  bool known = wait_until(LIMIT, [&] {
+    Reading reading;
+    read_counters(deployment.entries()[0].http_address, reading);
+    return reading["entry_jobs_queued"] >= queued;
+  });
+  std::int64_t known_ms = kernel::boot_ms() - begin;
+  Snapshot after = Observer(deployment).take(false);
+  return {
+    { "ready_ms", ready_ms },       { "queue_known_ms", known ? known_ms : -1 },
+    { "entry", after.nodes[0] },    { "table_before", before },
+    { "table_at_ready", at_ready }, { "table_after", after.table }
+  };
+}
+
+json
+measure_queue()
+{
+  Deployment deployment(small_plan(1, 1, 1));
+  std::vector<Tenant> tenants =
+    start_with_tenants(deployment, { 1, 1, 0, false, 1 });
+  if (tenants.empty())
+    return { { "error", "the deployment did not come up" } };
+  v1::Limits limits = wide_limits();
+  limits.set_max_queued_jobs(QUEUE_LIMIT);
+  Operator(deployment.operator_client()).limit("organisation-0", limits);
+  json result = json::array();
+  int submitted = 0;
+  for (int total : { 1, 101, 1'001, 4'001 }) {
+    Observer observer(deployment);
+    json& step = result.emplace_back(json{ { "open_jobs", total } });
+    step["submit"] = observer.measure([&] {
+      step["accepted"] = submit_many(tenants[0].caller, submitted, total);
+    });
+    submitted = total;
+    step["idle"] =
+      observer.measure([] { std::this_thread::sleep_for(QUEUE_IDLE_WINDOW); });
+    step["restart"] = measure_restart(deployment, total - 1);
+  }
+  return result;
+}
+
+} // namespace
+
+int
+main()
+{
+  json result;
+  std::int64_t begin = kernel::boot_ms();
+  for (const Case& size : CASES)
+    result["sizes"].push_back(measure_case(size));
+  result["queue"] = measure_queue();
+  result["seconds"] = static_cast<double>(kernel::boot_ms() - begin) / MS_PER_S;
+  std::cout << result.dump(2) << '\n';
+  return 0;
+}
