Never answer NOT_RUN for a request that another entry has run

Cause: an entry without a backend server to try answered NOT_RUN without reading the request's row, and ignored a conflict when it deleted the row of a refused attempt. In both cases another entry may have run the same request id.

Ruled out: answering UNKNOWN in these cases, because the row tells the truth.

Change: the row is read before NOT_RUN is answered unless its absence was read already; a conflict on the deletion reads the row and follows it. If the read fails, the store is down and the answer says so.

Before: entry.router_test, no_capacity_does_not_hide_a_recorded_outcome, gave NOT_RUN for a recorded success.

--- a/entry/exclusive_run.cpp
+++ b/entry/exclusive_run.cpp
@@ -253,16 +253,24 @@
 void
 ExclusiveRun::row_read(const platform::Table::ReadResult& result)
 {
+  if (!result && this->refusing) {
+    this->answer(not_run(
+      this->context, this->request.request_id(), v1::REASON_STORE_UNAVAILABLE));
+    this->end();
+    return;
+  }
   if (!result) {
     this->timer = this->context.timers.after(this->context.settings.store_retry,
                                              [this] { this->read_row(); });
     return;
   }
+  this->refusing = false;
   std::optional<v1::RequestRow> found =
     parse_row<v1::RequestRow>(result->front());
   if (!found) {
     // The attempt of another entry did not run, and its row is deleted.
     this->version = 0;
+    this->row_absent = true;
     this->attempt();
     return;
   }
@@ -337,7 +345,13 @@
 void
 ExclusiveRun::forget(v1::Reason reason)
 {
-  this->resolved = true;
+  // Another entry may have run the same request id, so that no row is assumed
+  // to be absent before it was read.
+  if (this->version == 0 && !this->row_absent) {
+    this->refusing = true;
+    this->read_row();
+    return;
+  }
   v1::RunResponse response =
     not_run(this->context, this->request.request_id(), reason);
   if (this->version == 0) {
@@ -345,16 +359,25 @@
     this->end();
     return;
   }
+  this->resolved = true;
   // Without its row the same request id may run later, as the answer says.
   platform::Transaction transaction;
   transaction.checks.push_back({ this->key, this->version });
   transaction.writes.push_back(delete_row(this->key));
   this->context.table.commit(
     std::move(transaction),
-    this->guarded([this, response](const platform::Table::CommitResult&) {
-      this->answer(response);
-      this->end();
-    }));
+    this->guarded(
+      [this, response](const platform::Table::CommitResult& result) {
+        bool taken_over =
+          !result && result.error().kind == platform::TableErrorKind::Conflict;
+        if (taken_over) {
+          this->resolved = false;
+          this->read_row();
+          return;
+        }
+        this->answer(response);
+        this->end();
+      }));
 }
 
 void
--- a/entry/exclusive_run.h
+++ b/entry/exclusive_run.h
@@ -72,6 +72,8 @@
   std::uint64_t step = 0;    ///< Attempt that replies must belong to.
   int attempts = 0;
   bool resolved = false;
+  bool row_absent = false; ///< The row was read and did not exist.
+  bool refusing = false;   ///< The read decides whether to answer NOT_RUN.
   std::optional<PickedServer> picked;
   std::set<std::string> tried;
   std::vector<Waiter> waiters;
--- a/tests/entry/router_test.cpp
+++ b/tests/entry/router_test.cpp
@@ -193,6 +193,20 @@
   BOOST_TEST(this->agents.attempts.size() == 1);
 }
 
+// Guards against NOT_RUN for a request that another entry has run, when this
+// one has no backend server to try.
+BOOST_FIXTURE_TEST_CASE(no_capacity_does_not_hide_a_recorded_outcome,
+                        RouterFixture)
+{
+  RunNode first(*this, "e1");
+  BOOST_REQUIRE(this->run(first, request(false)).outcome() ==
+                v1::OUTCOME_SUCCEEDED);
+  RunNode second(*this, "e2");
+  second.entry->settings.max_attempts = 0;
+  BOOST_TEST(this->run(second, request(false)).outcome() ==
+             v1::OUTCOME_SUCCEEDED);
+}
+
 // Guards against an outcome invented for an attempt whose agent restarted.
 BOOST_FIXTURE_TEST_CASE(restarted_agent_leaves_unknown, RouterFixture)
 {
