Let idle peers fall silent

Cause: a pong counted as a message whose arrival must be proved, so it started a heartbeat, which was answered by a pong in turn: two idle peers exchanged 8.6 messages in 5 s where 2 are needed.

Ruled out: letting no reply start heartbeats; peer_node_test (redials_a_connection_that_swallows_replies) fails then, because only the replying side can replace a silent connection of replies.

Change: PushKind tells requests, one-way messages and pongs apart; a pong starts no heartbeats.

Before: no test. After: peer.link_test, 3 cases, and peer.peer_node_test, 8 cases, pass.

--- a/peer/link.cpp
+++ b/peer/link.cpp
@@ -45,24 +45,35 @@
 }
 
 bool
-Link::push(QueuedMessage message, bool expects_reply)
+Link::push(QueuedMessage message, PushKind kind)
 {
   if (!this->connection->usable() ||
       this->queue.size() >= MAX_QUEUED_MESSAGES ||
       this->queued_bytes + message.bytes.size() > MAX_QUEUED_BYTES)
     return false;
   this->last_push_ms = message.queued_ms;
-  if (this->unproven_since_ms == 0) {
-    this->unproven_since_ms = message.queued_ms;
-    this->expects_reply = false;
-  }
-  this->expects_reply = this->expects_reply || expects_reply;
+  this->note_unproven(message.queued_ms, kind);
   this->queued_bytes += message.bytes.size();
   this->queue.push_back(std::move(message));
   this->pump();
   return true;
 }
 
+void
+Link::note_unproven(std::int64_t now_ms, PushKind kind)
+{
+  // A pong that started heartbeats would be answered by a pong in turn: two
+  // idle peers would never fall silent.
+  if (kind == PushKind::Pong)
+    return;
+  this->last_unproven_ms = now_ms;
+  if (this->unproven_since_ms == 0) {
+    this->unproven_since_ms = now_ms;
+    this->expects_reply = false;
+  }
+  this->expects_reply = this->expects_reply || kind == PushKind::Request;
+}
+
 void
 Link::push_ping(QueuedMessage message)
 {
@@ -122,8 +133,8 @@
 Link::prove(std::int64_t sent_ms)
 {
   this->pings.clear();
-  bool newer = this->last_push_ms > sent_ms;
-  this->unproven_since_ms = newer ? this->last_push_ms : 0;
+  bool newer = this->last_unproven_ms > sent_ms;
+  this->unproven_since_ms = newer ? this->last_unproven_ms : 0;
 }
 
 bool
--- a/peer/link.h
+++ b/peer/link.h
@@ -26,6 +26,14 @@
   HandedOver, ///< It may have arrived.
 };
 
+/// What is expected after a message.
+enum class PushKind
+{
+  Request, ///< A reply soon.
+  OneWay,  ///< Nothing; a heartbeat proves later that the connection works.
+  Pong,    ///< Nothing; it only answers a heartbeat.
+};
+
 /// The sending side towards one peer: its queue, its connection, and when the
 /// connection last proved to carry messages.
 class Link
@@ -38,7 +46,7 @@
   Link(std::string address, HandedOver done, std::int64_t now_ms);
 
   /// Returns false if the queue is full.
-  bool push(QueuedMessage message, bool expects_reply);
+  bool push(QueuedMessage message, PushKind kind);
   void push_ping(QueuedMessage message);
   Withdrawal withdraw(std::uint64_t id);
 
@@ -74,6 +82,7 @@
   std::uint64_t peer_incarnation = 0;
 
 private:
+  void note_unproven(std::int64_t now_ms, PushKind kind);
   void connect();
   void pump();
   void drop_expired(std::int64_t now_ms);
@@ -87,6 +96,7 @@
   std::optional<QueuedMessage> in_hand;
   std::set<std::uint64_t> pings;
   std::int64_t last_push_ms;
+  std::int64_t last_unproven_ms = 0; ///< Of the last push but pongs.
   std::int64_t last_ping_ms = 0;
   std::int64_t dialled_ms;
   std::int64_t unproven_since_ms = 0; ///< 0 if nothing is unproven.
--- a/peer/peer_node.cpp
+++ b/peer/peer_node.cpp
@@ -63,7 +63,7 @@
         kernel::Metrics& metrics);
 
   Link& link(const std::string& address);
-  bool push(const std::string& address, v1::Envelope& envelope, bool asks);
+  bool push(const std::string& address, v1::Envelope& envelope, PushKind kind);
   QueuedMessage pack(v1::Envelope& envelope);
   void receive_all();
   void receive(const std::string& bytes);
@@ -138,9 +138,9 @@
 bool
 PeerNode::State::push(const std::string& address,
                       v1::Envelope& envelope,
-                      bool asks)
+                      PushKind kind)
 {
-  bool queued = this->link(address).push(this->pack(envelope), asks);
+  bool queued = this->link(address).push(this->pack(envelope), kind);
   if (!queued) {
     this->queue_refusals.add();
     this->log.write(QUEUE_FULL, { { "peer", address } });
@@ -303,7 +303,7 @@
 tl::expected<void, PeerError>
 PeerNode::send(const std::string& address, v1::Envelope envelope)
 {
-  if (this->state->push(address, envelope, false))
+  if (this->state->push(address, envelope, PushKind::OneWay))
     return {};
   return tl::unexpected(PeerError::NotSent);
 }
@@ -314,7 +314,7 @@
                   kernel::Milliseconds timeout,
                   ReplyCallback callback)
 {
-  if (!this->state->push(address, envelope, true)) {
+  if (!this->state->push(address, envelope, PushKind::Request)) {
     this->post([callback = std::move(callback)] {
       callback(tl::unexpected(PeerError::NotSent));
     });
@@ -334,7 +334,8 @@
 PeerNode::reply(const v1::Envelope& received, v1::Envelope answer)
 {
   answer.set_reply_to(received.message_id());
-  this->state->push(received.sender_address(), answer, false);
+  PushKind kind = answer.has_pong() ? PushKind::Pong : PushKind::OneWay;
+  this->state->push(received.sender_address(), answer, kind);
 }
 
 void
