Acknowledge a gang round only with the backend server's word

Cause: a member acknowledged rounds as long as the lease that its backend server had accepted lasted, so a gang ran on for more than the lease period after a backend server had ended alone.

Ruled out: relying on the probe of the backend server, whose period of 1 s adds to the bound.

Change: before each acknowledgement the agent renews the running task's lease and acknowledges only on the answer that the task runs. This costs one local call in each round.

Before: system.gang_backend_test, two members ended 270 ms after the bound.

Conclusion: the loss of a backend server ends its gang like the loss of an agent.

--- a/agent/agent.cpp
+++ b/agent/agent.cpp
@@ -110,6 +110,9 @@
     this->members.extend(id, until_ms);
   };
   hooks.check = [this](const MemberId& id) { return this->members.check(id); };
+  hooks.confirm = [this](const MemberId& id, std::function<void()> confirmed) {
+    this->members.confirm(id, std::move(confirmed));
+  };
   hooks.acknowledged = [this](const MemberId& id) {
     this->members.note_acknowledged(id);
   };
--- a/agent/backend_task.cpp
+++ b/agent/backend_task.cpp
@@ -143,6 +143,22 @@
     this->call_renew();
 }
 
+void
+BackendTask::confirm(std::function<void()> confirmed)
+{
+  // Before the start is accepted its own lease bounds the task.
+  if (!this->started)
+    return confirmed();
+  this->backend.renew(
+    this->start.key,
+    this->lease_until_ms(),
+    this->guarded([confirmed = std::move(confirmed)](
+                    const tl::expected<TaskReport, BackendError>& result) {
+      if (result && result->state == TaskState::Running)
+        confirmed();
+    }));
+}
+
 void
 BackendTask::call_renew()
 {
--- a/agent/backend_task.h
+++ b/agent/backend_task.h
@@ -49,6 +49,9 @@
   /// Stops the task, after a checkpoint that takes at most `grace` if asked.
   void stop(bool checkpoint, kernel::Milliseconds grace);
 
+  /// Calls back if the backend server answers that the task runs.
+  void confirm(std::function<void()> confirmed);
+
   void checkpoint(platform::Backend::Done<std::string> done);
 
   /// End of the lease that the backend server is known to have accepted.
--- a/agent/gangs.cpp
+++ b/agent/gangs.cpp
@@ -237,6 +237,22 @@
 Gangs::subtree_acknowledged(const MemberId& id, Node& node)
 {
   // The process may have been paused since the round came in.
+  if (node.task_done)
+    return this->acknowledge(id, node);
+  if (!this->hooks.check(id))
+    return;
+  // A backend server that has ended counts as the loss of its member: without
+  // the confirmation the others would run on for another lease.
+  this->hooks.confirm(id, this->guarded([this, id, round = node.round] {
+    Nodes::iterator found = this->nodes.find(id);
+    if (found != this->nodes.end() && found->second.round == round)
+      this->acknowledge(id, found->second);
+  }));
+}
+
+void
+Gangs::acknowledge(const MemberId& id, Node& node)
+{
   if (!node.task_done && !this->hooks.check(id))
     return;
   if (is_lead(id))
--- a/agent/gangs.h
+++ b/agent/gangs.h
@@ -26,6 +26,9 @@
   std::function<void(const MemberId&, std::int64_t until_ms)> extend;
   /// Whether the member's time is not over, checked before each action.
   std::function<bool(const MemberId&)> check;
+  /// Calls back once the backend server has confirmed that the member's task
+  /// runs, and never if it does not. At once if there is no task yet.
+  std::function<void(const MemberId&, std::function<void()> confirmed)> confirm;
   std::function<void(const MemberId&)> acknowledged;
   std::function<bool(const MemberId&)> is_held;
 };
@@ -95,6 +98,7 @@
                      std::uint64_t round,
                      const peer::PeerNode::Reply& reply);
   void subtree_acknowledged(const MemberId& id, Node& node);
+  void acknowledge(const MemberId& id, Node& node);
   void lead_completed(const MemberId& id, Node& node);
   void apply(const MemberId& id, Node& node);
   void repeat_rounds(const MemberId& id, Node& node);
--- a/agent/members.cpp
+++ b/agent/members.cpp
@@ -66,6 +66,18 @@
   return false;
 }
 
+void
+Members::confirm(const MemberId& id, std::function<void()> confirmed)
+{
+  Active::iterator found = this->members.find(id);
+  if (found == this->members.end())
+    return;
+  if (found->second.phase == MemberPhase::Running)
+    found->second.task->confirm(std::move(confirmed));
+  else
+    confirmed();
+}
+
 bool
 Members::is_held(const MemberId& id) const
 {
--- a/agent/members.h
+++ b/agent/members.h
@@ -81,6 +81,9 @@
   void extend(const MemberId& id, std::int64_t until_ms);
   /// Ends the member if its time is over. Returns whether it is still active.
   bool check(const MemberId& id);
+  /// Calls back once the backend server confirms that a running member's task
+  /// runs, at once for a member that waits for its gang to open.
+  void confirm(const MemberId& id, std::function<void()> confirmed);
   /// The member acknowledged a round, so that its gang may open from now on.
   void note_acknowledged(const MemberId& id);
   bool is_held(const MemberId& id) const;
--- a/tests/agent/agent_fixture.h
+++ b/tests/agent/agent_fixture.h
@@ -96,6 +96,10 @@
     hooks.check = [this](const agent::MemberId& id) {
       return this->members.check(id);
     };
+    hooks.confirm = [this](const agent::MemberId& id,
+                           std::function<void()> confirmed) {
+      this->members.confirm(id, std::move(confirmed));
+    };
     hooks.acknowledged = [this](const agent::MemberId& id) {
       this->members.note_acknowledged(id);
     };
