Read unchanged rows of the store without their values

Cause: entries poll the rows config and cell/ whole.

Ruled out: a separate version row for each cell, which adds a write to every placement; a longer period, because it delays configuration.

Change: a request names the versions that the client holds under the cached prefixes, and the service leaves out values that did not change. The cache is inside HttpTable, so the tasks of the entry are unchanged.

Before: each poll moved every value.

Conclusion: the poll's cost follows the number of changes; measured next.

--- a/entry/program.cpp
+++ b/entry/program.cpp
@@ -3,6 +3,7 @@
 #include "entry/events.h"
 #include "entry/guarantee_watch.h"
 #include "entry/operator_api.h"
+#include "entry/rows.h"
 #include "entry/status.h"
 #include "entry/sweeper.h"
 #include "gateway/http_client.h"
@@ -68,6 +69,7 @@
     "http_client", this->loop, this->timers, this->settings.store_connections);
   platform::HttpTableOptions options;
   options.url = this->settings.table_url;
+  options.cached_prefixes = { CONFIG_KEY, CELL_PREFIX };
   platform::HttpTable& table = this->services.make<platform::HttpTable>(
     "table", this->loop, this->timers, this->log, client, options);
   this->services.make<ConfigStore>("config",
--- a/tests/platform/table_test.cpp
+++ b/tests/platform/table_test.cpp
@@ -116,6 +116,36 @@
   BOOST_TEST((*result).value()[0] == 0);
 }
 
+// Guards against polls that move whole rows again and again, and against a
+// cached value that outlives a change by another writer.
+BOOST_AUTO_TEST_CASE(unchanged_rows_are_read_without_their_values)
+{
+  options.cached_prefixes = { "cell/" };
+  HttpTable caching(loop, timers, log, client, options);
+  std::uint64_t first = put("cell/a", "one", 0).value()[0];
+  BOOST_REQUIRE(put("other", "x", 0));
+  auto read = [&] {
+    return wait_for<Table::ReadResult>([&](const auto& done) {
+             caching.read({ "cell/a", "other" }, done);
+           })
+      .value();
+  };
+  auto scan = [&] {
+    return wait_for<Table::ReadResult>(
+             [&](const auto& done) { caching.scan("cell/", "", 10, done); })
+      .value();
+  };
+  read();
+  BOOST_TEST(read()[0].value == "one");
+  BOOST_TEST(read()[1].value == "x");
+  BOOST_TEST(scan()[0].value == "one");
+  wait_for_counter("unchanged_rows", 3);
+  BOOST_REQUIRE(put("cell/a", "two", first));
+  BOOST_TEST(scan()[0].value == "two");
+  BOOST_TEST(read()[0].value == "two");
+  wait_for_counter("unchanged_rows", 4);
+}
+
 // Guards against an outage that is reported as a lost answer or blocks a
 // caller, and against a commit that stays ambiguous once the store is back.
 BOOST_AUTO_TEST_CASE(an_outage_refuses_at_once_and_ends)
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -153,6 +153,20 @@
     return most > 0 && used > most;
   }
 
+  /// A row without its value if the request knows this version.
+  json row_json(const std::string& key, const StoredRow& row, const json& body)
+  {
+    json result = { { "key", key }, { "version", row.version } };
+    bool unchanged =
+      row.version != 0 && body.contains("known") &&
+      body["known"].value(key, std::uint64_t{ 0 }) == row.version;
+    if (unchanged)
+      this->count("unchanged_rows");
+    else
+      result["value"] = row.value;
+    return result;
+  }
+
   HttpResponse read(const json& body)
   {
     const json& keys = body.at("keys");
@@ -164,8 +178,7 @@
       StoredRow row;
       if (this->rows.contains(key))
         row = this->rows[key];
-      found.push_back(
-        { { "key", key }, { "version", row.version }, { "value", row.value } });
+      found.push_back(this->row_json(key, row, body));
     }
     this->count("reads", keys.size());
     return answer(200, { { "rows", found } });
@@ -185,9 +198,7 @@
     for (; row != this->rows.end() && row->first.starts_with(prefix) &&
            found.size() < limit;
          ++row)
-      found.push_back({ { "key", row->first },
-                        { "version", row->second.version },
-                        { "value", row->second.value } });
+      found.push_back(this->row_json(row->first, row->second, body));
     this->count("scans");
     this->count("scanned_rows", found.size());
     return answer(200, { { "rows", found } });
@@ -277,8 +288,9 @@
   std::uint64_t window_writes = 0;
   json faults = zeros("down silent slow_ms drop_next drop_every delay_next "
                       "delay_ms reads_per_s writes_per_s");
-  json counters = zeros("reads scans scanned_rows commits writes conflicts "
-                        "dropped_answers refused object_reads object_writes");
+  json counters =
+    zeros("reads scans scanned_rows commits writes conflicts "
+          "dropped_answers unchanged_rows refused object_reads object_writes");
 };
 
 } // namespace
