Spell out types where auto stood for values

Cause: the house style allows auto for iterators and lambdas only; core, its tests and the benchmarks used it for values as well.

Change: explicit types in 18 files; structured bindings stay, since the language has no other form for them. No change of behaviour.

--- a/bench/decision.cpp
+++ b/bench/decision.cpp
@@ -51,7 +51,8 @@
   for (std::uint32_t i = 0; i < servers; ++i) {
     Cell& cell = fleet.cells[i % CELLS];
     cell.zone = i % CELLS;
-    const auto in_cell = static_cast<std::uint32_t>(cell.servers.size());
+    const std::uint32_t in_cell =
+      static_cast<std::uint32_t>(cell.servers.size());
     cell.servers.push_back({ 10'000 + i,
                              1'000 * cell.zone + in_cell / 24,
                              cell.zone,
@@ -97,7 +98,8 @@
   for (const Cell& cell : fleet.cells) {
     cells.push_back(&cell);
   }
-  const auto admitted = admit_guarantees(cells, held, { 1 });
+  const tl::expected<std::vector<Guarantee>, AdmitError> admitted =
+    admit_guarantees(cells, held, { 1 });
   fleet.homed.resize(CELLS);
   for (std::uint32_t i = 0; admitted && i < CELLS; ++i) {
     fleet.homed[i] = homed_in(i, *admitted);
@@ -143,7 +145,8 @@
   std::uint32_t used = 0;
   for (std::size_t i = 0; i < servers && used < servers * 5 / 6; ++i) {
     const Demand demand = next_demand(random, i);
-    const auto found = place(fleet.states(), demand, policy);
+    const tl::expected<Placement, PlaceError> found =
+      place(fleet.states(), demand, policy);
     if (found) {
       commit(fleet, demand, *found);
       used += total_accelerators(demand.shape);
@@ -155,7 +158,7 @@
 placement_decision(benchmark::State& state)
 {
   std::mt19937_64 random(SEED);
-  const auto servers = static_cast<std::uint32_t>(state.range(0));
+  const std::uint32_t servers = static_cast<std::uint32_t>(state.range(0));
   Fleet fleet = make_fleet(servers);
   home_guarantees(fleet, servers);
   load(fleet, servers, random);
@@ -168,10 +171,12 @@
   std::size_t next = 0;
   std::size_t placed = 0;
   while (state.KeepRunning()) {
-    const auto start = std::chrono::steady_clock::now();
-    const auto found =
+    const std::chrono::steady_clock::time_point start =
+      std::chrono::steady_clock::now();
+    const tl::expected<Placement, PlaceError> found =
       place(fleet.states(), demands[next++ % PLACEMENTS], policy);
-    const auto end = std::chrono::steady_clock::now();
+    const std::chrono::steady_clock::time_point end =
+      std::chrono::steady_clock::now();
     const std::chrono::duration<double> seconds = end - start;
     state.SetIterationTime(seconds.count());
     micros.push_back(seconds.count() * 1e6);
--- a/bench/policy_replay_run.h
+++ b/bench/policy_replay_run.h
@@ -281,7 +281,7 @@
 Replay::fault(const Fault& fault)
 {
   core::Cell& cell = this->cells[fault.cell];
-  const auto index =
+  const std::uint32_t index =
     static_cast<std::uint32_t>(&fault - this->stream.faults.data());
   std::set<std::uint32_t> servers = { fault.server };
   switch (fault.kind) {
@@ -446,7 +446,7 @@
 inline bool
 Replay::try_start(const core::QueueEntry& entry)
 {
-  const auto id = static_cast<std::uint32_t>(std::stoul(entry.job));
+  const std::uint32_t id = static_cast<std::uint32_t>(std::stoul(entry.job));
   core::Demand demand = this->demand_of(entry);
   if (entry.use_guarantee && this->try_guarantee(entry, demand)) {
     return true;
@@ -464,7 +464,8 @@
   if (same_for_all && this->does_not_fit.contains(key)) {
     return false;
   }
-  const auto found = core::place(this->states, demand, this->policy, reserved);
+  const tl::expected<core::Placement, core::PlaceError> found =
+    core::place(this->states, demand, this->policy, reserved);
   if (!found) {
     if (same_for_all) {
       this->does_not_fit.insert(key);
@@ -478,20 +479,23 @@
 inline bool
 Replay::try_guarantee(const core::QueueEntry& entry, core::Demand& demand)
 {
-  const auto id = static_cast<std::uint32_t>(std::stoul(entry.job));
+  const std::uint32_t id = static_cast<std::uint32_t>(std::stoul(entry.job));
   demand.use_guarantee = true;
-  const auto found = core::place(this->states, demand, this->policy);
+  const tl::expected<core::Placement, core::PlaceError> found =
+    core::place(this->states, demand, this->policy);
   if (found) {
     this->start(id, demand, *found, 0);
     return true;
   }
   if (found.error() != core::PlaceError::NoUnusedGuarantee) {
     this->mark_checkpoints();
-    const auto plan = core::plan_reclaim(
-      this->states, demand, this->policy, RECLAIM_TIMES, this->now_ms);
+    const tl::expected<core::ReclaimPlan, core::PlaceError> plan =
+      core::plan_reclaim(
+        this->states, demand, this->policy, RECLAIM_TIMES, this->now_ms);
     if (plan) {
       for (const core::Victim& victim : plan->victims) {
-        const auto job = static_cast<std::uint32_t>(std::stoul(victim.job));
+        const std::uint32_t job =
+          static_cast<std::uint32_t>(std::stoul(victim.job));
         // One final checkpoint in five does not finish in time.
         this->stop(job, (job + this->jobs[job].generation) % 5 != 0);
         this->requeued.push_back(job);
@@ -574,22 +578,23 @@
   if (!this->does_not_fit.insert(key).second) {
     return false;
   }
-  const auto plan = core::plan_migration(this->states,
-                                         this->demand_of(large),
-                                         this->policy,
-                                         RECLAIM_TIMES,
-                                         this->now_ms);
+  const tl::expected<core::ReclaimPlan, core::PlaceError> plan =
+    core::plan_migration(this->states,
+                         this->demand_of(large),
+                         this->policy,
+                         RECLAIM_TIMES,
+                         this->now_ms);
   if (!plan) {
     return false;
   }
   for (const core::Victim& victim : plan->victims) {
-    const auto id = static_cast<std::uint32_t>(std::stoul(victim.job));
+    const std::uint32_t id = static_cast<std::uint32_t>(std::stoul(victim.job));
     this->stop(id, true);
     this->requeued.push_back(id);
     ++this->result.migrations;
   }
   const core::Demand demand = this->demand_of(large);
-  const auto id = static_cast<std::uint32_t>(std::stoul(large.job));
+  const std::uint32_t id = static_cast<std::uint32_t>(std::stoul(large.job));
   this->start(id, demand, plan->placement, plan->bound_ms);
   this->started.push_back(demand.job);
   this->take_started();
@@ -600,15 +605,16 @@
 inline void
 Replay::compact()
 {
-  const auto move = core::plan_compaction(this->states,
-                                          this->stream.shapes,
-                                          this->policy,
-                                          this->variant.compact_gain,
-                                          this->now_ms - LEFT_ALONE_MS);
+  const std::optional<core::Move> move =
+    core::plan_compaction(this->states,
+                          this->stream.shapes,
+                          this->policy,
+                          this->variant.compact_gain,
+                          this->now_ms - LEFT_ALONE_MS);
   if (!move) {
     return;
   }
-  const auto id = static_cast<std::uint32_t>(std::stoul(move->job));
+  const std::uint32_t id = static_cast<std::uint32_t>(std::stoul(move->job));
   const StreamJob& job = this->stream.jobs[id];
   this->stop(id, true);
   core::Demand demand;
--- a/bench/policy_stream.h
+++ b/bench/policy_stream.h
@@ -164,7 +164,8 @@
       wanted.push_back(
         { i, this->deployment.guaranteed, this->deployment.guarantees, {} });
     }
-    auto admitted = core::admit_guarantees(cells, wanted, { 1 });
+    tl::expected<std::vector<core::Guarantee>, core::AdmitError> admitted =
+      core::admit_guarantees(cells, wanted, { 1 });
     if (admitted) {
       this->stream.guarantees = std::move(*admitted);
     }
@@ -199,8 +200,8 @@
     if (this->deployment.jobs_per_day > 0) {
       return this->deployment.jobs_per_day;
     }
-    const auto open = static_cast<double>(this->deployment.open_to -
-                                          this->deployment.open_from);
+    const double open = static_cast<double>(this->deployment.open_to -
+                                            this->deployment.open_from);
     return this->deployment.load * this->accelerators() * open /
            this->mean_accelerator_ms();
   }
@@ -261,7 +262,7 @@
 
   std::int64_t pick_time()
   {
-    const auto days = this->deployment.horizon / DAY;
+    const std::int64_t days = this->deployment.horizon / DAY;
     const std::int64_t day =
       static_cast<std::int64_t>(this->uniform(0, static_cast<double>(days)));
     const double at =
@@ -337,9 +338,9 @@
 
   Fault pick_fault(FaultKind kind)
   {
-    const auto cell = static_cast<std::uint32_t>(
+    const std::uint32_t cell = static_cast<std::uint32_t>(
       this->uniform(0, static_cast<double>(this->stream.cells.size())));
-    const auto servers =
+    const double servers =
       static_cast<double>(this->stream.cells[cell].servers.size());
     return { kind,
              this->pick_time(),
--- a/bench/policy_summary.h
+++ b/bench/policy_summary.h
@@ -33,7 +33,7 @@
     for (const double value : this->values) {
       sum += (value - this->mean()) * (value - this->mean());
     }
-    const auto count = static_cast<double>(this->values.size());
+    const double count = static_cast<double>(this->values.size());
     return count > 1 ? std::sqrt(sum / (count - 1)) : 0;
   }
 };
@@ -44,7 +44,7 @@
   if (values.empty()) {
     return 0;
   }
-  const auto at = std::min(
+  const std::size_t at = std::min(
     values.size() - 1,
     static_cast<std::size_t>(share * static_cast<double>(values.size())));
   std::nth_element(values.begin(),
@@ -115,7 +115,7 @@
 private:
   static double share_within(const std::vector<double>& waits, double limit)
   {
-    const auto within =
+    const std::ptrdiff_t within =
       std::count_if(waits.begin(), waits.end(), [limit](double wait) {
         return wait <= limit;
       });
--- a/core/admit.cpp
+++ b/core/admit.cpp
@@ -89,7 +89,7 @@
 {
   std::vector<PackItem> items;
   for (std::uint32_t i = 0; i < guarantees.size(); ++i) {
-    const auto count = static_cast<std::size_t>(
+    const std::size_t count = static_cast<std::size_t>(
       std::count(homes[i].begin(), homes[i].end(), zone));
     items.insert(
       items.end(), count, PackItem{ unit_shape(guarantees[i]), i, {} });
@@ -126,7 +126,8 @@
   for (const Cell* cell : fleet) {
     const std::vector<PackItem> items =
       items_homed(guarantees, homes, cell->zone);
-    if (const auto failed = first_unpacked(losses(*cell, spare), items)) {
+    if (const std::optional<std::uint32_t> failed =
+          first_unpacked(losses(*cell, spare), items)) {
       return failed;
     }
   }
@@ -146,7 +147,7 @@
   const auto key = [](const Unit& unit) {
     const bool server =
       unit.shape.members <= 1 || unit.shape.adjacency == Adjacency::Server;
-    const auto on_server = static_cast<int>(
+    const int on_server = static_cast<int>(
       server ? total_accelerators(unit.shape) : unit.shape.accelerators);
     return std::make_tuple(-on_server,
                            unit.shape.adjacency,
@@ -272,7 +273,8 @@
       error = homes.error();
       continue;
     }
-    const auto failed = check_homes(fleet, guarantees, *homes, spare);
+    const std::optional<std::uint32_t> failed =
+      check_homes(fleet, guarantees, *homes, spare);
     if (!failed) {
       return with_homes(guarantees, std::move(*homes));
     }
--- a/core/capacity.cpp
+++ b/core/capacity.cpp
@@ -36,7 +36,8 @@
     if (added) {
       capacity.racks.emplace_back();
     }
-    const auto index = static_cast<std::uint32_t>(capacity.servers.size());
+    const std::uint32_t index =
+      static_cast<std::uint32_t>(capacity.servers.size());
     capacity.racks[found->second].push_back(index);
     capacity.rack.push_back(found->second);
     capacity.servers.push_back(counts(server, counted)
@@ -88,7 +89,7 @@
 {
   std::uint32_t fit = server.slots;
   if (shape.accelerators > 0) {
-    const auto free =
+    const std::uint32_t free =
       static_cast<std::uint32_t>(std::popcount(server.accelerators));
     fit = std::min(fit, free / shape.accelerators);
   }
--- a/core/compact.cpp
+++ b/core/compact.cpp
@@ -51,7 +51,8 @@
   held.erase(held.begin() + static_cast<std::ptrdiff_t>(index));
   const Demand demand = demand_of(moved);
   std::optional<Move> move;
-  if (const auto found = place(states, demand, policy)) {
+  if (const tl::expected<Placement, PlaceError> found =
+        place(states, demand, policy)) {
     std::vector<Allocation>& target =
       cells[found->members.front().cell].allocations;
     target.push_back(allocation_of(demand, *found, 0, 0, 0));
@@ -72,7 +73,7 @@
                 double min_gain,
                 std::int64_t started_before_ms)
 {
-  const auto counts = member_counts(cells);
+  const std::map<std::string_view, std::uint32_t> counts = member_counts(cells);
   std::vector<Cell> copies;
   for (const CellState& state : cells) {
     copies.push_back(*state.cell);
--- a/core/estimate.cpp
+++ b/core/estimate.cpp
@@ -77,7 +77,7 @@
     return;
   }
   History& history = this->histories[{ organisation, job_class }];
-  const auto actual = static_cast<double>(actual_ms);
+  const double actual = static_cast<double>(actual_ms);
   remember(history.run_ms, history.next, actual);
   if (declared_ms > 0) {
     const double ratio = actual / static_cast<double>(declared_ms);
--- a/core/guarantee.cpp
+++ b/core/guarantee.cpp
@@ -9,7 +9,8 @@
 {
   std::vector<HomedGuarantee> homed;
   for (const Guarantee& held : guarantees) {
-    const auto count = std::count(held.homes.begin(), held.homes.end(), zone);
+    const std::ptrdiff_t count =
+      std::count(held.homes.begin(), held.homes.end(), zone);
     if (count > 0) {
       homed.push_back(
         { held.organisation, held.shape, static_cast<std::uint32_t>(count) });
--- a/core/pack.cpp
+++ b/core/pack.cpp
@@ -211,7 +211,7 @@
            items[end].shape == items[start].shape) {
       ++end;
     }
-    const auto count = static_cast<std::uint32_t>(end - start);
+    const std::uint32_t count = static_cast<std::uint32_t>(end - start);
     const std::uint32_t packed =
       pack_run(capacity, items[start], count, preferred, packing);
     packing.failed.insert(
--- a/core/queue.cpp
+++ b/core/queue.cpp
@@ -17,7 +17,7 @@
 double
 priority(const QueueEntry& entry, QueueOrder rule, std::int64_t now_ms)
 {
-  const auto run =
+  const double run =
     static_cast<double>(std::max(entry.expected_run_ms, SHORTEST_RUN_MS));
   const double ratio =
     (static_cast<double>(now_ms - entry.submitted_ms) + run) / run;
--- a/core/rank.cpp
+++ b/core/rank.cpp
@@ -339,7 +339,8 @@
   }
   std::sort(order.begin(), order.end());
   for (const auto& [key, cell] : order) {
-    const auto left = shape.members - static_cast<std::uint32_t>(placed.size());
+    const std::uint32_t left =
+      shape.members - static_cast<std::uint32_t>(placed.size());
     const std::vector<PlacedMember> here =
       fill(cells,
            { cell, all_servers(cells[cell]) },
--- a/core/reclaim.cpp
+++ b/core/reclaim.cpp
@@ -77,7 +77,7 @@
     if (limits[cell] == 0) {
       continue;
     }
-    const auto count =
+    const std::uint32_t count =
       static_cast<std::uint32_t>(cells[cell].cell->servers.size());
     for (std::uint32_t server = 0; server < count; ++server) {
       servers.push_back({ cell, server });
--- a/tests/core/correction_test.cpp
+++ b/tests/core/correction_test.cpp
@@ -136,7 +136,7 @@
     const std::string owner = all[*rendezvous(key, all)];
     RC_ASSERT(reversed[*rendezvous(key, reversed)] == owner);
     const std::string next = without[*rendezvous(key, without)];
-    const auto order = rendezvous_order(key, all, 2);
+    const std::vector<std::size_t> order = rendezvous_order(key, all, 2);
     RC_ASSERT(next == (owner == "c" ? all[order[1]] : owner));
   });
   BOOST_TEST(ok);
--- a/tests/core/place_test.cpp
+++ b/tests/core/place_test.cpp
@@ -33,7 +33,7 @@
 {
   const Fleet fleet = make_fleet({ 4, 4 }, 2, 4);
   for (const PlacementRule rule : RULES) {
-    const auto rack =
+    const tl::expected<Placement, PlaceError> rack =
       place(fleet.states(),
             make_demand("rack", 0, { 8, 1, 0, 0, Adjacency::Rack }),
             policy_of(rule));
@@ -45,7 +45,7 @@
     }
     BOOST_TEST(racks.size() == 1);
 
-    const auto any =
+    const tl::expected<Placement, PlaceError> any =
       place(fleet.states(),
             make_demand("any", 0, { 32, 1, 0, 0, Adjacency::Any }),
             policy_of(rule));
@@ -64,12 +64,14 @@
   fleet.cells[0].servers[2].state = ServerState::Quarantined;
   Demand demand = make_demand("job", 0, { 1, 1, 0, 0, Adjacency::Any });
   for (const PlacementRule rule : RULES) {
-    const auto found = place(fleet.states(), demand, policy_of(rule));
+    const tl::expected<Placement, PlaceError> found =
+      place(fleet.states(), demand, policy_of(rule));
     BOOST_REQUIRE(found.has_value());
     BOOST_TEST(found->members.front().server == 3);
   }
   demand.avoid = { fleet.cells[0].servers[3].name };
-  const auto none = place(fleet.states(), demand, {});
+  const tl::expected<Placement, PlaceError> none =
+    place(fleet.states(), demand, {});
   BOOST_TEST((none.error() == PlaceError::NoCapacity));
 }
 
@@ -79,7 +81,8 @@
   const Fleet fleet = make_fleet({ 2, 2 }, 2, 4);
   const Shape shape{ 1, 8, 0, 0, Adjacency::Any };
   BOOST_TEST(!fits_empty_fleet(fleet.states(), shape));
-  const auto none = place(fleet.states(), make_demand("job", 0, shape), {});
+  const tl::expected<Placement, PlaceError> none =
+    place(fleet.states(), make_demand("job", 0, shape), {});
   BOOST_TEST((none.error() == PlaceError::ImpossibleShape));
 }
 
@@ -91,11 +94,13 @@
   fleet.homed[0] = { { 0, whole, 1 } };
   Demand demand = make_demand("one", 0, whole);
   demand.use_guarantee = true;
-  const auto first = place(fleet.states(), demand, {});
+  const tl::expected<Placement, PlaceError> first =
+    place(fleet.states(), demand, {});
   BOOST_REQUIRE(first.has_value());
   fleet.commit(demand, *first);
   demand.job = "two";
-  const auto second = place(fleet.states(), demand, {});
+  const tl::expected<Placement, PlaceError> second =
+    place(fleet.states(), demand, {});
   BOOST_TEST((second.error() == PlaceError::NoUnusedGuarantee));
 }
 
@@ -104,16 +109,18 @@
 {
   const Fleet fleet = make_fleet({ 1 }, 1, 4);
   const std::vector<PlacedMember> reserved = { { 0, 0, 0b0111 } };
-  const auto one = place(fleet.states(),
-                         make_demand("one", 0, { 1, 1, 0, 0, Adjacency::Any }),
-                         {},
-                         reserved);
+  const tl::expected<Placement, PlaceError> one =
+    place(fleet.states(),
+          make_demand("one", 0, { 1, 1, 0, 0, Adjacency::Any }),
+          {},
+          reserved);
   BOOST_REQUIRE(one.has_value());
   BOOST_TEST(one->members.front().accelerators == 0b1000);
-  const auto two = place(fleet.states(),
-                         make_demand("two", 0, { 1, 2, 0, 0, Adjacency::Any }),
-                         {},
-                         reserved);
+  const tl::expected<Placement, PlaceError> two =
+    place(fleet.states(),
+          make_demand("two", 0, { 1, 2, 0, 0, Adjacency::Any }),
+          {},
+          reserved);
   BOOST_TEST(!two.has_value());
 }
 
@@ -132,7 +139,7 @@
   }
   const Demand large =
     make_demand("large", 0, { 1, 4, 0, 0, Adjacency::Server });
-  const auto plan =
+  const tl::expected<ReclaimPlan, PlaceError> plan =
     plan_migration(fleet.states(), large, {}, { 5, 2, 6 }, fleet.now_ms);
   BOOST_REQUIRE(plan.has_value());
   BOOST_REQUIRE(plan->victims.size() == 1);
@@ -140,7 +147,7 @@
 
   Demand elsewhere = large;
   elsewhere.avoid = { fleet.cells[0].servers[1].name };
-  const auto other =
+  const tl::expected<ReclaimPlan, PlaceError> other =
     plan_migration(fleet.states(), elsewhere, {}, { 5, 2, 6 }, fleet.now_ms);
   BOOST_REQUIRE(other.has_value());
   BOOST_TEST(other->placement.members.front().server == 0);
@@ -175,7 +182,8 @@
     { { 1, 4, 0, 0, Adjacency::Server }, 1 }
   };
   const Policy policy{ PlacementRule::FragmentationGradient, shapes, true };
-  const auto move = plan_compaction(fleet.states(), shapes, policy, 1.0, 20);
+  const std::optional<Move> move =
+    plan_compaction(fleet.states(), shapes, policy, 1.0, 20);
   BOOST_REQUIRE(move.has_value());
   BOOST_TEST(move->job == "small");
   BOOST_TEST(move->placement.members.front().server == 1);
--- a/tests/core/queue_test.cpp
+++ b/tests/core/queue_test.cpp
@@ -42,10 +42,10 @@
 {
   JobQueue queue(QueueOrder::Arrival);
   BOOST_TEST(queue.push(entry("a", 0, 0), 1).has_value());
-  const auto full = queue.push(entry("b", 0, 0), 1);
+  const tl::expected<void, QueueError> full = queue.push(entry("b", 0, 0), 1);
   BOOST_TEST((full.error() == QueueError::OrganisationFull));
   BOOST_TEST(queue.push(entry("c", 1, 0), 1).has_value());
-  const auto again = queue.push(entry("a", 0, 0), 9);
+  const tl::expected<void, QueueError> again = queue.push(entry("a", 0, 0), 9);
   BOOST_TEST((again.error() == QueueError::AlreadyQueued));
 }
 
@@ -62,7 +62,7 @@
   }
   const std::vector<OrganisationShare> shares = { { 0, 1, 0, 0 },
                                                   { 1, 2, 0, 0 } };
-  const auto order = queue.order(shares, 2000);
+  const std::vector<const QueueEntry*> order = queue.order(shares, 2000);
   int ours = 0;
   for (int i = 0; i < 12; ++i) {
     ours += order[i]->organisation == 1 ? 1 : 0;
@@ -140,7 +140,8 @@
   const Demand large = make_demand("large", 0, { 2, 4, 0, 0, Adjacency::Rack });
   const std::vector<ExpectedEnd> ends = { { "running",
                                             fleet.now_ms + 30 * MINUTE } };
-  const auto held = reserve(fleet.states(), large, {}, ends, fleet.now_ms);
+  const std::optional<Reservation> held =
+    reserve(fleet.states(), large, {}, ends, fleet.now_ms);
   BOOST_REQUIRE(held.has_value());
   BOOST_TEST(held->start_ms == fleet.now_ms + 30 * MINUTE);
 
@@ -149,10 +150,11 @@
   late.expected_run_ms = 40 * MINUTE;
   BOOST_TEST(may_backfill(*held, fits, fleet.now_ms));
   BOOST_TEST(!may_backfill(*held, late, fleet.now_ms));
-  const auto refused = place(fleet.states(),
-                             make_demand("late", 1, late.shape),
-                             {},
-                             held->placement.members);
+  const tl::expected<Placement, PlaceError> refused =
+    place(fleet.states(),
+          make_demand("late", 1, late.shape),
+          {},
+          held->placement.members);
   BOOST_TEST(!refused.has_value());
   BOOST_TEST(!reserve(fleet.states(), large, {}, {}, fleet.now_ms).has_value());
 }
--- a/tests/core/reclaim_property_test.cpp
+++ b/tests/core/reclaim_property_test.cpp
@@ -29,7 +29,7 @@
 Shape
 random_shape(Random& random)
 {
-  const auto adjacency = static_cast<Adjacency>(pick(random, 0, 3));
+  const Adjacency adjacency = static_cast<Adjacency>(pick(random, 0, 3));
   const std::uint32_t accelerators = 1U << pick(random, 0, 2);
   const std::uint32_t most =
     adjacency == Adjacency::Server ? 8 / accelerators : 5;
@@ -92,7 +92,7 @@
                        random_shape(this->random),
                        pick(this->random, 1, 2),
                        {} });
-      const auto admitted =
+      const tl::expected<std::vector<Guarantee>, AdmitError> admitted =
         admit_guarantees(this->fleet.pointers(), held, { 1 });
       if (admitted) {
         this->fleet.home(*admitted);
@@ -114,7 +114,8 @@
   void submit()
   {
     const Demand demand = this->next_demand(random_shape(this->random));
-    const auto found = place(this->fleet.states(), demand, this->policy);
+    const tl::expected<Placement, PlaceError> found =
+      place(this->fleet.states(), demand, this->policy);
     if (found) {
       this->fleet.commit(demand, *found);
       this->running.push_back(demand.job);
@@ -126,7 +127,7 @@
     if (this->running.empty()) {
       return;
     }
-    const auto at = pick(
+    const std::uint32_t at = pick(
       this->random, 0, static_cast<std::uint32_t>(this->running.size()) - 1);
     this->fleet.end({ this->running[at] });
     this->running.erase(this->running.begin() + at);
@@ -136,7 +137,7 @@
   void lose_server()
   {
     Cell& cell = this->fleet.cells[pick(this->random, 0, 1)];
-    const auto lost = pick(
+    const std::uint32_t lost = pick(
       this->random, 0, static_cast<std::uint32_t>(cell.servers.size()) - 1);
     std::vector<std::string> stopped;
     for (const Allocation& held : cell.allocations) {
@@ -152,9 +153,10 @@
   /// Serves the demand as the system does: free places, otherwise a reclaim.
   bool serve(const Demand& demand)
   {
-    auto found = place(this->fleet.states(), demand, this->policy);
+    tl::expected<Placement, PlaceError> found =
+      place(this->fleet.states(), demand, this->policy);
     if (!found) {
-      const auto plan = plan_reclaim(
+      const tl::expected<ReclaimPlan, PlaceError> plan = plan_reclaim(
         this->fleet.states(), demand, this->policy, TIMES, this->fleet.now_ms);
       if (!plan) {
         return false;
--- a/tests/core/witness_test.cpp
+++ b/tests/core/witness_test.cpp
@@ -54,10 +54,10 @@
 Shape
 small_shape()
 {
-  const auto members = *rc::gen::inRange<std::uint32_t>(1, 4);
-  const auto accelerators = *rc::gen::inRange<std::uint32_t>(1, 4);
-  const auto adjacency = *rc::gen::inRange(0, 3);
-  const auto memory = *rc::gen::inRange<std::uint32_t>(0, 3);
+  const std::uint32_t members = *rc::gen::inRange<std::uint32_t>(1, 4);
+  const std::uint32_t accelerators = *rc::gen::inRange<std::uint32_t>(1, 4);
+  const int adjacency = *rc::gen::inRange(0, 3);
+  const std::uint32_t memory = *rc::gen::inRange<std::uint32_t>(0, 3);
   return {
     members, accelerators, 0, memory * 30'000, static_cast<Adjacency>(adjacency)
   };
@@ -72,7 +72,7 @@
   int packed = 0;
   int unpacked = 0;
   const bool ok = rc::check("exhaustive", [&packed, &unpacked] {
-    const auto servers = *rc::gen::inRange<std::uint32_t>(2, 5);
+    const std::uint32_t servers = *rc::gen::inRange<std::uint32_t>(2, 5);
     Fleet fleet = make_fleet({ servers }, 2, 4);
     std::vector<Shape> shapes;
     const int count = *rc::gen::inRange(1, 5);
@@ -118,7 +118,7 @@
     }
     Demand demand = make_demand("owner", 0, held);
     demand.use_guarantee = true;
-    const auto plan =
+    const tl::expected<ReclaimPlan, PlaceError> plan =
       plan_reclaim(fleet.states(), demand, {}, { 5, 2, 6 }, fleet.now_ms);
     RC_ASSERT(plan.has_value());
     std::int64_t lost = 0;
@@ -139,13 +139,15 @@
   fleet.homed[0] = { { 0, { 1, 8, 0, 0, Adjacency::Server }, 1 } };
   Demand own = make_demand("own", 0, { 1, 2, 0, 0, Adjacency::Server });
   own.use_guarantee = true;
-  const auto placed = place(fleet.states(), own, {});
+  const tl::expected<Placement, PlaceError> placed =
+    place(fleet.states(), own, {});
   BOOST_REQUIRE(placed.has_value());
   fleet.commit(own, *placed);
 
   Demand other = make_demand("other", 1, { 1, 2, 0, 0, Adjacency::Server });
   other.preemptible = false;
-  const auto refused = place(fleet.states(), other, {});
+  const tl::expected<Placement, PlaceError> refused =
+    place(fleet.states(), other, {});
   BOOST_REQUIRE(!refused.has_value());
   BOOST_TEST((refused.error() == PlaceError::WouldBreakGuarantee));
 }
@@ -159,11 +161,13 @@
   const std::vector<Guarantee> two = { { 0, whole, 2, {} } };
   const std::vector<Guarantee> three = { { 0, whole, 2, {} },
                                          { 1, whole, 1, {} } };
-  const auto admitted = admit_guarantees(fleet.pointers(), two, { 1 });
+  const tl::expected<std::vector<Guarantee>, AdmitError> admitted =
+    admit_guarantees(fleet.pointers(), two, { 1 });
   BOOST_REQUIRE(admitted.has_value());
   BOOST_TEST(admitted->front().homes.size() == 2);
 
-  const auto refused = admit_guarantees(fleet.pointers(), three, { 1 });
+  const tl::expected<std::vector<Guarantee>, AdmitError> refused =
+    admit_guarantees(fleet.pointers(), three, { 1 });
   BOOST_REQUIRE(!refused.has_value());
   BOOST_TEST(refused.error().guarantee == 1);
   BOOST_TEST(admit_guarantees(fleet.pointers(), three, { 0 }).has_value());
@@ -177,7 +181,8 @@
   const std::vector<Guarantee> any = {
     { 0, { 4, 8, 0, 0, Adjacency::Any }, 1, {} }
   };
-  const auto admitted = admit_guarantees(fleet.pointers(), any, { 0 });
+  const tl::expected<std::vector<Guarantee>, AdmitError> admitted =
+    admit_guarantees(fleet.pointers(), any, { 0 });
   BOOST_REQUIRE(admitted.has_value());
   BOOST_TEST(admitted->front().homes.size() == 4);
 
@@ -195,7 +200,8 @@
   fleet.homed[0] = { { 7, whole, 2 } };
   BOOST_TEST(find_witness(fleet.cells[0], fleet.homed[0]).has_value());
   fleet.cells[0].servers[1].state = ServerState::Lost;
-  const auto broken = find_witness(fleet.cells[0], fleet.homed[0]);
+  const tl::expected<Witness, WitnessError> broken =
+    find_witness(fleet.cells[0], fleet.homed[0]);
   BOOST_REQUIRE(!broken.has_value());
   BOOST_TEST(broken.error().organisation == 7);
   BOOST_TEST(broken_guarantees(fleet.cells[0], fleet.homed[0]).front() == 1);
