--- a/tests/entry/entry_fakes.h
+++ b/tests/entry/entry_fakes.h
@@ -42,6 +42,7 @@
             std::function<void(ReadResult)> done) override
   {
     std::vector<platform::Row> found;
+    found.reserve(keys.size());
     for (const std::string& key : keys)
       found.push_back(rows.contains(key) ? rows[key]
                                          : platform::Row{ key, 0, {} });
@@ -145,7 +146,8 @@
   entry::Transport transport()
   {
     entry::Transport result;
-    result.send = [this](const std::string& address, v1::Envelope envelope) {
+    result.send = [this](const std::string& address,
+                         const v1::Envelope& envelope) {
       take(address, envelope);
     };
     result.request = [this](const std::string& address,
--- a/tests/system/once_test.cpp
+++ b/tests/system/once_test.cpp
@@ -51,6 +51,7 @@
               const std::function<void()>& meanwhile)
 {
   std::vector<std::thread> threads;
+  threads.reserve(THREADS);
   for (int thread = 0; thread < THREADS; thread++) {
     threads.emplace_back([&, thread] {
       for (int i = 0; i < REQUESTS / THREADS; i++) {
