Take the order of the queue from the deployment's weights

Cause: the settings /policy/weight_completion and /policy/weight_fragmentation were read and changed nothing; the entry reserved for the oldest large job at once and used one order for both deployments, unlike docs/policy.md.

Ruled out: removing the settings, because the two deployments weigh the measures differently.

Before: no test.

--- a/entry/scheduler.cpp
+++ b/entry/scheduler.cpp
@@ -28,7 +28,9 @@
   , context(context)
   , drivers(drivers)
   , stopper(stopper)
-  , queue(core::QueueOrder::ResponseRatio)
+  , tuning(core::tuning_for(context.settings.weight_completion,
+                            context.settings.weight_fragmentation))
+  , queue(this->tuning.order)
   , failures(core::QuarantineLimits{})
 {
   this->context.cells.on_change([this] { this->wake(); });
@@ -257,10 +259,11 @@
   this->reservation.reset();
   const core::QueueEntry* large =
     this->queue.oldest_large(LARGE_JOB_ACCELERATORS);
-  if (large == nullptr)
+  std::int64_t now = kernel::unix_ms();
+  if (large == nullptr ||
+      now - large->submitted_ms < this->tuning.reserve_after_ms)
     return;
   std::vector<core::ExpectedEnd> ends;
-  std::int64_t now = kernel::unix_ms();
   for (const auto& [job, driver] : this->drivers.all()) {
     const v1::Job& row = driver->row().job();
     std::int64_t run = this->expected_run_ms(row);
--- a/entry/scheduler.h
+++ b/entry/scheduler.h
@@ -4,6 +4,7 @@
 #include "core/quarantine.h"
 #include "core/queue.h"
 #include "core/reclaim.h"
+#include "core/tuning.h"
 #include "entry/convert.h"
 #include "entry/driver_table.h"
 #include "entry/stopper.h"
@@ -70,6 +71,7 @@
   DriverTable& drivers;
   Stopper& stopper;
   core::Names names;
+  core::Tuning tuning;
   core::JobQueue queue;
   core::FailureTracker failures;
   core::Estimator estimator;
--- a/tests/core/queue_test.cpp
+++ b/tests/core/queue_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/core/fleet.h"
 
 #include "core/queue.h"
+#include "core/tuning.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -175,3 +176,13 @@
   BOOST_TEST(queue.oldest_large(4)->job == "large");
   BOOST_TEST(queue.oldest_large(9) == nullptr);
 }
+
+// Guards against weights that a deployment sets and that change nothing.
+BOOST_AUTO_TEST_CASE(weights_select_the_tuning)
+{
+  const Tuning completion = tuning_for(0.7, 0.3);
+  const Tuning fragmentation = tuning_for(0.35, 0.65);
+  BOOST_TEST((completion.order == QueueOrder::ResponseRatio));
+  BOOST_TEST((fragmentation.order == QueueOrder::Arrival));
+  BOOST_TEST(fragmentation.reserve_after_ms < completion.reserve_after_ms);
+}
