Remove two log events that nothing writes

Cause: gateway/events.h defined two events, but no class of the package has a log; the programs write their own events for both cases.

Before and after: docs.reference_test passes with 4 cases; every event left in the catalogue is written somewhere.

--- a/tests/docs/reference_test.cpp
+++ b/tests/docs/reference_test.cpp
@@ -4,7 +4,6 @@
 #include "entry/config_events.h"
 #include "entry/events.h"
 #include "entry/settings.h"
-#include "gateway/events.h"
 #include "kernel/events.h"
 #include "peer/events.h"
 #include "platform/events.h"
@@ -31,7 +30,6 @@
   { "kernel", kernel::KERNEL_EVENTS },
   { "peer", peer::PEER_EVENTS },
   { "platform", platform::PLATFORM_EVENTS },
-  { "gateway", gateway::GATEWAY_EVENTS },
   { "agent", agent::AGENT_EVENTS },
   { "entry", entry::ENTRY_EVENTS },
   { "entry, configuration", entry::CONFIG_EVENTS },
