--- a/core/tuning.cpp
+++ b/core/tuning.cpp
@@ -5,8 +5,9 @@
 namespace {
 
 constexpr std::int64_t MINUTE_MS = 60'000;
+constexpr std::int64_t HOUR_MS = 60 * MINUTE_MS;
 constexpr std::int64_t EARLY_RESERVATION_MS = 20 * MINUTE_MS;
-constexpr std::int64_t LATE_RESERVATION_MS = 8 * 60 * MINUTE_MS;
+constexpr std::int64_t LATE_RESERVATION_MS = 8 * HOUR_MS;
 
 } // namespace
 
