Wait for the job's start in the test of reassigned callers

Cause: system.configuration_test checked at its end that a job runs without having waited for its start. The change of configuration can conflict with the commit of the start; the job is then released, placed again and starts a little later. Seen in the entry's log: member ended with NOT_RUN, generation 1.

Ruled out: a job that was cancelled by the reassigned caller; its row stays queued and no cancellation is logged.

Change: the test waits for the start before the reassignment. The last check is as strict as before: the job must run at that moment, without a wait.

--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -84,6 +84,9 @@
   plan.request_id = "mine";
   plan.run_ms = 60'000;
   std::string job = submit(fleet.alpha(), plan);
+  // A change of configuration may conflict with the commit of the start, which
+  // is then tried again; the last check is about a job that runs already.
+  BOOST_REQUIRE(fleet.wait_running(job, 1));
   Operator oper(fleet.deployment.operator_client());
   std::uint64_t version =
     oper.assign("caller-alpha", "beta", caller_token("alpha"));
