Pause a placement that the rows refuse before it is tried again

Cause: in reclaim_test the four victims were stopped as planned and queued again. It was queued again with no pause. Within 20 s one victim reached generation 17425 (agent log), and its holds kept the claiming job from being held on the same server: 'guaranteed_shape_is_reclaimed' timed out. Ruled out: the claim (renewed in the log at 09:50:47 with the same victims), the backend probe and the gang round confirmation (no such events in the log). Change: a refused commit waits for the next scheduling period (250 ms). Before: system.reclaim_test failed 2 of 2 runs with 5 checks on this machine. After: 8 of 8 runs pass, 4 s each.

--- a/entry/driver_start.cpp
+++ b/entry/driver_start.cpp
@@ -170,8 +170,10 @@
     return;
   }
   this->release_all();
+  // The placement does not hold on the rows as they are; tried again at once,
+  // its holds would keep other jobs from the same servers.
   if (error.kind == UpdateErrorKind::Refused) {
-    this->requeue(kernel::Milliseconds(0));
+    this->requeue(this->context.settings.schedule_period);
     return;
   }
   if (error.kind == UpdateErrorKind::Conflict && error.key == CONFIG_KEY) {
