--- a/agent/events.h
+++ b/agent/events.h
@@ -116,11 +116,86 @@
   "None."
 };
 
+inline constexpr EventInfo SERVER_LIFE_BEGAN{
+  516,
+  Severity::Info,
+  "server_life_began",
+  "A backend server announced itself with a new life.",
+  "None."
+};
+inline constexpr EventInfo SERVER_LISTED{
+  517,
+  Severity::Info,
+  "server_listed",
+  "The backend server's runs and ends are known; what runs there is adopted.",
+  "None."
+};
+inline constexpr EventInfo SERVER_STATE_CHANGED{
+  518,
+  Severity::Info,
+  "server_state_changed",
+  "The backend server began or ceased to drain.",
+  "None."
+};
+inline constexpr EventInfo SERVER_LEFT{ 519,
+                                        Severity::Info,
+                                        "server_left",
+                                        "The backend server said that it ends.",
+                                        "None." };
+inline constexpr EventInfo SERVER_LEASE_OVER{
+  520,
+  Severity::Warning,
+  "server_lease_over",
+  "The backend server does not answer and every lease granted to it has "
+  "expired, or it answers again.",
+  "Check the backend server; its tasks start elsewhere."
+};
+inline constexpr EventInfo FENCING_TOKEN_RAISED{
+  521,
+  Severity::Warning,
+  "fencing_token_raised",
+  "The backend server refused the fencing token; a higher one is used.",
+  "Check that only one agent runs beside the backend server."
+};
+inline constexpr EventInfo RUN_START_ANSWERED{
+  522,
+  Severity::Info,
+  "run_start_answered",
+  "The backend server answered the start of a run, or the answer is missing.",
+  "None; a run whose start is refused is reported to the owner."
+};
+inline constexpr EventInfo RUN_STOP_ANSWERED{
+  523,
+  Severity::Info,
+  "run_stop_answered",
+  "The backend server answered the stop of a run, or the answer is missing.",
+  "None."
+};
+inline constexpr EventInfo OWNER_CHANGED{
+  524,
+  Severity::Info,
+  "owner_changed",
+  "Another entry places the work, by a row of the store or by its orders.",
+  "None."
+};
+inline constexpr EventInfo CALL_REJECTED{
+  525,
+  Severity::Warning,
+  "call_rejected",
+  "A call to the agent is not one of its interface.",
+  "Check who calls the agent's address."
+};
+
 inline constexpr EventInfo AGENT_EVENTS[] = {
-  ENTRIES_CHANGED, NO_ENTRY,        ORPHANED,           LEAVING_STARTED,
-  DRAIN_LIMIT,     MEMBER_HELD,     MEMBER_REFUSED,     MEMBER_RUNNING,
-  MEMBER_ENDED,    MEMBER_EXPIRED,  LEASE_LAPSED,       GANG_OPENED,
-  ROUND_FAILED,    BACKEND_FAILING, HTTP_LISTEN_FAILED, BACKEND_ANSWERING,
+  ENTRIES_CHANGED,      NO_ENTRY,           ORPHANED,
+  LEAVING_STARTED,      DRAIN_LIMIT,        MEMBER_HELD,
+  MEMBER_REFUSED,       MEMBER_RUNNING,     MEMBER_ENDED,
+  MEMBER_EXPIRED,       LEASE_LAPSED,       GANG_OPENED,
+  ROUND_FAILED,         BACKEND_FAILING,    HTTP_LISTEN_FAILED,
+  BACKEND_ANSWERING,    SERVER_LIFE_BEGAN,  SERVER_LISTED,
+  SERVER_STATE_CHANGED, SERVER_LEFT,        SERVER_LEASE_OVER,
+  FENCING_TOKEN_RAISED, RUN_START_ANSWERED, RUN_STOP_ANSWERED,
+  OWNER_CHANGED,        CALL_REJECTED,
 };
 
 } // namespace geraniumhinge::agent
--- a/agent/main.cpp
+++ b/agent/main.cpp
@@ -1,5 +1,6 @@
 #include "agent/agent.h"
 #include "agent/events.h"
+#include "agent/platform_program.h"
 #include "agent/settings.h"
 #include "gateway/http_client.h"
 #include "gateway/http_server.h"
@@ -80,15 +81,11 @@
   }
 }
 
-std::optional<agent::AgentSettings>
-load_settings(const std::string& path)
+/// Prints the faults of settings that can't be used.
+template<typename Settings>
+std::optional<Settings>
+accept(tl::expected<Settings, std::vector<kernel::SettingFault>> settings)
 {
-  if (path.empty()) {
-    fmt::print(stderr, "--settings FILE is required\n");
-    return std::nullopt;
-  }
-  tl::expected<agent::AgentSettings, std::vector<kernel::SettingFault>>
-    settings = agent::load_agent_settings(path);
   if (settings)
     return std::move(*settings);
   for (const kernel::SettingFault& fault : settings.error())
@@ -96,6 +93,28 @@
   return std::nullopt;
 }
 
+std::optional<nlohmann::json>
+load_root(const std::string& path)
+{
+  if (path.empty()) {
+    fmt::print(stderr, "--settings FILE is required\n");
+    return std::nullopt;
+  }
+  tl::expected<nlohmann::json, kernel::SettingFault> root =
+    kernel::load_settings_file(path);
+  if (root)
+    return std::move(*root);
+  fmt::print(stderr, "{}\n", kernel::describe(root.error()));
+  return std::nullopt;
+}
+
+/// Settings with this group are for the operators' platform.
+bool
+is_for_platform(const nlohmann::json& root)
+{
+  return root.is_object() && root.contains("platform");
+}
+
 void
 answer_page(const kernel::Metrics& metrics,
             const gateway::HttpRequest& request,
@@ -189,11 +208,22 @@
     fmt::print(stderr, "the command must be serve, check or version\n");
     return EXIT_UNUSABLE;
   }
+  std::optional<nlohmann::json> root = load_root(arguments->settings);
+  if (!root)
+    return EXIT_UNUSABLE;
+  bool only_check = arguments->command == "check";
+  if (is_for_platform(*root)) {
+    std::optional<agent::PlatformSettings> settings =
+      accept(agent::read_platform_settings(*root));
+    if (!settings)
+      return EXIT_UNUSABLE;
+    return only_check ? EXIT_OK : agent::serve_on_platform(*settings);
+  }
   std::optional<agent::AgentSettings> settings =
-    load_settings(arguments->settings);
+    accept(agent::read_agent_settings(*root));
   if (!settings)
     return EXIT_UNUSABLE;
-  return arguments->command == "check" ? EXIT_OK : serve(*settings);
+  return only_check ? EXIT_OK : serve(*settings);
 }
 
 } // namespace
--- /dev/null
+++ b/agent/platform_program.cpp
@@ -0,0 +1,259 @@
+#include "agent/platform_program.h"
+
+#include "agent/events.h"
+#include "kernel/events.h"
+#include "platform/events.h"
+#include "platform/tables.h"
+
+#include <csignal>
+
+namespace geraniumhinge::agent {
+
+namespace {
+
+constexpr int EXIT_OK = 0;
+constexpr int EXIT_FAILED = 1;
+constexpr int HTTP_BAD_REQUEST = 400;
+constexpr int HTTP_NOT_FOUND = 404;
+constexpr int STORE_CONNECTIONS = 4;
+constexpr int WORKER_CONNECTIONS = 16;
+constexpr std::size_t MAX_ANNOUNCEMENT_BYTES = 4UL * 1'024 * 1'024;
+constexpr std::size_t MAX_PAGE_BODY_BYTES = 4'096;
+/// The row of the owner changes only when the owner does, and a new owner
+/// also calls by itself.
+constexpr kernel::Milliseconds OWNER_WAIT{ 10'000 };
+constexpr kernel::Milliseconds REGISTER_TIMEOUT{ 1'000 };
+constexpr kernel::Milliseconds REGISTER_RETRY{ 500 };
+/// Our estimate of the server's clock may be ahead by the time of a call.
+constexpr kernel::Milliseconds LEASE_MARGIN{ 200 };
+
+ServerAgentOptions
+agent_options(const PlatformSettings& settings)
+{
+  ServerAgentOptions options;
+  options.node = settings.name;
+  options.max_lease = settings.max_lease;
+  options.lease = settings.max_lease - LEASE_MARGIN;
+  options.orphan = settings.orphan;
+  return options;
+}
+
+platform::FollowOptions
+owner_options()
+{
+  platform::FollowOptions options;
+  options.table = platform::OWNER_TABLE;
+  options.part = platform::WORK_PART;
+  options.wait = OWNER_WAIT;
+  return options;
+}
+
+} // namespace
+
+PlatformProgram::PlatformProgram(kernel::Loop& loop,
+                                 kernel::TimerService& timers,
+                                 const kernel::Log& log,
+                                 const PlatformSettings& settings)
+  : Task(loop, "agent")
+  , timers(timers)
+  , log(log)
+  , settings(settings)
+  , store_client(loop, timers, STORE_CONNECTIONS)
+  , worker_client(loop, timers, WORKER_CONNECTIONS)
+  , store(loop, log, this->metrics, this->store_client, settings.store_address)
+  , worker(this->worker_client)
+  , node(loop,
+         timers,
+         log,
+         this->metrics,
+         { settings.name, kernel::random_id(), settings.peer_listen })
+  , registry(loop,
+             timers,
+             settings.registry_listen,
+             MAX_ANNOUNCEMENT_BYTES,
+             [this](const gateway::HttpRequest& request,
+                    const gateway::HttpServer::Respond& respond) {
+               this->on_registry_call(request, respond);
+             })
+  , pages(loop,
+          timers,
+          settings.http_listen,
+          MAX_PAGE_BODY_BYTES,
+          [this](const gateway::HttpRequest& request,
+                 const gateway::HttpServer::Respond& respond) {
+            bool found = request.path == "/metrics";
+            respond({ found ? 200 : HTTP_NOT_FOUND,
+                      "text/plain; version=0.0.4",
+                      found ? this->metrics.text() : "",
+                      {} });
+          })
+  , agent(loop,
+          timers,
+          log,
+          this->metrics,
+          this->worker,
+          agent_options(settings),
+          [this] { this->report_soon(); })
+  , owner_follower(
+      loop,
+      timers,
+      log,
+      this->store,
+      owner_options(),
+      { [this](const platform::RowPage& page) { this->on_owner_rows(page); },
+        [this](const platform::RowPage& page) { this->on_owner_rows(page); } })
+{
+}
+
+bool
+PlatformProgram::start()
+{
+  this->node.on_message(
+    [this](const v1::Envelope& envelope) { this->on_message(envelope); });
+  bool listening =
+    this->node.listen() && this->registry.listen() && this->pages.listen();
+  if (!listening) {
+    this->log.write(HTTP_LISTEN_FAILED,
+                    { { "registry", this->settings.registry_listen },
+                      { "peer", this->settings.peer_listen },
+                      { "http", this->settings.http_listen } });
+    return false;
+  }
+  this->owner_follower.start();
+  this->register_node();
+  this->report_timer =
+    this->timers.every(this->settings.report, [this] { this->report(); });
+  return true;
+}
+
+void
+PlatformProgram::stop()
+{
+  this->loop.stop();
+}
+
+void
+PlatformProgram::on_registry_call(const gateway::HttpRequest& request,
+                                  const gateway::HttpServer::Respond& respond)
+{
+  std::optional<platform::AnnouncementRequest> call =
+    platform::decode_announcement_request(request);
+  if (!call) {
+    this->log.write(CALL_REJECTED,
+                    { { "method", request.method }, { "path", request.path } });
+    respond({ HTTP_NOT_FOUND, "application/json", "{}", {} });
+    return;
+  }
+  if (call->leaving) {
+    this->agent.departed(call->id);
+    respond({ 200, "application/json", "{}", {} });
+    return;
+  }
+  std::optional<platform::Announcement> announcement =
+    platform::decode_announcement(*call);
+  if (!announcement) {
+    this->metrics.counter("agent_announcements_rejected_total").add();
+    this->log.write(platform::ANNOUNCEMENT_REJECTED,
+                    { { "server", call->id } });
+    respond({ HTTP_BAD_REQUEST, "application/json", "{}", {} });
+    return;
+  }
+  this->agent.announced(*announcement);
+  respond({ 200, "application/json", "{}", {} });
+}
+
+void
+PlatformProgram::on_message(const v1::Envelope& envelope)
+{
+  if (envelope.body_case() != v1::Envelope::kServerOrders)
+    return;
+  const v1::ServerOrders& orders = envelope.server_orders();
+  this->set_owner(orders.term(), envelope.sender_address());
+  this->agent.apply(orders);
+}
+
+void
+PlatformProgram::on_owner_rows(const platform::RowPage& page)
+{
+  for (const platform::StoredRow& row : page.rows) {
+    v1::OwnerRow owner;
+    if (row.removed || !owner.ParseFromString(row.value))
+      continue;
+    this->set_owner(row.version, owner.peer_address());
+  }
+}
+
+void
+PlatformProgram::set_owner(std::uint64_t term, const std::string& address)
+{
+  if (term <= this->owner_term || address.empty())
+    return;
+  this->owner_term = term;
+  this->owner_address = address;
+  this->log.write(OWNER_CHANGED, { { "term", term }, { "address", address } });
+  this->report();
+}
+
+void
+PlatformProgram::register_node()
+{
+  v1::NodeRow row;
+  row.set_node(this->settings.name);
+  row.set_peer_address(this->settings.peer_listen);
+  row.set_zone(this->settings.zone);
+  platform::RowChange change;
+  change.writes.push_back(
+    { { platform::AGENT_TABLE, platform::WORK_PART, this->settings.name },
+      row.SerializeAsString() });
+  this->store.commit(
+    change,
+    REGISTER_TIMEOUT,
+    this->guarded([this](const platform::Store::CommitResult& result) {
+      if (!result)
+        this->register_timer =
+          this->timers.after(REGISTER_RETRY, [this] { this->register_node(); });
+    }));
+}
+
+void
+PlatformProgram::report_soon()
+{
+  if (this->report_posted)
+    return;
+  this->report_posted = true;
+  this->post([this] {
+    this->report_posted = false;
+    this->report();
+  });
+}
+
+void
+PlatformProgram::report()
+{
+  if (this->owner_address.empty())
+    return;
+  v1::Envelope envelope;
+  *envelope.mutable_server_report() = this->agent.report();
+  this->node.send(this->owner_address, std::move(envelope));
+}
+
+int
+serve_on_platform(const PlatformSettings& settings)
+{
+  kernel::Loop loop;
+  kernel::TimerService timers(loop);
+  kernel::Log log(settings.name, settings.log_level);
+  PlatformProgram program(loop, timers, log, settings);
+  kernel::Subscription terminate =
+    loop.watch_signal(SIGTERM, [&program] { program.stop(); });
+  kernel::Subscription interrupt =
+    loop.watch_signal(SIGINT, [&program] { program.stop(); });
+  log.write(kernel::PROCESS_STARTED, { { "zone", settings.zone } });
+  if (!program.start())
+    return EXIT_FAILED;
+  loop.run();
+  log.write(kernel::PROCESS_STOPPED);
+  return EXIT_OK;
+}
+
+} // namespace geraniumhinge::agent
--- a/agent/settings.cpp
+++ b/agent/settings.cpp
@@ -151,14 +151,11 @@
 read_level(kernel::SettingsReader& reader)
 {
   const Setting& row = SETTING("/log/level");
-  std::string name = reader.text(row);
-  for (const NamedValue<kernel::Severity>& level : kernel::SEVERITY_NAMES) {
-    if (level.name == name)
-      return level.value;
-  }
-  reader.add_fault({ SettingFaultKind::OutOfRange,
-                     std::string(row.pointer),
-                     "debug, info, warning or error" });
+  tl::expected<kernel::Severity, SettingFault> level =
+    kernel::parse_severity(reader.text(row), row.pointer);
+  if (level)
+    return *level;
+  reader.add_fault(level.error());
   return kernel::Severity::Info;
 }
 
--- /dev/null
+++ b/core/assign.cpp
@@ -0,0 +1,178 @@
+#include "core/assign.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::core {
+
+namespace {
+
+struct Candidate
+{
+  std::string server;
+  std::int64_t count = 0; ///< Tasks that fit.
+  Resources free;
+};
+
+using Candidates = std::vector<Candidate>;
+
+std::int64_t
+limit_on(const std::string& server, const AssignRequest& request)
+{
+  std::int64_t limit = request.tasks;
+  if (request.step->max_per_server == 0)
+    return limit;
+  std::map<std::string, std::uint32_t>::const_iterator present =
+    request.present.find(server);
+  std::int64_t used = present == request.present.end() ? 0 : present->second;
+  return std::clamp<std::int64_t>(
+    static_cast<std::int64_t>(request.step->max_per_server) - used, 0, limit);
+}
+
+Resources
+demand_of(const Step& step)
+{
+  Resources demand = step.demand;
+  if (step.fills)
+    demand.millicores = 0;
+  return demand;
+}
+
+/// Candidates by rack, the fullest servers first in each.
+std::map<std::string, Candidates>
+by_rack(const Pool& pool, const AssignRequest& request)
+{
+  std::map<std::string, Candidates> racks;
+  Resources demand = demand_of(*request.step);
+  for (const std::pair<const std::string, PoolServer>& item : pool.servers) {
+    if (!eligible(item.second, request))
+      continue;
+    Resources free = pool.free.at(item.first);
+    std::int64_t count = fits(free, demand, limit_on(item.first, request));
+    if (count > 0)
+      racks[item.second.rack].push_back({ item.first, count, free });
+  }
+  for (std::pair<const std::string, Candidates>& rack : racks)
+    std::sort(rack.second.begin(),
+              rack.second.end(),
+              [](const Candidate& left, const Candidate& right) {
+                if (left.free.accelerators != right.free.accelerators)
+                  return left.free.accelerators < right.free.accelerators;
+                return left.free.millicores < right.free.millicores;
+              });
+  return racks;
+}
+
+std::int64_t
+total(const Candidates& candidates)
+{
+  std::int64_t sum = 0;
+  for (const Candidate& candidate : candidates)
+    sum += candidate.count;
+  return sum;
+}
+
+std::vector<std::string>
+fill(const Candidates& candidates, std::uint32_t tasks)
+{
+  std::vector<std::string> servers;
+  for (const Candidate& candidate : candidates) {
+    for (std::int64_t index = 0;
+         index < candidate.count && servers.size() < tasks;
+         ++index)
+      servers.push_back(candidate.server);
+  }
+  return servers;
+}
+
+/// The rack that holds all tasks and has the least room to spare.
+const Candidates*
+tightest_rack(const std::map<std::string, Candidates>& racks,
+              const AssignRequest& request)
+{
+  const Candidates* best = nullptr;
+  for (const std::pair<const std::string, Candidates>& rack : racks) {
+    if (!request.step->rack.empty() && !request.any_rack &&
+        rack.first != request.step->rack)
+      continue;
+    if (total(rack.second) < request.tasks)
+      continue;
+    if (!best || total(rack.second) < total(*best))
+      best = &rack.second;
+  }
+  return best;
+}
+
+Candidates
+merge(const std::map<std::string, Candidates>& racks, const std::string& first)
+{
+  Candidates merged;
+  std::map<std::string, Candidates>::const_iterator near = racks.find(first);
+  if (near != racks.end())
+    merged = near->second;
+  std::vector<const Candidates*> rest;
+  for (const std::pair<const std::string, Candidates>& rack : racks) {
+    if (rack.first != first)
+      rest.push_back(&rack.second);
+  }
+  // Few racks are used if the roomiest come first.
+  std::stable_sort(rest.begin(),
+                   rest.end(),
+                   [](const Candidates* left, const Candidates* right) {
+                     return total(*left) > total(*right);
+                   });
+  for (const Candidates* candidates : rest)
+    merged.insert(merged.end(), candidates->begin(), candidates->end());
+  return merged;
+}
+
+} // namespace
+
+bool
+eligible(const PoolServer& server, const AssignRequest& request)
+{
+  const Step& step = *request.step;
+  return server.accepting && server.service == request.service &&
+         (step.label.empty() || server.labels.contains(step.label)) &&
+         !request.avoided.contains(server.life.id);
+}
+
+std::vector<std::string>
+assign(const Pool& pool, const AssignRequest& request)
+{
+  const Step& step = *request.step;
+  std::map<std::string, Candidates> racks = by_rack(pool, request);
+  const Candidates* rack = tightest_rack(racks, request);
+  if (rack && (step.same_rack || !step.rack.empty() || step.gang))
+    return fill(*rack, request.tasks);
+  bool bound = (step.same_rack || !step.rack.empty()) && !request.any_rack;
+  if (bound && step.gang)
+    return {};
+  Candidates all;
+  if (bound && !step.rack.empty()) {
+    std::map<std::string, Candidates>::iterator near = racks.find(step.rack);
+    if (near != racks.end())
+      all = near->second;
+  } else {
+    all = merge(racks, step.rack);
+    if (!step.gang && !step.same_rack && step.rack.empty())
+      std::sort(all.begin(),
+                all.end(),
+                [](const Candidate& left, const Candidate& right) {
+                  return left.free.accelerators < right.free.accelerators;
+                });
+  }
+  if (step.gang && total(all) < request.tasks)
+    return {};
+  return fill(all, request.tasks);
+}
+
+bool
+fits_one_rack(const Pool& pool, const AssignRequest& request)
+{
+  Pool empty = pool;
+  for (const std::pair<const std::string, PoolServer>& item : pool.servers)
+    empty.free[item.first] = item.second.room;
+  return tightest_rack(by_rack(empty, request), request) != nullptr;
+}
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/assign.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/pool.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace geraniumhinge::core {
+
+/// What is asked for: servers for some tasks of one step.
+struct AssignRequest
+{
+  const Step* step = nullptr;
+  std::string service;
+  std::uint32_t tasks = 0;
+  /// Tasks of the step that run already, by server; for `max_per_server`.
+  std::map<std::string, std::uint32_t> present;
+  std::set<std::string> avoided; ///< Servers that this step should not use.
+  /// Whether several racks, or one far from the data, are acceptable.
+  bool any_rack = false;
+};
+
+/// Whether the server may run the step at all, free room aside.
+bool
+eligible(const PoolServer& server, const AssignRequest& request);
+
+/// Finds a server for each task: all of them for a gang, else as many as fit.
+/// Prefers one rack and the fullest servers, to keep whole servers free. Empty
+/// if nothing fits.
+std::vector<std::string>
+assign(const Pool& pool, const AssignRequest& request);
+
+/// Whether an empty pool could hold the request within one rack, or near its
+/// data, so that waiting for such a place can succeed.
+bool
+fits_one_rack(const Pool& pool, const AssignRequest& request);
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/pool.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/workflow.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace geraniumhinge::core {
+
+/// What is known of one life of a backend server.
+struct PoolServer
+{
+  ServerLife life;
+  std::string service;
+  std::string zone;
+  std::string rack;
+  std::set<std::string> labels;
+  Resources room;        ///< Of the whole server.
+  bool accepting = true; ///< Ready, heard of lately, and not set aside.
+};
+
+/// A step of a workflow that holds servers or may be stopped for another.
+struct StepKey
+{
+  std::string workflow;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+
+  auto operator<=>(const StepKey&) const = default;
+};
+
+/// The runs of one step, all of which end if it is stopped.
+struct PlacedStep
+{
+  StepKey key;
+  std::string organisation;
+  std::uint32_t priority = 0; ///< 0 is the most urgent.
+  bool guaranteed = false;    ///< Runs within its organisation's guarantee.
+  bool gang = false;
+  bool stopping = false;
+  Resources demand;                             ///< Of one task.
+  std::map<std::string, std::uint32_t> servers; ///< Tasks on each server.
+  double unsaved_core_s = 0; ///< Work that would be lost by a stop.
+};
+
+/// Servers with what they hold. Built anew for each round of decisions.
+struct Pool
+{
+  std::map<std::string, PoolServer> servers; ///< By identifier.
+  std::map<std::string, Resources> free; ///< Room less runs and reservations.
+
+  void take(const std::string& server, const Resources& demand)
+  {
+    this->free[server].subtract(demand);
+  }
+  void give(const std::string& server, const Resources& demand)
+  {
+    this->free[server].add(demand);
+  }
+};
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/preempt.cpp
@@ -0,0 +1,154 @@
+#include "core/preempt.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::core {
+
+namespace {
+
+bool
+preemptible(const PlacedStep& victim, const PreemptRequest& request)
+{
+  if (victim.stopping)
+    return true;
+  if (victim.guaranteed)
+    return false;
+  return victim.priority > request.priority ||
+         (request.guaranteed && victim.priority == request.priority);
+}
+
+double
+cost(const PlacedStep& victim)
+{
+  return victim.stopping ? 0 : victim.unsaved_core_s;
+}
+
+void
+release(Pool& pool, const PlacedStep& victim)
+{
+  for (const std::pair<const std::string, std::uint32_t>& item :
+       victim.servers) {
+    for (std::uint32_t task = 0; task < item.second; ++task)
+      pool.give(item.first, victim.demand);
+  }
+}
+
+void
+retake(Pool& pool, const PlacedStep& victim)
+{
+  for (const std::pair<const std::string, std::uint32_t>& item :
+       victim.servers) {
+    for (std::uint32_t task = 0; task < item.second; ++task)
+      pool.take(item.first, victim.demand);
+  }
+}
+
+/// Drops victims, the dearest first, without which the request still fits.
+std::vector<const PlacedStep*>
+needed(Pool pool,
+       std::vector<const PlacedStep*> victims,
+       const AssignRequest& place)
+{
+  std::vector<const PlacedStep*> kept;
+  while (!victims.empty()) {
+    const PlacedStep* victim = victims.back();
+    victims.pop_back();
+    retake(pool, *victim);
+    if (assign(pool, place).size() < place.tasks) {
+      release(pool, *victim);
+      kept.push_back(victim);
+    }
+  }
+  return kept;
+}
+
+bool
+touches_rack(const PlacedStep& victim,
+             const Pool& pool,
+             const std::string& rack)
+{
+  return std::any_of(
+    victim.servers.begin(),
+    victim.servers.end(),
+    [&pool, &rack](const std::pair<const std::string, std::uint32_t>& item) {
+      std::map<std::string, PoolServer>::const_iterator server =
+        pool.servers.find(item.first);
+      return server != pool.servers.end() && server->second.rack == rack;
+    });
+}
+
+struct Choice
+{
+  std::vector<const PlacedStep*> victims;
+  double cost = 0;
+};
+
+/// Stops the cheapest victims, in one rack or anywhere, until it fits.
+std::optional<Choice>
+choose(const Pool& pool,
+       const std::vector<const PlacedStep*>& cheapest_first,
+       const AssignRequest& place,
+       const std::string& rack)
+{
+  Pool trial = pool;
+  std::vector<const PlacedStep*> victims;
+  bool found = false;
+  for (const PlacedStep* victim : cheapest_first) {
+    if (!rack.empty() && !touches_rack(*victim, pool, rack))
+      continue;
+    release(trial, *victim);
+    victims.push_back(victim);
+    found = assign(trial, place).size() >= place.tasks;
+    if (found)
+      break;
+  }
+  if (!found)
+    return std::nullopt;
+  Choice choice;
+  choice.victims = needed(trial, std::move(victims), place);
+  for (const PlacedStep* victim : choice.victims)
+    choice.cost += cost(*victim);
+  return choice;
+}
+
+} // namespace
+
+std::optional<PreemptPlan>
+plan_preemption(const Pool& pool,
+                const std::vector<PlacedStep>& placed,
+                const PreemptRequest& request)
+{
+  std::vector<const PlacedStep*> candidates;
+  for (const PlacedStep& victim : placed) {
+    if (preemptible(victim, request))
+      candidates.push_back(&victim);
+  }
+  std::stable_sort(candidates.begin(),
+                   candidates.end(),
+                   [](const PlacedStep* left, const PlacedStep* right) {
+                     return cost(*left) < cost(*right);
+                   });
+  std::set<std::string> racks{ "" };
+  for (const std::pair<const std::string, PoolServer>& item : pool.servers)
+    racks.insert(item.second.rack);
+  std::optional<Choice> best;
+  for (const std::string& rack : racks) {
+    std::optional<Choice> choice =
+      choose(pool, candidates, request.place, rack);
+    if (choice && (!best || choice->cost < best->cost))
+      best = std::move(choice);
+  }
+  if (!best)
+    return std::nullopt;
+  Pool after = pool;
+  PreemptPlan plan;
+  for (const PlacedStep* victim : best->victims) {
+    release(after, *victim);
+    if (!victim->stopping)
+      plan.victims.push_back(victim->key);
+  }
+  plan.servers = assign(after, request.place);
+  return plan;
+}
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/preempt.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "core/assign.h"
+
+#include <optional>
+#include <vector>
+
+namespace geraniumhinge::core {
+
+struct PreemptRequest
+{
+  AssignRequest place;
+  std::uint32_t priority = 0;
+  /// Within its organisation's guarantee: may also stop work of the same
+  /// priority that is not.
+  bool guaranteed = false;
+};
+
+struct PreemptPlan
+{
+  std::vector<StepKey> victims;
+  std::vector<std::string> servers; ///< For the tasks, once the victims ended.
+};
+
+/// Chooses the steps to stop so that the request fits, with little unsaved
+/// work lost. Room of steps that are stopping already is used first. Nothing
+/// if no choice makes it fit.
+std::optional<PreemptPlan>
+plan_preemption(const Pool& pool,
+                const std::vector<PlacedStep>& placed,
+                const PreemptRequest& request);
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/workflow.cpp
@@ -0,0 +1,280 @@
+#include "core/workflow.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace geraniumhinge::core {
+
+namespace {
+
+/// Names have four parts divided by dots.
+constexpr std::size_t NAME_PARTS = 4;
+
+OccurrenceState
+new_occurrence(const Workflow& workflow)
+{
+  OccurrenceState occurrence;
+  for (const Step& step : workflow.steps)
+    occurrence.emplace_back(step.tasks);
+  return occurrence;
+}
+
+bool
+step_done(const StepState& step)
+{
+  return std::all_of(
+    step.begin(), step.end(), [](const TaskState& task) { return task.done; });
+}
+
+bool
+occurrence_done(const OccurrenceState& occurrence)
+{
+  return std::all_of(occurrence.begin(), occurrence.end(), step_done);
+}
+
+bool
+dependencies_done(const Step& step, const OccurrenceState& occurrence)
+{
+  return std::all_of(
+    step.after.begin(), step.after.end(), [&occurrence](std::uint32_t earlier) {
+      return earlier < occurrence.size() && step_done(occurrence[earlier]);
+    });
+}
+
+bool
+wants_servers(const Step& step, const StepState& state)
+{
+  if (step.gang)
+    return std::all_of(state.begin(), state.end(), [](const TaskState& task) {
+      return !task.done && !task.run;
+    });
+  return std::any_of(state.begin(), state.end(), [](const TaskState& task) {
+    return !task.done && !task.run;
+  });
+}
+
+bool
+mark_stopping(StepState& step)
+{
+  bool changed = false;
+  for (TaskState& task : step) {
+    if (!task.run || task.run->stopping)
+      continue;
+    task.run->stopping = true;
+    changed = true;
+  }
+  return changed;
+}
+
+bool
+all_done(const Workflow& workflow, const Progress& progress)
+{
+  if (progress.next_occurrence < std::max(workflow.occurrences, 1U))
+    return false;
+  return std::all_of(
+    progress.open.begin(),
+    progress.open.end(),
+    [](const std::pair<const std::uint32_t, OccurrenceState>& item) {
+      return occurrence_done(item.second);
+    });
+}
+
+/// Drops occurrences that are done and hold no server any more.
+void
+drop_finished(Progress& progress)
+{
+  std::erase_if(
+    progress.open,
+    [](const std::pair<const std::uint32_t, OccurrenceState>& item) {
+      for (const StepState& step : item.second) {
+        for (const TaskState& task : step) {
+          if (!task.done || task.run)
+            return false;
+        }
+      }
+      return true;
+    });
+}
+
+void
+count_failure(TaskState& counted, std::uint32_t attempt)
+{
+  if (attempt <= counted.failed_attempt)
+    return;
+  counted.failed_attempt = attempt;
+  ++counted.failures;
+}
+
+std::optional<std::uint32_t>
+parse_number(std::string_view text)
+{
+  std::uint32_t value = 0;
+  std::from_chars_result result =
+    std::from_chars(text.data(), text.data() + text.size(), value);
+  if (result.ec != std::errc() || result.ptr != text.data() + text.size())
+    return std::nullopt;
+  return value;
+}
+
+} // namespace
+
+bool
+open_due(const Workflow& workflow,
+         Progress& progress,
+         std::int64_t unix_now_ms,
+         std::int64_t early_ms)
+{
+  bool changed = false;
+  while (progress.outcome == Outcome::Open) {
+    std::optional<std::int64_t> due = next_due(workflow, progress);
+    if (!due || *due - early_ms > unix_now_ms)
+      break;
+    progress.open[progress.next_occurrence] = new_occurrence(workflow);
+    ++progress.next_occurrence;
+    changed = true;
+  }
+  return changed;
+}
+
+std::optional<std::int64_t>
+next_due(const Workflow& workflow, const Progress& progress)
+{
+  if (progress.next_occurrence >= std::max(workflow.occurrences, 1U))
+    return std::nullopt;
+  return workflow.first_due_ms + progress.next_occurrence * workflow.period_ms;
+}
+
+TaskState*
+find_task(Progress& progress, const TaskRef& task)
+{
+  std::map<std::uint32_t, OccurrenceState>::iterator found =
+    progress.open.find(task.occurrence);
+  if (found == progress.open.end() || task.step >= found->second.size())
+    return nullptr;
+  StepState& step = found->second[task.step];
+  return task.index < step.size() ? &step[task.index] : nullptr;
+}
+
+std::vector<ReadyStep>
+ready_steps(const Workflow& workflow, const Progress& progress)
+{
+  std::vector<ReadyStep> ready;
+  if (progress.outcome != Outcome::Open)
+    return ready;
+  for (const std::pair<const std::uint32_t, OccurrenceState>& item :
+       progress.open) {
+    for (std::uint32_t index = 0; index < item.second.size(); ++index) {
+      const Step& step = workflow.steps[index];
+      if (dependencies_done(step, item.second) &&
+          wants_servers(step, item.second[index]))
+        ready.push_back({ item.first, index });
+    }
+  }
+  return ready;
+}
+
+bool
+apply_end(const Workflow& workflow,
+          Progress& progress,
+          const TaskRef& task,
+          std::uint32_t attempt,
+          EndKind kind,
+          const std::string& checkpoint,
+          std::uint32_t attempts)
+{
+  TaskState* state = find_task(progress, task);
+  if (!state || !state->run || state->run->attempt != attempt)
+    return false;
+  const Step& step = workflow.steps[task.step];
+  StepState& members = progress.open[task.occurrence][task.step];
+  TaskState& counted = step.gang ? members.front() : *state;
+  state->run.reset();
+  if (!checkpoint.empty())
+    counted.checkpoint = checkpoint;
+  if (kind == EndKind::Done && !step.lasting) {
+    // The end of one member stands for the whole gang.
+    for (TaskState& member : members)
+      member.done = member.done || step.gang;
+    state->done = true;
+  }
+  if (kind == EndKind::Failed)
+    count_failure(counted, attempt);
+  if (step.gang)
+    mark_stopping(members);
+  if (progress.outcome == Outcome::Open) {
+    if (!step.lasting && counted.failures >= attempts && !counted.done) {
+      progress.outcome = Outcome::Failed;
+      stop_all(progress);
+    } else if (all_done(workflow, progress)) {
+      progress.outcome = Outcome::Completed;
+    }
+  }
+  drop_finished(progress);
+  return true;
+}
+
+bool
+stop_all(Progress& progress)
+{
+  bool changed = false;
+  for (std::pair<const std::uint32_t, OccurrenceState>& item : progress.open) {
+    for (StepState& step : item.second)
+      changed = mark_stopping(step) || changed;
+  }
+  return changed;
+}
+
+bool
+stop_step(Progress& progress, std::uint32_t occurrence, std::uint32_t step)
+{
+  std::map<std::uint32_t, OccurrenceState>::iterator found =
+    progress.open.find(occurrence);
+  if (found == progress.open.end() || step >= found->second.size())
+    return false;
+  return mark_stopping(found->second[step]);
+}
+
+bool
+has_runs(const Progress& progress)
+{
+  for (const std::pair<const std::uint32_t, OccurrenceState>& item :
+       progress.open) {
+    for (const StepState& step : item.second) {
+      for (const TaskState& task : step) {
+        if (task.run)
+          return true;
+      }
+    }
+  }
+  return false;
+}
+
+std::string
+task_name(const std::string& id, const TaskRef& task)
+{
+  return id + '.' + std::to_string(task.occurrence) + '.' +
+         std::to_string(task.step) + '.' + std::to_string(task.index);
+}
+
+std::optional<std::pair<std::string, TaskRef>>
+parse_task_name(const std::string& name)
+{
+  std::vector<std::string_view> parts;
+  std::string_view rest = name;
+  while (parts.size() < NAME_PARTS - 1) {
+    std::size_t dot = rest.find('.');
+    if (dot == std::string_view::npos)
+      return std::nullopt;
+    parts.push_back(rest.substr(0, dot));
+    rest.remove_prefix(dot + 1);
+  }
+  std::optional<std::uint32_t> occurrence = parse_number(parts[1]);
+  std::optional<std::uint32_t> step = parse_number(parts[2]);
+  std::optional<std::uint32_t> index = parse_number(rest);
+  if (parts[0].empty() || !occurrence || !step || !index)
+    return std::nullopt;
+  return std::make_pair(std::string(parts[0]),
+                        TaskRef{ *occurrence, *step, *index });
+}
+
+} // namespace geraniumhinge::core
--- a/entry/events.h
+++ b/entry/events.h
@@ -143,14 +143,133 @@
   "None."
 };
 
+inline constexpr kernel::EventInfo OWNERSHIP_TAKEN{
+  620,
+  kernel::Severity::Info,
+  "ownership_taken",
+  "This entry places the work from now on.",
+  "None."
+};
+inline constexpr kernel::EventInfo OWNERSHIP_LOST{
+  621,
+  kernel::Severity::Info,
+  "ownership_lost",
+  "Another entry places the work, or this one gave it up.",
+  "None, unless it happens often: then check this entry's way to the store."
+};
+inline constexpr kernel::EventInfo WORK_READ{
+  622,
+  kernel::Severity::Info,
+  "work_read",
+  "All rows of the work were read under a new term.",
+  "None."
+};
+inline constexpr kernel::EventInfo WORK_CONFLICT{
+  623,
+  kernel::Severity::Warning,
+  "work_conflict",
+  "A transaction of the owner found rows of another version; they are read "
+  "anew.",
+  "None, unless it happens often."
+};
+inline constexpr kernel::EventInfo RUN_ENDED{
+  624,
+  kernel::Severity::Info,
+  "run_ended",
+  "The end of a run was noted.",
+  "None; see the kind of the end."
+};
+inline constexpr kernel::EventInfo RUN_LOST{
+  625,
+  kernel::Severity::Warning,
+  "run_lost",
+  "A run counts as ended, since its backend server's life or lease is over.",
+  "Check the backend server or its agent."
+};
+inline constexpr kernel::EventInfo WORKFLOW_CANCELLED{
+  626,
+  kernel::Severity::Info,
+  "workflow_cancelled",
+  "A caller cancelled a workflow; its runs are being stopped.",
+  "None."
+};
+inline constexpr kernel::EventInfo WORKFLOW_ENDED{
+  627,
+  kernel::Severity::Info,
+  "workflow_ended",
+  "A workflow reached its outcome.",
+  "None."
+};
+inline constexpr kernel::EventInfo STEP_PLACED{
+  628,
+  kernel::Severity::Info,
+  "step_placed",
+  "Backend servers were assigned to tasks of a step.",
+  "None."
+};
+inline constexpr kernel::EventInfo STEP_PREEMPTED{
+  629,
+  kernel::Severity::Info,
+  "step_preempted",
+  "A step is being stopped for one that is owed a guarantee.",
+  "None."
+};
+inline constexpr kernel::EventInfo EXPIRY_FAILED{
+  630,
+  kernel::Severity::Warning,
+  "expiry_failed",
+  "Rows of ended workflows could not be removed; they will be later.",
+  "None, unless it goes on: then check the store."
+};
+inline constexpr kernel::EventInfo CALL_ANSWERED{
+  631,
+  kernel::Severity::Info,
+  "call_answered",
+  "A caller's submission or cancellation was answered, or a call was refused.",
+  "See the result."
+};
+inline constexpr kernel::EventInfo CONFIGURATION_IN_FORCE{
+  632,
+  kernel::Severity::Info,
+  "configuration_in_force",
+  "A new configuration is in force here.",
+  "None."
+};
+
 inline constexpr EventInfo ENTRY_EVENTS[] = {
-  ENTRY_READY,      ENTRY_DRAINING,      ENTRY_LISTEN_FAILED,
-  ENTRY_DOWN,       ENTRY_LIVE,          SERVER_REGISTERED,
-  SERVER_LOST,      STORE_UNAVAILABLE,   JOB_ACCEPTED,
-  JOB_STARTED,      JOB_STOPPING,        JOB_DONE,
-  JOB_TAKEN_OVER,   COMMIT_CONFLICT,     LEASE_LAPSE_ASSUMED,
-  RECLAIM_STARTED,  ANSWER_NOT_RECORDED, ROW_MALFORMED,
-  GUARANTEE_BROKEN, GUARANTEE_RESTORED,
+  ENTRY_READY,
+  ENTRY_DRAINING,
+  ENTRY_LISTEN_FAILED,
+  ENTRY_DOWN,
+  ENTRY_LIVE,
+  SERVER_REGISTERED,
+  SERVER_LOST,
+  STORE_UNAVAILABLE,
+  JOB_ACCEPTED,
+  JOB_STARTED,
+  JOB_STOPPING,
+  JOB_DONE,
+  JOB_TAKEN_OVER,
+  COMMIT_CONFLICT,
+  LEASE_LAPSE_ASSUMED,
+  RECLAIM_STARTED,
+  ANSWER_NOT_RECORDED,
+  ROW_MALFORMED,
+  GUARANTEE_BROKEN,
+  GUARANTEE_RESTORED,
+  OWNERSHIP_TAKEN,
+  OWNERSHIP_LOST,
+  WORK_READ,
+  WORK_CONFLICT,
+  RUN_ENDED,
+  RUN_LOST,
+  WORKFLOW_CANCELLED,
+  WORKFLOW_ENDED,
+  STEP_PLACED,
+  STEP_PREEMPTED,
+  EXPIRY_FAILED,
+  CALL_ANSWERED,
+  CONFIGURATION_IN_FORCE,
 };
 
 } // namespace geraniumhinge::entry
--- a/entry/main.cpp
+++ b/entry/main.cpp
@@ -1,6 +1,5 @@
 #include "entry/cli.h"
 #include "entry/server.h"
-#include "entry/settings.h"
 
 using namespace geraniumhinge;
 
@@ -9,10 +8,6 @@
 {
   entry::CliHooks hooks;
   hooks.serve = entry::serve;
-  hooks.check = [](const std::string& path) {
-    tl::expected<entry::EntrySettings, std::vector<kernel::SettingFault>>
-      settings = entry::load_settings(path);
-    return settings ? std::vector<kernel::SettingFault>{} : settings.error();
-  };
+  hooks.check = entry::check;
   return entry::run_cli(argc, argv, hooks);
 }
--- /dev/null
+++ b/entry/ownership.cpp
@@ -0,0 +1,225 @@
+#include "entry/ownership.h"
+
+#include "entry/events.h"
+#include "entry/work_rows.h"
+#include "kernel/clock.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+constexpr kernel::Milliseconds CHECK_PERIOD{ 100 };
+constexpr kernel::Milliseconds PULSE_PERIOD{ 600 };
+constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 800 };
+constexpr kernel::Milliseconds OWNER_WAIT{ 1'000 };
+/// Three pulses missed.
+constexpr std::int64_t SILENCE_LIMIT_MS = 1'900;
+/// Entries lose patience at different times.
+constexpr std::uint64_t PATIENCE_SPREAD_MS = 400;
+
+platform::FollowOptions
+owner_options()
+{
+  platform::FollowOptions options;
+  options.table = platform::OWNER_TABLE;
+  options.part = platform::WORK_PART;
+  options.wait = OWNER_WAIT;
+  return options;
+}
+
+} // namespace
+
+Ownership::Ownership(kernel::Loop& loop,
+                     kernel::TimerService& timers,
+                     const kernel::Log& log,
+                     platform::Store& store,
+                     std::string entry,
+                     std::string peer_address,
+                     OwnershipHooks hooks)
+  : Task(loop, "ownership")
+  , timers(timers)
+  , log(log)
+  , store(store)
+  , entry(std::move(entry))
+  , peer_address(std::move(peer_address))
+  , incarnation(kernel::random_id())
+  , hooks(std::move(hooks))
+  , follower(loop,
+             timers,
+             log,
+             store,
+             owner_options(),
+             { [this](const platform::RowPage& page) { this->on_rows(page); },
+               [this](const platform::RowPage& page) { this->on_rows(page); } })
+  , patience_ms(SILENCE_LIMIT_MS + static_cast<std::int64_t>(
+                                     kernel::random_id() % PATIENCE_SPREAD_MS))
+{
+}
+
+void
+Ownership::start()
+{
+  this->follower.start();
+  this->check_timer =
+    this->timers.every(CHECK_PERIOD, [this] { this->check(); });
+  this->pulse_timer =
+    this->timers.every(PULSE_PERIOD, [this] { this->pulse(); });
+}
+
+v1::OwnerRow
+Ownership::own_row() const
+{
+  v1::OwnerRow row;
+  row.set_entry(this->entry);
+  row.set_peer_address(this->peer_address);
+  row.set_incarnation(this->incarnation);
+  return row;
+}
+
+void
+Ownership::on_rows(const platform::RowPage& page)
+{
+  for (const platform::StoredRow& row : page.rows) {
+    v1::OwnerRow owner;
+    if (row.version <= this->row_version || row.removed ||
+        !owner.ParseFromString(row.value))
+      continue;
+    this->row_version = row.version;
+    this->vacant = owner.released();
+    this->address = owner.peer_address();
+    this->seen_pulse_ms = kernel::boot_ms();
+    bool own = owner.incarnation() == this->incarnation && !owner.released();
+    if (own && row.version > this->own_term)
+      this->take(row.version);
+    else if (!own && this->owns())
+      this->lose();
+  }
+}
+
+bool
+Ownership::owner_silent(std::int64_t now_ms)
+{
+  std::uint64_t pulse = this->hooks.pulse_version();
+  if (pulse != this->seen_pulse) {
+    this->seen_pulse = pulse;
+    this->seen_pulse_ms = now_ms;
+  }
+  std::int64_t since = this->hooks.following_since_ms();
+  if (since == 0)
+    return false;
+  std::int64_t limit = std::max(this->seen_pulse_ms, since) + this->patience_ms;
+  return now_ms >= limit &&
+         this->hooks.confirmed_ms() >= limit - OWNER_WAIT.count();
+}
+
+void
+Ownership::check()
+{
+  if (this->owns() || this->released || this->claiming ||
+      !this->follower.loaded())
+    return;
+  bool silent = this->owner_silent(kernel::boot_ms());
+  if (this->vacant || silent)
+    this->claim();
+}
+
+void
+Ownership::claim()
+{
+  this->claiming = true;
+  platform::RowChange change;
+  change.conditions.push_back({ owner_row(), this->row_version });
+  change.writes.push_back({ owner_row(), this->own_row().SerializeAsString() });
+  this->store.commit(
+    change,
+    COMMIT_TIMEOUT,
+    this->guarded([this](const platform::Store::CommitResult& result) {
+      this->claimed(result);
+    }));
+}
+
+void
+Ownership::claimed(const platform::Store::CommitResult& result)
+{
+  this->claiming = false;
+  this->seen_pulse_ms = kernel::boot_ms();
+  if (result && *result > this->row_version) {
+    this->row_version = *result;
+    this->vacant = false;
+    this->address = this->peer_address;
+    this->take(*result);
+  }
+  // Without an answer, the row tells whether the claim was applied.
+}
+
+void
+Ownership::take(std::uint64_t term)
+{
+  this->own_term = term;
+  this->log.write(OWNERSHIP_TAKEN, { { "term", term } });
+  this->hooks.taken(term);
+}
+
+void
+Ownership::lose()
+{
+  this->log.write(
+    OWNERSHIP_LOST,
+    { { "term", this->own_term }, { "successor_term", this->row_version } });
+  this->own_term = 0;
+  this->seen_pulse_ms = kernel::boot_ms();
+  this->hooks.lost();
+}
+
+void
+Ownership::overruled()
+{
+  if (this->owns())
+    this->lose();
+}
+
+void
+Ownership::pulse()
+{
+  if (!this->owns() || this->pulsing)
+    return;
+  this->pulsing = true;
+  v1::PulseRow row;
+  row.set_term(this->own_term);
+  row.set_count(++this->pulses);
+  platform::RowChange change;
+  change.conditions.push_back({ owner_row(), this->own_term });
+  change.writes.push_back(
+    { work_row(WorkRowKind::Pulse, ""), row.SerializeAsString() });
+  this->store.commit(
+    change,
+    COMMIT_TIMEOUT,
+    this->guarded([this, term = this->own_term](
+                    const platform::Store::CommitResult& result) {
+      this->pulsing = false;
+      bool conflict =
+        !result && result.error().kind == platform::StoreErrorKind::Conflict;
+      if (conflict && term == this->own_term)
+        this->lose();
+    }));
+}
+
+void
+Ownership::release()
+{
+  this->released = true;
+  if (!this->owns())
+    return;
+  v1::OwnerRow row = this->own_row();
+  row.set_released(true);
+  platform::RowChange change;
+  change.conditions.push_back({ owner_row(), this->own_term });
+  change.writes.push_back({ owner_row(), row.SerializeAsString() });
+  this->lose();
+  this->store.commit(
+    change, COMMIT_TIMEOUT, [](const platform::Store::CommitResult&) {});
+}
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/platform_program.cpp
@@ -0,0 +1,414 @@
+#include "entry/platform_program.h"
+
+#include "entry/events.h"
+#include "entry/work_rows.h"
+#include "kernel/clock.h"
+#include "kernel/events.h"
+#include "platform/events.h"
+#include "platform/operator_config.h"
+
+#include <csignal>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+constexpr int EXIT_OK = 0;
+constexpr int EXIT_FAILED = 1;
+constexpr int HTTP_NOT_FOUND = 404;
+constexpr int HTTP_UNAVAILABLE = 503;
+constexpr int HTTP_METHOD_NOT_ALLOWED = 405;
+constexpr int STORE_CONNECTIONS = 12;
+constexpr int RELAY_CONNECTIONS = 8;
+constexpr std::size_t MAX_BODY_BYTES = 1UL * 1'024 * 1'024;
+constexpr std::size_t MAX_PAGE_BODY_BYTES = 4'096;
+constexpr char READY_PATH[] = "/geraniumhinge/ready";
+/// Two waits must pass within the accepted age of the configuration.
+constexpr kernel::Milliseconds CONFIG_WAIT{ 700 };
+constexpr kernel::Milliseconds WORK_WAIT{ 700 };
+constexpr kernel::Milliseconds READ_TIMEOUT{ 1'000 };
+constexpr kernel::Milliseconds READ_RETRY{ 100 };
+/// The platform notices an unready entry after two looks, a second apart.
+constexpr kernel::Milliseconds UNREADY_NOTICE{ 2'500 };
+
+platform::FollowOptions
+config_options()
+{
+  platform::FollowOptions options;
+  options.table = platform::OPERATOR_TABLE;
+  options.wait = CONFIG_WAIT;
+  return options;
+}
+
+platform::FollowOptions
+work_options()
+{
+  platform::FollowOptions options;
+  options.table = platform::WORK_TABLE;
+  options.part = platform::WORK_PART;
+  options.wait = WORK_WAIT;
+  return options;
+}
+
+LeaseBounds
+lease_bounds(const PlatformSettings& settings)
+{
+  LeaseBounds bounds;
+  bounds.orphan_ms = settings.orphan.count();
+  bounds.max_lease_ms = settings.max_lease.count();
+  return bounds;
+}
+
+} // namespace
+
+PlatformProgram::PlatformProgram(kernel::Loop& loop,
+                                 kernel::TimerService& timers,
+                                 const kernel::Log& log,
+                                 const PlatformSettings& settings)
+  : Task(loop, "entry")
+  , timers(timers)
+  , log(log)
+  , settings(settings)
+  , store_client(loop, timers, STORE_CONNECTIONS)
+  , relay_client(loop, timers, RELAY_CONNECTIONS)
+  , store(loop, log, this->metrics, this->store_client, settings.store_address)
+  , node(loop,
+         timers,
+         log,
+         this->metrics,
+         { settings.name, kernel::random_id(), settings.peer_listen })
+  , servers(lease_bounds(settings))
+  , config_follower(
+      loop,
+      timers,
+      log,
+      this->store,
+      config_options(),
+      { [this](const platform::RowPage& page) { this->on_configuration(page); },
+        [this](const platform::RowPage& page) {
+          this->on_configuration(page);
+        } })
+  , work_follower(loop,
+                  timers,
+                  log,
+                  this->store,
+                  work_options(),
+                  { [this](const platform::RowPage& page) {
+                     this->view.apply(page);
+                     this->scheduler.wake();
+                   },
+                    [this](const platform::RowPage& page) {
+                      this->view.apply(page);
+                      this->scheduler.wake();
+                    } })
+  , scheduler(loop,
+              timers,
+              log,
+              this->metrics,
+              this->store,
+              this->view,
+              this->servers,
+              { settings.early.count(), settings.retention.count() },
+              this->scheduler_hooks())
+  , ownership(loop,
+              timers,
+              log,
+              this->store,
+              settings.name,
+              settings.peer_listen,
+              this->ownership_hooks())
+  , relay(loop,
+          timers,
+          log,
+          this->store,
+          this->relay_client,
+          settings.name,
+          settings.relay_listen)
+  , calls(loop,
+          timers,
+          log,
+          this->metrics,
+          this->store,
+          this->view,
+          this->relay,
+          this->caller_hooks())
+  , caller_server(loop,
+                  timers,
+                  settings.caller_listen,
+                  MAX_BODY_BYTES,
+                  [this](const gateway::HttpRequest& request,
+                         gateway::HttpServer::Respond respond) {
+                    this->on_call(request, std::move(respond));
+                  })
+  , ready_server(loop,
+                 timers,
+                 settings.ready_listen,
+                 MAX_PAGE_BODY_BYTES,
+                 [this](const gateway::HttpRequest& request,
+                        const gateway::HttpServer::Respond& respond) {
+                   respond(
+                     request.path == READY_PATH
+                       ? this->ready_answer()
+                       : gateway::HttpResponse{
+                           HTTP_NOT_FOUND, "application/json", "{}", {} });
+                 })
+  , page_server(loop,
+                timers,
+                settings.relay_listen,
+                MAX_BODY_BYTES,
+                [this](const gateway::HttpRequest& request,
+                       gateway::HttpServer::Respond respond) {
+                  this->on_page(request, std::move(respond));
+                })
+{
+}
+
+WorkSchedulerHooks
+PlatformProgram::scheduler_hooks()
+{
+  WorkSchedulerHooks hooks;
+  hooks.directory = [this]() -> const core::Directory& {
+    return this->directory;
+  };
+  hooks.may_speak = [this] { return this->may_speak(); };
+  hooks.send = [this](const std::string& address, v1::ServerOrders orders) {
+    v1::Envelope envelope;
+    *envelope.mutable_server_orders() = std::move(orders);
+    this->node.send(address, std::move(envelope));
+  };
+  hooks.overruled = [this] { this->ownership.overruled(); };
+  hooks.reread = [this] {
+    this->scheduler.end();
+    this->read_work(this->ownership.term());
+  };
+  return hooks;
+}
+
+OwnershipHooks
+PlatformProgram::ownership_hooks()
+{
+  OwnershipHooks hooks;
+  hooks.taken = [this](std::uint64_t term) { this->term_began(term); };
+  hooks.lost = [this] {
+    this->read_timer.reset();
+    this->scheduler.end();
+  };
+  hooks.pulse_version = [this] { return this->view.pulse_version(); };
+  hooks.following_since_ms = [this] {
+    return this->work_follower.steady_since_ms();
+  };
+  hooks.confirmed_ms = [this] { return this->work_follower.confirmed_ms(); };
+  return hooks;
+}
+
+CallerApiHooks
+PlatformProgram::caller_hooks()
+{
+  CallerApiHooks hooks;
+  hooks.directory = [this]() -> const core::Directory& {
+    return this->directory;
+  };
+  hooks.fresh = [this] { return this->fresh(); };
+  hooks.accepted = [this] { this->scheduler.wake(); };
+  return hooks;
+}
+
+bool
+PlatformProgram::start()
+{
+  this->node.on_message(
+    [this](const v1::Envelope& envelope) { this->on_message(envelope); });
+  bool listening = this->node.listen() && this->caller_server.listen() &&
+                   this->ready_server.listen() && this->page_server.listen();
+  if (!listening) {
+    this->log.write(ENTRY_LISTEN_FAILED,
+                    { { "address", this->settings.caller_listen },
+                      { "ready", this->settings.ready_listen },
+                      { "http", this->settings.relay_listen },
+                      { "peer", this->settings.peer_listen } });
+    return false;
+  }
+  this->config_follower.start();
+  this->work_follower.start();
+  this->ownership.start();
+  this->relay.start();
+  return true;
+}
+
+bool
+PlatformProgram::fresh() const
+{
+  std::int64_t limit = kernel::boot_ms() - this->settings.config_age.count();
+  return this->directory.version != 0 &&
+         this->config_follower.confirmed_ms() > limit &&
+         this->work_follower.confirmed_ms() > limit;
+}
+
+bool
+PlatformProgram::may_speak() const
+{
+  std::int64_t limit =
+    kernel::boot_ms() - lease_bounds(this->settings).owner_word_ms;
+  return this->work_follower.confirmed_ms() > limit;
+}
+
+void
+PlatformProgram::on_configuration(const platform::RowPage& page)
+{
+  for (const platform::StoredRow& row : page.rows) {
+    if (row.removed || row.name.key != platform::CONFIGURATION_KEY)
+      continue;
+    std::optional<core::Directory> read = platform::decode_directory(row.value);
+    if (!read) {
+      this->log.write(platform::CONFIGURATION_UNREADABLE,
+                      { { "row_version", row.version } });
+      continue;
+    }
+    if (read->version <= this->directory.version)
+      continue;
+    this->directory = std::move(*read);
+    this->log.write(
+      CONFIGURATION_IN_FORCE,
+      { { "version", this->directory.version },
+        { "queues", this->directory.queues.size() },
+        { "organisations", this->directory.organisations.size() } });
+    this->scheduler.wake();
+  }
+}
+
+void
+PlatformProgram::on_message(const v1::Envelope& envelope)
+{
+  if (envelope.body_case() != v1::Envelope::kServerReport ||
+      !this->ownership.owns())
+    return;
+  AgentView* agent = this->servers.take(envelope, kernel::boot_ms());
+  if (agent)
+    this->scheduler.reported(*agent);
+}
+
+void
+PlatformProgram::on_call(const gateway::HttpRequest& request,
+                         gateway::HttpServer::Respond respond)
+{
+  std::optional<platform::CallerRequest> call =
+    platform::decode_caller_request(request);
+  if (!call) {
+    respond({ HTTP_METHOD_NOT_ALLOWED, "application/json", "{}", {} });
+    return;
+  }
+  this->calls.handle(
+    std::move(*call),
+    [respond = std::move(respond)](const platform::CallerAnswer& answer) {
+      respond(platform::encode_caller_answer(answer));
+    });
+}
+
+void
+PlatformProgram::on_page(const gateway::HttpRequest& request,
+                         gateway::HttpServer::Respond respond)
+{
+  if (request.method == "GET" && request.path == "/metrics")
+    respond({ 200, "text/plain; version=0.0.4", this->metrics.text(), {} });
+  else
+    this->on_call(request, std::move(respond));
+}
+
+gateway::HttpResponse
+PlatformProgram::ready_answer() const
+{
+  bool ready = !this->draining && this->directory.version != 0 &&
+               this->work_follower.loaded();
+  return { ready ? 200 : HTTP_UNAVAILABLE, "application/json", "{}", {} };
+}
+
+void
+PlatformProgram::term_began(std::uint64_t term)
+{
+  this->servers.reset(kernel::boot_ms());
+  this->read_work(term);
+}
+
+void
+PlatformProgram::read_work(std::uint64_t term)
+{
+  this->store.read_all(
+    { platform::WORK_TABLE, platform::WORK_PART, "", 0 },
+    READ_TIMEOUT,
+    this->guarded([this, term](const platform::Store::ReadResult& page) {
+      if (this->ownership.term() != term)
+        return;
+      if (!page) {
+        this->read_timer = this->timers.after(
+          READ_RETRY, [this, term] { this->read_work(term); });
+        return;
+      }
+      this->view.apply(*page);
+      this->log.write(WORK_READ,
+                      { { "term", term },
+                        { "rows", page->rows.size() },
+                        { "version", page->version } });
+      this->scheduler.begin(term);
+      this->greet_agents(term);
+    }));
+}
+
+void
+PlatformProgram::greet_agents(std::uint64_t term)
+{
+  this->store.read_all(
+    { platform::AGENT_TABLE, platform::WORK_PART, "", 0 },
+    READ_TIMEOUT,
+    this->guarded([this, term](const platform::Store::ReadResult& page) {
+      if (this->ownership.term() != term)
+        return;
+      if (!page) {
+        this->read_timer = this->timers.after(
+          READ_RETRY, [this, term] { this->greet_agents(term); });
+        return;
+      }
+      for (const platform::StoredRow& item : page->rows) {
+        v1::NodeRow row;
+        if (!row.ParseFromString(item.value))
+          continue;
+        AgentView& agent = this->servers.expect(row.node(), row.peer_address());
+        // Tells the agent whom to report to; its answer brings the rest.
+        if (agent.heard_ms == 0)
+          this->scheduler.order(agent);
+      }
+    }));
+}
+
+void
+PlatformProgram::drain()
+{
+  if (this->draining)
+    return;
+  this->draining = true;
+  this->log.write(ENTRY_DRAINING);
+  this->ownership.release();
+  this->step_timer = this->timers.after(UNREADY_NOTICE, [this] {
+    this->caller_server.drain([this] { this->loop.stop(); });
+  });
+}
+
+int
+serve_on_platform(const PlatformSettings& settings)
+{
+  kernel::Loop loop;
+  kernel::TimerService timers(loop);
+  kernel::Log log(settings.name, settings.log_level);
+  PlatformProgram program(loop, timers, log, settings);
+  kernel::Subscription terminate =
+    loop.watch_signal(SIGTERM, [&program] { program.drain(); });
+  kernel::Subscription interrupt =
+    loop.watch_signal(SIGINT, [&program] { program.drain(); });
+  log.write(kernel::PROCESS_STARTED, { { "zone", settings.zone } });
+  if (!program.start())
+    return EXIT_FAILED;
+  loop.run();
+  log.write(kernel::PROCESS_STOPPED);
+  return EXIT_OK;
+}
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/platform_program.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "core/directory.h"
+#include "entry/caller_api.h"
+#include "entry/ownership.h"
+#include "entry/platform_settings.h"
+#include "entry/relay.h"
+#include "entry/server_table.h"
+#include "entry/work_scheduler.h"
+#include "entry/work_view.h"
+#include "gateway/http_client.h"
+#include "gateway/http_server.h"
+#include "kernel/log.h"
+#include "kernel/loop.h"
+#include "kernel/metrics.h"
+#include "kernel/timer.h"
+#include "peer/peer_node.h"
+#include "platform/follower.h"
+#include "platform/store.h"
+
+namespace geraniumhinge::entry {
+
+/// The entry on the operators' platform: serves callers of queues, follows the
+/// configuration and the work in the store, and places work while it owns it.
+class PlatformProgram : public kernel::Task
+{
+public:
+  PlatformProgram(kernel::Loop& loop,
+                  kernel::TimerService& timers,
+                  const kernel::Log& log,
+                  const PlatformSettings& settings);
+
+  /// Listens and begins to follow the store; false if an address can't be
+  /// used.
+  bool start();
+
+  /// Becomes unready and gives ownership up at once, serves open connections
+  /// until the platform has noticed, then stops the loop.
+  void drain();
+
+private:
+  WorkSchedulerHooks scheduler_hooks();
+  OwnershipHooks ownership_hooks();
+  CallerApiHooks caller_hooks();
+  void on_configuration(const platform::RowPage& page);
+  void on_message(const v1::Envelope& envelope);
+  void on_call(const gateway::HttpRequest& request,
+               gateway::HttpServer::Respond respond);
+  void on_page(const gateway::HttpRequest& request,
+               gateway::HttpServer::Respond respond);
+  gateway::HttpResponse ready_answer() const;
+  void term_began(std::uint64_t term);
+  void read_work(std::uint64_t term);
+  void greet_agents(std::uint64_t term);
+  bool fresh() const;
+  bool may_speak() const;
+
+  kernel::TimerService& timers;
+  const kernel::Log& log;
+  PlatformSettings settings;
+  kernel::Metrics metrics;
+  gateway::HttpClient store_client;
+  gateway::HttpClient relay_client;
+  platform::Store store;
+  peer::PeerNode node;
+  core::Directory directory;
+  WorkView view;
+  ServerTable servers;
+  platform::Follower config_follower;
+  platform::Follower work_follower;
+  WorkScheduler scheduler;
+  Ownership ownership;
+  Relay relay;
+  CallerApi calls;
+  gateway::HttpServer caller_server;
+  gateway::HttpServer ready_server;
+  gateway::HttpServer page_server;
+  bool draining = false;
+  kernel::Subscription step_timer;
+  kernel::Subscription read_timer;
+};
+
+/// Runs the entry until it is told to stop; returns the exit code.
+int
+serve_on_platform(const PlatformSettings& settings);
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/platform_settings.cpp
@@ -0,0 +1,83 @@
+#include "entry/platform_settings.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+using kernel::Setting;
+using kernel::SettingType;
+
+// clang-format off
+constexpr Setting TABLE[] = {
+  { "/platform/caller_listen", SettingType::Address, "", 0, 0, "", "Where callers of queues are served. Its presence selects the operators' platform." },
+  { "/platform/ready_listen", SettingType::Address, "", 0, 0, "", "Where the platform asks whether this entry takes connections." },
+  { "/platform/store_address", SettingType::Address, "", 0, 0, "", "The platform's row store." },
+  { "/platform/max_lease_ms", SettingType::Integer, "ms", 500, 600'000, "6000", "Longest lease that a backend server grants." },
+  { "/platform/orphan_ms", SettingType::Integer, "ms", 500, 600'000, "4000", "How long agents renew leases without a word from the owner; as in the agents' settings." },
+  { "/platform/early_ms", SettingType::Integer, "ms", 0, 60'000, "0", "How long before its time an occurrence may start." },
+  { "/platform/retention_s", SettingType::Integer, "s", 1, 604'800, "150", "How long ended workflows are kept." },
+  { "/platform/config_age_ms", SettingType::Integer, "ms", 200, 60'000, "1800", "Oldest configuration that callers are served with." },
+  { "/name", SettingType::Text, "", 0, 0, "", "Name of this entry, unique among the entries." },
+  { "/zone", SettingType::Text, "", 0, 0, "", "Availability zone of this entry." },
+  { "/peer/listen", SettingType::Address, "", 0, 0, "", "Where agents connect." },
+  { "/http/listen", SettingType::Address, "", 0, 0, "", "Where other entries pass on requests, and /metrics is served." },
+  { "/log/level", SettingType::Text, "", 0, 0, "\"info\"", "Lowest severity that is logged: debug, info, warning or error." },
+};
+// clang-format on
+
+constexpr std::string_view LEVEL_POINTER = "/log/level";
+constexpr std::int64_t MS_PER_S = 1'000;
+
+const Setting&
+row_of(std::string_view pointer)
+{
+  return *std::find_if(
+    std::begin(TABLE), std::end(TABLE), [pointer](const Setting& row) {
+      return row.pointer == pointer;
+    });
+}
+
+} // namespace
+
+std::span<const Setting>
+platform_settings_table()
+{
+  return TABLE;
+}
+
+tl::expected<PlatformSettings, std::vector<kernel::SettingFault>>
+read_platform_settings(nlohmann::json root)
+{
+  kernel::SettingsReader reader(std::move(root));
+  std::function<kernel::Milliseconds(std::string_view)> duration =
+    [&reader](std::string_view pointer) {
+      return kernel::Milliseconds(reader.integer(row_of(pointer)));
+    };
+  PlatformSettings settings;
+  settings.name = reader.text(row_of("/name"));
+  settings.zone = reader.text(row_of("/zone"));
+  settings.caller_listen = reader.text(row_of("/platform/caller_listen"));
+  settings.ready_listen = reader.text(row_of("/platform/ready_listen"));
+  settings.relay_listen = reader.text(row_of("/http/listen"));
+  settings.peer_listen = reader.text(row_of("/peer/listen"));
+  settings.store_address = reader.text(row_of("/platform/store_address"));
+  settings.max_lease = duration("/platform/max_lease_ms");
+  settings.orphan = duration("/platform/orphan_ms");
+  settings.early = duration("/platform/early_ms");
+  settings.retention = duration("/platform/retention_s") * MS_PER_S;
+  settings.config_age = duration("/platform/config_age_ms");
+  tl::expected<kernel::Severity, kernel::SettingFault> level =
+    kernel::parse_severity(reader.text(row_of(LEVEL_POINTER)), LEVEL_POINTER);
+  if (level)
+    settings.log_level = *level;
+  else
+    reader.add_fault(level.error());
+  std::vector<kernel::SettingFault> faults = reader.finish();
+  if (!faults.empty())
+    return tl::unexpected(std::move(faults));
+  return settings;
+}
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/platform_settings.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "kernel/clock.h"
+#include "kernel/event.h"
+#include "kernel/settings.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace geraniumhinge::entry {
+
+/// Settings of an entry on the operators' platform.
+struct PlatformSettings
+{
+  std::string name;
+  std::string zone;
+  std::string caller_listen;
+  std::string ready_listen;
+  std::string relay_listen;
+  std::string peer_listen;
+  std::string store_address;
+  kernel::Milliseconds max_lease{ 0 };
+  kernel::Milliseconds orphan{ 0 };
+  kernel::Milliseconds early{ 0 };
+  kernel::Milliseconds retention{ 0 };
+  kernel::Milliseconds config_age{ 0 };
+  kernel::Severity log_level = kernel::Severity::Info;
+};
+
+std::span<const kernel::Setting>
+platform_settings_table();
+
+tl::expected<PlatformSettings, std::vector<kernel::SettingFault>>
+read_platform_settings(nlohmann::json root);
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/relay.cpp
@@ -0,0 +1,160 @@
+#include "entry/relay.h"
+
+#include "entry/events.h"
+#include "kernel/clock.h"
+#include "platform/tables.h"
+
+#include "geraniumhinge/v1/state.pb.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+constexpr kernel::Milliseconds ENTRY_WAIT{ 10'000 };
+constexpr kernel::Milliseconds REGISTER_TIMEOUT{ 1'000 };
+constexpr kernel::Milliseconds REGISTER_RETRY{ 500 };
+constexpr kernel::Milliseconds CONNECT_TIMEOUT{ 150 };
+constexpr kernel::Milliseconds ANSWER_TIMEOUT{ 1'200 };
+/// An entry that did not answer is asked last for this long.
+constexpr std::int64_t AVOID_MS = 3'000;
+
+platform::FollowOptions
+entry_options()
+{
+  platform::FollowOptions options;
+  options.table = platform::ENTRY_TABLE;
+  options.part = platform::WORK_PART;
+  options.wait = ENTRY_WAIT;
+  return options;
+}
+
+} // namespace
+
+Relay::Relay(kernel::Loop& loop,
+             kernel::TimerService& timers,
+             const kernel::Log& log,
+             platform::Store& store,
+             gateway::HttpClient& client,
+             std::string entry,
+             std::string own_address)
+  : Task(loop, "relay")
+  , timers(timers)
+  , log(log)
+  , store(store)
+  , client(client)
+  , entry(std::move(entry))
+  , own_address(std::move(own_address))
+  , follower(loop,
+             timers,
+             log,
+             store,
+             entry_options(),
+             { [this](const platform::RowPage& page) { this->on_rows(page); },
+               [this](const platform::RowPage& page) { this->on_rows(page); } })
+{
+}
+
+void
+Relay::start()
+{
+  this->register_entry();
+  this->follower.start();
+}
+
+void
+Relay::register_entry()
+{
+  v1::NodeRow row;
+  row.set_node(this->entry);
+  row.set_http_address(this->own_address);
+  platform::RowChange change;
+  change.writes.push_back(
+    { { platform::ENTRY_TABLE, platform::WORK_PART, this->entry },
+      row.SerializeAsString() });
+  this->store.commit(
+    change,
+    REGISTER_TIMEOUT,
+    this->guarded([this](const platform::Store::CommitResult& result) {
+      if (!result)
+        this->register_timer = this->timers.after(
+          REGISTER_RETRY, [this] { this->register_entry(); });
+    }));
+}
+
+void
+Relay::on_rows(const platform::RowPage& page)
+{
+  for (const platform::StoredRow& item : page.rows) {
+    v1::NodeRow row;
+    if (item.removed)
+      this->others.erase(item.name.key);
+    else if (item.name.key != this->entry && row.ParseFromString(item.value))
+      this->others[item.name.key] = row.http_address();
+  }
+}
+
+void
+Relay::pass(const platform::CallerRequest& request,
+            platform::CallerRespond done)
+{
+  std::vector<std::string> addresses;
+  for (const std::pair<const std::string, std::string>& item : this->others)
+    addresses.push_back(item.second);
+  std::int64_t now = kernel::boot_ms();
+  std::stable_partition(
+    addresses.begin(),
+    addresses.end(),
+    [this, now](const std::string& address) {
+      std::map<std::string, std::int64_t>::const_iterator failed =
+        this->failed_ms.find(address);
+      return failed == this->failed_ms.end() || now - failed->second > AVOID_MS;
+    });
+  this->ask(request, std::move(addresses), std::move(done));
+}
+
+void
+Relay::ask(const platform::CallerRequest& request,
+           std::vector<std::string> addresses,
+           platform::CallerRespond done)
+{
+  if (addresses.empty()) {
+    done({ platform::CallerResult::NotDone, {}, 0 });
+    return;
+  }
+  std::string address = addresses.front();
+  addresses.erase(addresses.begin());
+  platform::RelayCall relayed = platform::encode_relay(request);
+  gateway::HttpCall call;
+  call.method = relayed.method;
+  call.url = "http://" + address + request.path;
+  call.headers = std::move(relayed.headers);
+  call.body = request.body;
+  call.connect_timeout = CONNECT_TIMEOUT;
+  call.timeout = std::min(ANSWER_TIMEOUT, request.deadline);
+  this->client.call(
+    std::move(call),
+    this->guarded([this,
+                   request,
+                   address,
+                   addresses = std::move(addresses),
+                   done = std::move(done)](
+                    gateway::HttpClient::Result result) mutable {
+      platform::CallerAnswer answer;
+      if (result)
+        answer = platform::decode_caller_answer(result->status, result->body);
+      else if (result.error() == gateway::HttpClientError::NoAnswer)
+        answer.result = platform::CallerResult::Uncertain;
+      if (!result)
+        this->failed_ms[address] = kernel::boot_ms();
+      bool harmless = request.operation == platform::CallerOperation::GetState;
+      if (answer.result == platform::CallerResult::NotDone ||
+          (!result && harmless))
+        this->ask(request, std::move(addresses), std::move(done));
+      else
+        done(answer);
+    }));
+}
+
+} // namespace geraniumhinge::entry
--- a/entry/server.h
+++ b/entry/server.h
@@ -2,7 +2,10 @@
 
 #include "entry/settings.h"
 
+#include "kernel/settings.h"
+
 #include <string>
+#include <vector>
 
 namespace geraniumhinge::entry {
 
@@ -11,4 +14,9 @@
 int
 serve(const std::string& settings_path);
 
+/// All faults of a settings file, for this program's own deployment or for the
+/// operators' platform.
+std::vector<kernel::SettingFault>
+check(const std::string& settings_path);
+
 } // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/server_table.cpp
@@ -0,0 +1,128 @@
+#include "entry/server_table.h"
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+/// Two reports missed.
+constexpr std::int64_t SILENCE_LIMIT_MS = 2'500;
+constexpr std::int64_t PERCENT = 100;
+/// A server's clock may lose this share of the time.
+constexpr std::int64_t SLOWNESS_PERCENT = 2;
+/// Messages on the way and rounding.
+constexpr std::int64_t EXPIRY_SLACK_MS = 500;
+
+} // namespace
+
+std::int64_t
+LeaseBounds::expiry_ms() const
+{
+  return this->orphan_ms +
+         this->max_lease_ms * PERCENT / (PERCENT - SLOWNESS_PERCENT) +
+         EXPIRY_SLACK_MS;
+}
+
+ServerTable::ServerTable(const LeaseBounds& bounds)
+  : bounds(bounds)
+{
+}
+
+void
+ServerTable::reset(std::int64_t now_ms)
+{
+  this->agents.clear();
+  this->since_ms = now_ms;
+}
+
+AgentView*
+ServerTable::take(const v1::Envelope& envelope, std::int64_t now_ms)
+{
+  const v1::ServerReport& report = envelope.server_report();
+  AgentView& agent = this->expect(envelope.sender(), envelope.sender_address());
+  bool same_process = agent.incarnation == envelope.sender_incarnation();
+  if (same_process && report.sequence() <= agent.report.sequence())
+    return nullptr;
+  // An agent that has just started does not know its server yet: what is
+  // known of the life stays.
+  agent.incarnation = envelope.sender_incarnation();
+  agent.heard_ms = now_ms;
+  bool same_life = life_of(agent.report.life()) == life_of(report.life());
+  if (report.life().id().empty()) {
+    agent.report.set_sequence(report.sequence());
+    agent.report.set_ready(false);
+    return &agent;
+  }
+  if (!same_life)
+    agent.stored_ends = 0;
+  agent.report = report;
+  return &agent;
+}
+
+AgentView&
+ServerTable::expect(const std::string& node, const std::string& address)
+{
+  AgentView& agent = this->agents[node];
+  agent.node = node;
+  agent.address = address;
+  return agent;
+}
+
+AgentView*
+ServerTable::find(const std::string& node)
+{
+  std::map<std::string, AgentView>::iterator found = this->agents.find(node);
+  return found == this->agents.end() ? nullptr : &found->second;
+}
+
+bool
+ServerTable::life_over(const core::ServerLife& life,
+                       const std::string& node,
+                       std::int64_t now_ms) const
+{
+  std::map<std::string, AgentView>::const_iterator found =
+    this->agents.find(node);
+  // The owner before this one may have sent its word until then.
+  std::int64_t word_ms = this->since_ms + this->bounds.owner_word_ms;
+  if (found != this->agents.end()) {
+    const AgentView& agent = found->second;
+    bool reported = !agent.report.life().id().empty();
+    if (reported && life_of(agent.report.life()) != life)
+      return true;
+    if (reported && agent.report.lease_over())
+      return true;
+    if (agent.heard_ms != 0)
+      word_ms = std::max(agent.heard_ms, agent.word_ms);
+  }
+  return now_ms - word_ms > this->bounds.expiry_ms();
+}
+
+bool
+ServerTable::accepting(const AgentView& agent, std::int64_t now_ms) const
+{
+  return agent.heard_ms != 0 && now_ms - agent.heard_ms < SILENCE_LIMIT_MS &&
+         agent.report.ready() && agent.report.listed() &&
+         !agent.report.lease_over();
+}
+
+core::ServerLife
+life_of(const v1::ServerLifeRow& row)
+{
+  return { row.id(), row.born_ms() };
+}
+
+core::PoolServer
+pool_server(const v1::ServerReport& report)
+{
+  core::PoolServer server;
+  server.life = life_of(report.life());
+  server.service = report.service();
+  server.zone = report.zone();
+  server.rack = report.rack();
+  server.labels.insert(report.labels().begin(), report.labels().end());
+  server.room = { report.room().millicores(),
+                  report.room().memory_mb(),
+                  report.room().accelerators() };
+  return server;
+}
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/work_scheduler.cpp
@@ -0,0 +1,618 @@
+#include "entry/work_scheduler.h"
+
+#include "entry/events.h"
+#include "entry/work_rows.h"
+#include "kernel/clock.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+/// Times that pass without an event: occurrences, silent servers.
+constexpr kernel::Milliseconds TICK{ 200 };
+constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 800 };
+constexpr kernel::Milliseconds COMMIT_RETRY{ 100 };
+constexpr kernel::Milliseconds EXPIRY_PERIOD{ 10'000 };
+/// The store takes 100 entries in a transaction; each workflow has two.
+constexpr std::size_t MAX_WORKFLOWS_PER_COMMIT = 45;
+constexpr std::size_t MAX_REMOVALS_PER_COMMIT = 24;
+
+core::QuarantineLimits
+quarantine_limits()
+{
+  core::QuarantineLimits limits;
+  limits.jobs_per_server = 2;
+  limits.memory_ms = 15'000;
+  limits.first_quarantine_ms = 6'000;
+  limits.longest_quarantine_ms = 24'000;
+  return limits;
+}
+
+core::EndKind
+end_kind(std::uint32_t number)
+{
+  return number < std::size(core::END_KIND_NAMES)
+           ? static_cast<core::EndKind>(number)
+           : core::EndKind::Stopped;
+}
+
+void
+add_order(google::protobuf::RepeatedPtrField<v1::RunOrder>& orders,
+          const core::Step& step,
+          const std::string& task,
+          std::uint32_t attempt)
+{
+  v1::RunOrder& order = *orders.Add();
+  order.set_task(task);
+  order.set_attempt(attempt);
+  order.mutable_demand()->set_millicores(step.fills ? 0
+                                                    : step.demand.millicores);
+  order.mutable_demand()->set_memory_mb(step.demand.memory_mb);
+  order.mutable_demand()->set_accelerators(step.demand.accelerators);
+}
+
+/// Calls `visit` with each task that has a run.
+void
+for_each_run(const core::Progress& progress,
+             const std::function<void(const core::TaskRef&,
+                                      const core::TaskState&)>& visit)
+{
+  for (const std::pair<const std::uint32_t, core::OccurrenceState>& item :
+       progress.open) {
+    for (std::uint32_t step = 0; step < item.second.size(); ++step) {
+      for (std::uint32_t index = 0; index < item.second[step].size(); ++index) {
+        const core::TaskState& task = item.second[step][index];
+        if (task.run)
+          visit({ item.first, step, index }, task);
+      }
+    }
+  }
+}
+
+} // namespace
+
+WorkScheduler::WorkScheduler(kernel::Loop& loop,
+                             kernel::TimerService& timers,
+                             const kernel::Log& log,
+                             kernel::Metrics& metrics,
+                             platform::Store& store,
+                             WorkView& view,
+                             ServerTable& servers,
+                             WorkSchedulerLimits limits,
+                             WorkSchedulerHooks hooks)
+  : Task(loop, "work_scheduler")
+  , timers(timers)
+  , log(log)
+  , metrics(metrics)
+  , store(store)
+  , view(view)
+  , servers(servers)
+  , limits(limits)
+  , hooks(std::move(hooks))
+  , failures(quarantine_limits())
+{
+}
+
+void
+WorkScheduler::begin(std::uint64_t term)
+{
+  this->term = term;
+  this->in_flight = false;
+  this->memory = {};
+  this->checkpoints.clear();
+  this->orders_sequence = 0;
+  this->tick = this->timers.every(TICK, [this] { this->wake(); });
+  this->expiry =
+    this->timers.every(EXPIRY_PERIOD, [this] { this->expire_rows(); });
+  this->wake();
+}
+
+void
+WorkScheduler::end()
+{
+  this->term = 0;
+  this->in_flight = false;
+  this->tick.reset();
+  this->retry.reset();
+  this->expiry.reset();
+}
+
+void
+WorkScheduler::wake()
+{
+  if (this->term == 0 || this->awake)
+    return;
+  this->awake = true;
+  this->post([this] {
+    this->awake = false;
+    this->decide();
+  });
+}
+
+void
+WorkScheduler::reported(AgentView& agent)
+{
+  this->remember_checkpoints(agent);
+  this->order(agent);
+  this->wake();
+}
+
+void
+WorkScheduler::remember_checkpoints(const AgentView& agent)
+{
+  for (const v1::RunReport& run : agent.report.running()) {
+    if (!run.checkpoint().empty())
+      this->checkpoints[run.task()] = run.checkpoint();
+  }
+}
+
+void
+WorkScheduler::order(AgentView& agent)
+{
+  if (this->term == 0 || !this->hooks.may_speak())
+    return;
+  v1::ServerOrders orders;
+  orders.set_term(this->term);
+  orders.set_sequence(++this->orders_sequence);
+  core::ServerLife life = life_of(agent.report.life());
+  *orders.mutable_life() = agent.report.life();
+  orders.set_stored_ends(agent.stored_ends);
+  std::set<std::string> running;
+  for (const v1::RunReport& run : agent.report.running())
+    running.insert(run.task());
+  for (const std::pair<const std::string, WorkItem>& entry :
+       this->view.items()) {
+    const WorkItem& item = entry.second;
+    if (!item.workflow || life.id.empty())
+      continue;
+    for_each_run(
+      item.progress,
+      [&](const core::TaskRef& ref, const core::TaskState& task) {
+        if (task.run->server != life)
+          return;
+        const core::Step& step = item.workflow->steps[ref.step];
+        std::string name = core::task_name(entry.first, ref);
+        if (task.run->stopping) {
+          add_order(*orders.mutable_stops(), step, name, task.run->attempt);
+          return;
+        }
+        add_order(*orders.mutable_runs(), step, name, task.run->attempt);
+        if (running.contains(name))
+          return;
+        v1::RunOrder& order = *orders.mutable_runs()->rbegin();
+        order.set_payload(item.workflow->payload);
+        const core::TaskState& counted =
+          step.gang ? item.progress.open.at(ref.occurrence)[ref.step].front()
+                    : task;
+        if (step.checkpoints)
+          order.set_checkpoint(counted.checkpoint);
+      });
+  }
+  agent.orders_sequence = orders.sequence();
+  agent.word_ms = kernel::boot_ms();
+  this->hooks.send(agent.address, std::move(orders));
+}
+
+std::uint32_t
+WorkScheduler::attempts_of(const core::Workflow& workflow) const
+{
+  const core::Queue* queue =
+    core::find_queue(this->hooks.directory(), workflow.queue);
+  return queue ? std::max(queue->attempts, 1U) : 1;
+}
+
+std::string
+WorkScheduler::checkpoint_of(const std::string& task) const
+{
+  std::map<std::string, std::string>::const_iterator found =
+    this->checkpoints.find(task);
+  return found == this->checkpoints.end() ? std::string() : found->second;
+}
+
+WorkScheduler::Round
+WorkScheduler::make_round(std::int64_t now_ms)
+{
+  Round round;
+  const core::Directory& directory = this->hooks.directory();
+  for (const std::pair<const std::string, WorkItem>& entry :
+       this->view.items()) {
+    const WorkItem& item = entry.second;
+    bool ended = item.progress.outcome != core::Outcome::Open;
+    if (!item.workflow || (ended && !core::has_runs(item.progress)))
+      continue;
+    core::RoundJob job;
+    job.workflow = &*item.workflow;
+    job.progress = item.progress;
+    const core::Queue* queue =
+      core::find_queue(directory, item.workflow->queue);
+    // A queue that is no longer configured gets no servers.
+    if (queue) {
+      job.service = queue->service;
+      job.priority = queue->priority;
+    }
+    job.need_accelerators = core::accelerators_of(*item.workflow);
+    std::map<std::string, std::set<std::string>>::const_iterator failed =
+      this->failed_on.find(entry.first);
+    if (failed != this->failed_on.end())
+      job.avoided = failed->second;
+    round.jobs.push_back(std::move(job));
+  }
+  this->note_ends(round);
+  for (core::RoundJob& job : round.jobs) {
+    this->note_lost(job, now_ms);
+    this->note_caller(job);
+  }
+  return round;
+}
+
+void
+WorkScheduler::note_ends(Round& round)
+{
+  for (const std::pair<const std::string, AgentView>& entry :
+       this->servers.all()) {
+    std::uint64_t& stored = round.stored_ends[entry.first];
+    for (const v1::EndReport& end : entry.second.report.ended()) {
+      this->note_end(round, entry.second, end);
+      stored = std::max<std::uint64_t>(stored, end.number());
+    }
+  }
+}
+
+void
+WorkScheduler::note_end(Round& round,
+                        const AgentView& agent,
+                        const v1::EndReport& end)
+{
+  std::optional<std::pair<std::string, core::TaskRef>> name =
+    core::parse_task_name(end.task());
+  if (!name)
+    return;
+  std::vector<core::RoundJob>::iterator job = std::find_if(
+    round.jobs.begin(), round.jobs.end(), [&name](const core::RoundJob& item) {
+      return item.workflow->id == name->first;
+    });
+  if (job == round.jobs.end())
+    return;
+  const core::TaskState* task = core::find_task(job->progress, name->second);
+  bool current = task && task->run && task->run->attempt == end.attempt() &&
+                 task->run->server == life_of(agent.report.life());
+  if (!current)
+    return;
+  core::EndKind kind = end_kind(end.kind());
+  std::string checkpoint = end.checkpoint();
+  if (checkpoint.empty())
+    checkpoint = this->checkpoint_of(end.task());
+  core::apply_end(*job->workflow,
+                  job->progress,
+                  name->second,
+                  end.attempt(),
+                  kind,
+                  checkpoint,
+                  this->attempts_of(*job->workflow));
+  job->changed = true;
+  this->log.write(RUN_ENDED,
+                  { { "task", end.task() },
+                    { "attempt", end.attempt() },
+                    { "server", agent.report.life().id() },
+                    { "kind", name_of(core::END_KIND_NAMES, kind) },
+                    { "number", end.number() },
+                    { "report", agent.report.sequence() } });
+  std::int64_t now = kernel::boot_ms();
+  core::NameId server = this->names.id(agent.report.life().id());
+  if (kind == core::EndKind::Failed) {
+    this->failures.failed(server, job->workflow->id, now);
+    this->failed_on[job->workflow->id].insert(agent.report.life().id());
+  } else if (kind == core::EndKind::Done) {
+    this->failures.succeeded(server, job->workflow->id, now);
+  }
+}
+
+void
+WorkScheduler::note_lost(core::RoundJob& job, std::int64_t now_ms)
+{
+  std::vector<std::pair<core::TaskRef, core::Run>> lost;
+  for_each_run(
+    job.progress, [&](const core::TaskRef& ref, const core::TaskState& task) {
+      if (this->servers.life_over(task.run->server, task.run->node, now_ms))
+        lost.emplace_back(ref, *task.run);
+    });
+  for (const std::pair<core::TaskRef, core::Run>& item : lost) {
+    std::string name = core::task_name(job.workflow->id, item.first);
+    core::apply_end(*job.workflow,
+                    job.progress,
+                    item.first,
+                    item.second.attempt,
+                    core::EndKind::Lost,
+                    this->checkpoint_of(name),
+                    this->attempts_of(*job.workflow));
+    job.changed = true;
+    const AgentView* agent = this->servers.find(item.second.node);
+    std::int64_t age =
+      agent && agent->heard_ms != 0 ? now_ms - agent->heard_ms : -1;
+    this->log.write(RUN_LOST,
+                    { { "task", name },
+                      { "attempt", item.second.attempt },
+                      { "server", item.second.server.id },
+                      { "node", item.second.node },
+                      { "heard_ms_ago", age } });
+  }
+}
+
+void
+WorkScheduler::note_caller(core::RoundJob& job)
+{
+  const WorkItem* item = this->view.find(job.workflow->id);
+  if (item && item->cancelled && job.progress.outcome == core::Outcome::Open) {
+    job.progress.outcome = core::Outcome::Cancelled;
+    core::stop_all(job.progress);
+    job.changed = true;
+    this->log.write(WORKFLOW_CANCELLED, { { "job", job.workflow->id } });
+  }
+  bool opened = core::open_due(
+    *job.workflow, job.progress, kernel::unix_ms(), this->limits.early_ms);
+  job.changed = job.changed || opened;
+}
+
+core::Pool
+WorkScheduler::make_pool(std::int64_t now_ms)
+{
+  core::Pool pool;
+  for (const std::pair<const std::string, AgentView>& entry :
+       this->servers.all()) {
+    const AgentView& agent = entry.second;
+    if (agent.report.life().id().empty())
+      continue;
+    core::PoolServer server = pool_server(agent.report);
+    server.accepting =
+      this->servers.accepting(agent, now_ms) &&
+      this->failures.server_trust(this->names.id(server.life.id), now_ms) !=
+        core::ServerTrust::Quarantined;
+    this->memory.nodes[server.life.id] = entry.first;
+    pool.free[server.life.id] = server.room;
+    pool.servers[server.life.id] = std::move(server);
+  }
+  return pool;
+}
+
+void
+WorkScheduler::decide()
+{
+  if (this->term == 0 || this->in_flight)
+    return;
+  std::int64_t now = kernel::boot_ms();
+  Round round = this->make_round(now);
+  core::Pool pool = this->make_pool(now);
+  core::take_runs(round.jobs, pool);
+  std::map<std::string, std::int64_t> guarantees;
+  for (const core::Tenancy& organisation :
+       this->hooks.directory().organisations)
+    guarantees[organisation.name] = organisation.guaranteed_accelerators;
+  core::mark_guaranteed(round.jobs, guarantees);
+  round.result = core::run_round(round.jobs, pool, this->memory, {}, now);
+  if (this->commit(round))
+    return;
+  // Nothing to store: ends that change nothing need not be kept.
+  for (const std::pair<const std::string, std::uint64_t>& item :
+       round.stored_ends) {
+    AgentView* agent = this->servers.find(item.first);
+    if (agent && item.second > agent->stored_ends) {
+      agent->stored_ends = item.second;
+      this->order(*agent);
+    }
+  }
+}
+
+bool
+WorkScheduler::commit(Round& round)
+{
+  this->change = {};
+  this->change.conditions.push_back({ owner_row(), this->term });
+  std::size_t left_out = 0;
+  for (core::RoundJob& job : round.jobs) {
+    if (!job.changed)
+      continue;
+    if (this->change.writes.size() == MAX_WORKFLOWS_PER_COMMIT) {
+      ++left_out;
+      continue;
+    }
+    if (job.progress.outcome != core::Outcome::Open &&
+        job.progress.ended_ms == 0)
+      job.progress.ended_ms = kernel::unix_ms();
+    platform::RowName row = work_row(WorkRowKind::Progress, job.workflow->id);
+    const WorkItem* item = this->view.find(job.workflow->id);
+    this->change.conditions.push_back({ row, item->progress_version });
+    this->change.writes.push_back({ row, encode_progress(job.progress) });
+  }
+  if (this->change.writes.empty())
+    return false;
+  // Ends of workflows that were left out are noted in a later round.
+  if (left_out > 0)
+    round.stored_ends.clear();
+  this->pending = std::move(round);
+  this->in_flight = true;
+  this->send_commit();
+  return true;
+}
+
+void
+WorkScheduler::send_commit()
+{
+  this->store.commit(
+    this->change,
+    COMMIT_TIMEOUT,
+    this->guarded(
+      [this, term = this->term](const platform::Store::CommitResult& result) {
+        if (term == this->term && this->in_flight)
+          this->committed(result);
+      }));
+}
+
+bool
+WorkScheduler::applied_before(const platform::StoreError& error) const
+{
+  // All rows have our values: an earlier call without an answer was applied.
+  for (const platform::RowValue& write : this->change.writes) {
+    std::vector<platform::StoredRow>::const_iterator found =
+      std::find_if(error.current.begin(),
+                   error.current.end(),
+                   [&write](const platform::StoredRow& row) {
+                     return row.name == write.name;
+                   });
+    if (found == error.current.end() || found->value != write.value)
+      return false;
+  }
+  return true;
+}
+
+void
+WorkScheduler::committed(const platform::Store::CommitResult& result)
+{
+  if (result) {
+    this->applied(*result);
+    return;
+  }
+  switch (result.error().kind) {
+    case platform::StoreErrorKind::Conflict: {
+      std::uint64_t version = 0;
+      bool owner = true;
+      for (const platform::StoredRow& row : result.error().current) {
+        if (row.name == owner_row())
+          owner = row.version == this->term;
+        else
+          version = std::max(version, row.version);
+      }
+      if (this->applied_before(result.error()) && version > 0) {
+        this->applied(version);
+        return;
+      }
+      this->in_flight = false;
+      this->log.write(WORK_CONFLICT,
+                      { { "term", this->term },
+                        { "owner", owner },
+                        { "rows", this->change.writes.size() } });
+      if (owner)
+        this->hooks.reread();
+      else
+        this->hooks.overruled();
+      return;
+    }
+    case platform::StoreErrorKind::Ambiguous:
+    case platform::StoreErrorKind::Malformed:
+    default:
+      // The same change again: it is applied once, since it names the versions
+      // of its rows.
+      this->retry =
+        this->timers.after(COMMIT_RETRY, [this] { this->send_commit(); });
+      return;
+  }
+}
+
+void
+WorkScheduler::applied(std::uint64_t version)
+{
+  this->in_flight = false;
+  std::set<std::string> nodes;
+  for (const platform::RowValue& write : this->change.writes)
+    this->view.apply(
+      platform::StoredRow{ write.name, write.value, version, false });
+  this->log_round(this->pending);
+  for (const std::pair<const std::string, std::uint64_t>& item :
+       this->pending.stored_ends) {
+    AgentView* agent = this->servers.find(item.first);
+    if (agent && item.second > agent->stored_ends) {
+      agent->stored_ends = item.second;
+      nodes.insert(item.first);
+    }
+  }
+  for (const core::RoundJob& job : this->pending.jobs) {
+    if (!job.changed)
+      continue;
+    for_each_run(job.progress,
+                 [&nodes](const core::TaskRef&, const core::TaskState& task) {
+                   nodes.insert(task.run->node);
+                 });
+    if (job.progress.outcome != core::Outcome::Open)
+      this->failed_on.erase(job.workflow->id);
+  }
+  this->pending = {};
+  for (const std::string& node : nodes) {
+    AgentView* agent = this->servers.find(node);
+    if (agent && agent->heard_ms != 0)
+      this->order(*agent);
+  }
+  this->wake();
+}
+
+void
+WorkScheduler::log_round(const Round& round)
+{
+  for (const core::StepPlacement& placement : round.result.placements) {
+    std::string servers;
+    for (const std::string& server : placement.servers)
+      servers += (servers.empty() ? "" : ",") + server;
+    this->metrics.summary("entry_step_wait_ms")
+      .observe(static_cast<double>(placement.waited_ms));
+    this->log.write(STEP_PLACED,
+                    { { "job", placement.step.workflow },
+                      { "occurrence", placement.step.occurrence },
+                      { "step", placement.step.step },
+                      { "servers", servers },
+                      { "waited_ms", placement.waited_ms },
+                      { "config", this->hooks.directory().version },
+                      { "term", this->term } });
+  }
+  for (const core::StepPreemption& preemption : round.result.preemptions) {
+    this->metrics.counter("entry_steps_preempted_total").add();
+    this->log.write(STEP_PREEMPTED,
+                    { { "job", preemption.step.workflow },
+                      { "victim", preemption.victim.workflow },
+                      { "victim_step", preemption.victim.step },
+                      { "unsaved_core_s", preemption.unsaved_core_s } });
+  }
+  for (const core::RoundJob& job : round.jobs) {
+    if (job.changed && job.progress.outcome != core::Outcome::Open)
+      this->log.write(
+        WORKFLOW_ENDED,
+        { { "job", job.workflow->id },
+          { "outcome", name_of(core::OUTCOME_NAMES, job.progress.outcome) },
+          { "age_ms", kernel::unix_ms() - job.workflow->accepted_ms } });
+  }
+}
+
+void
+WorkScheduler::expire_rows()
+{
+  if (this->term == 0)
+    return;
+  platform::RowChange removal;
+  removal.conditions.push_back({ owner_row(), this->term });
+  std::int64_t limit = kernel::unix_ms() - this->limits.retention_ms;
+  for (const std::pair<const std::string, WorkItem>& entry :
+       this->view.items()) {
+    const WorkItem& item = entry.second;
+    bool old = item.workflow && item.progress.ended_ms != 0 &&
+               item.progress.ended_ms < limit && !core::has_runs(item.progress);
+    if (!old || removal.removals.size() >= MAX_REMOVALS_PER_COMMIT)
+      continue;
+    removal.removals.push_back(work_row(WorkRowKind::Workflow, entry.first));
+    removal.removals.push_back(work_row(WorkRowKind::Progress, entry.first));
+    if (item.cancelled)
+      removal.removals.push_back(work_row(WorkRowKind::Cancel, entry.first));
+  }
+  if (removal.removals.empty())
+    return;
+  this->store.commit(
+    removal,
+    COMMIT_TIMEOUT,
+    this->guarded([this](const platform::Store::CommitResult& result) {
+      if (!result)
+        this->log.write(
+          EXPIRY_FAILED,
+          { { "error",
+              name_of(platform::STORE_ERROR_NAMES, result.error().kind) } });
+    }));
+}
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/work_scheduler.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "core/directory.h"
+#include "core/names.h"
+#include "core/quarantine.h"
+#include "core/round.h"
+#include "entry/server_table.h"
+#include "entry/work_view.h"
+#include "kernel/log.h"
+#include "kernel/metrics.h"
+#include "kernel/task.h"
+#include "kernel/timer.h"
+#include "platform/store.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace geraniumhinge::entry {
+
+struct WorkSchedulerHooks
+{
+  std::function<const core::Directory&()> directory;
+  /// Whether this entry may still speak as the owner: it reached the store
+  /// not long ago.
+  std::function<bool()> may_speak;
+  std::function<void(const std::string& address, v1::ServerOrders)> send;
+  /// A transaction failed because the term is over.
+  std::function<void()> overruled;
+  /// The rows are no longer as they were read.
+  std::function<void()> reread;
+};
+
+struct WorkSchedulerLimits
+{
+  std::int64_t early_ms = 0;     ///< A timed occurrence may start so early.
+  std::int64_t retention_ms = 0; ///< Ended workflows are kept this long.
+};
+
+/// The owner's decisions: notes the ends of runs, places ready steps, stops
+/// what must give way, and stores each change before it orders it.
+class WorkScheduler : public kernel::Task
+{
+public:
+  WorkScheduler(kernel::Loop& loop,
+                kernel::TimerService& timers,
+                const kernel::Log& log,
+                kernel::Metrics& metrics,
+                platform::Store& store,
+                WorkView& view,
+                ServerTable& servers,
+                WorkSchedulerLimits limits,
+                WorkSchedulerHooks hooks);
+
+  /// Begins to decide under a term, once the rows were read under it.
+  void begin(std::uint64_t term);
+  void end();
+
+  /// Something changed: decides soon.
+  void wake();
+
+  /// An agent reported: notes its ends and sends it its orders.
+  void reported(AgentView& agent);
+
+  /// Sends an agent all that shall run on its server.
+  void order(AgentView& agent);
+
+private:
+  struct Round
+  {
+    std::vector<core::RoundJob> jobs;
+    std::map<std::string, std::uint64_t> stored_ends; ///< By node.
+    core::RoundResult result;
+  };
+
+  void decide();
+  Round make_round(std::int64_t now_ms);
+  void note_ends(Round& round);
+  void note_end(Round& round, const AgentView& agent, const v1::EndReport& end);
+  void note_lost(core::RoundJob& job, std::int64_t now_ms);
+  void note_caller(core::RoundJob& job);
+  core::Pool make_pool(std::int64_t now_ms);
+  void remember_checkpoints(const AgentView& agent);
+  std::string checkpoint_of(const std::string& task) const;
+  bool commit(Round& round);
+  void send_commit();
+  void committed(const platform::Store::CommitResult& result);
+  void applied(std::uint64_t version);
+  bool applied_before(const platform::StoreError& error) const;
+  void log_round(const Round& round);
+  void expire_rows();
+  std::uint32_t attempts_of(const core::Workflow& workflow) const;
+
+  kernel::TimerService& timers;
+  const kernel::Log& log;
+  kernel::Metrics& metrics;
+  platform::Store& store;
+  WorkView& view;
+  ServerTable& servers;
+  WorkSchedulerLimits limits;
+  WorkSchedulerHooks hooks;
+
+  std::uint64_t term = 0; ///< 0 while not deciding.
+  bool awake = false;
+  platform::RowChange change; ///< In flight; empty if nothing is.
+  Round pending;
+  bool in_flight = false;
+  core::StepMemory memory;
+  core::Names names;
+  core::FailureTracker failures;
+  std::map<std::string, std::set<std::string>> failed_on; ///< By workflow.
+  std::map<std::string, std::string> checkpoints;         ///< By task name.
+  std::uint64_t orders_sequence = 0;
+  kernel::Subscription tick;
+  kernel::Subscription retry;
+  kernel::Subscription expiry;
+};
+
+} // namespace geraniumhinge::entry
--- /dev/null
+++ b/entry/work_view.cpp
@@ -0,0 +1,96 @@
+#include "entry/work_view.h"
+
+#include "entry/work_rows.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::entry {
+
+void
+WorkView::load(const platform::RowPage& page)
+{
+  this->all.clear();
+  this->apply(page);
+}
+
+void
+WorkView::apply(const platform::RowPage& page)
+{
+  for (const platform::StoredRow& row : page.rows)
+    this->apply(row);
+}
+
+void
+WorkView::apply(const platform::StoredRow& row)
+{
+  if (row.removed) {
+    this->remove(row);
+    return;
+  }
+  WorkRowKey key = parse_work_key(row.name.key);
+  switch (key.kind) {
+    case WorkRowKind::Workflow: {
+      WorkItem& item = this->all[key.id];
+      if (row.version <= item.workflow_version)
+        return;
+      item.workflow = decode_workflow(row.value);
+      item.workflow_version = row.version;
+      return;
+    }
+    case WorkRowKind::Progress: {
+      WorkItem& item = this->all[key.id];
+      std::optional<core::Progress> progress = decode_progress(row.value);
+      if (row.version <= item.progress_version || !progress)
+        return;
+      item.progress = std::move(*progress);
+      item.progress_version = row.version;
+      return;
+    }
+    case WorkRowKind::Cancel: {
+      WorkItem& item = this->all[key.id];
+      item.cancelled = true;
+      item.cancel_version = row.version;
+      return;
+    }
+    case WorkRowKind::Pulse:
+      this->pulse = std::max(this->pulse, row.version);
+      return;
+    case WorkRowKind::Other:
+      return;
+  }
+}
+
+void
+WorkView::remove(const platform::StoredRow& row)
+{
+  // The rows of a workflow are removed together.
+  WorkRowKey key = parse_work_key(row.name.key);
+  Items::iterator found = this->all.find(key.id);
+  if (key.kind == WorkRowKind::Workflow && found != this->all.end() &&
+      found->second.workflow_version <= row.version)
+    this->all.erase(found);
+}
+
+const WorkItem*
+WorkView::find(const std::string& id) const
+{
+  Items::const_iterator found = this->all.find(id);
+  bool known = found != this->all.end() && found->second.workflow;
+  return known ? &found->second : nullptr;
+}
+
+std::uint64_t
+count_waiting(const WorkView& view, const std::string& queue)
+{
+  std::uint64_t count = 0;
+  for (const std::pair<const std::string, WorkItem>& entry : view.items()) {
+    const WorkItem& item = entry.second;
+    if (item.workflow && item.workflow->queue == queue && !item.cancelled &&
+        item.workflow->occurrences == 0 && !item.progress.started &&
+        item.progress.outcome == core::Outcome::Open)
+      ++count;
+  }
+  return count;
+}
+
+} // namespace geraniumhinge::entry
--- a/kernel/log.cpp
+++ b/kernel/log.cpp
@@ -95,7 +95,8 @@
     format_event(event, this->node, utc_time(unix_ms()), fields);
   line += '\n';
   // One call for a line, so that lines of several processes do not mix.
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  std::fwrite(line.data(), 1, line.size(), stdout);
+  std::fflush(stdout);
 }
 
 } // namespace geraniumhinge::kernel
--- a/kernel/log.h
+++ b/kernel/log.h
@@ -29,7 +29,7 @@
   }
 };
 
-/// Writes events to standard error, one line each:
+/// Writes events to standard output, one line each:
 /// `<time> <severity> <number> <name> node=<node> key=value ...`.
 /// Values with spaces, quotes, equal signs or control characters are quoted.
 class Log
--- a/kernel/settings.cpp
+++ b/kernel/settings.cpp
@@ -258,6 +258,18 @@
   return std::exchange(this->faults, {});
 }
 
+tl::expected<Severity, SettingFault>
+parse_severity(std::string_view name, std::string_view pointer)
+{
+  for (const NamedValue<Severity>& level : SEVERITY_NAMES) {
+    if (level.name == name)
+      return level.value;
+  }
+  return tl::unexpected(SettingFault{ SettingFaultKind::OutOfRange,
+                                      std::string(pointer),
+                                      "debug, info, warning or error" });
+}
+
 tl::expected<nlohmann::json, SettingFault>
 load_settings_file(const std::string& path)
 {
--- a/kernel/settings.h
+++ b/kernel/settings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "kernel/event.h"
+
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -85,6 +87,10 @@
   std::vector<SettingFault> faults;
 };
 
+/// Reads the name of a severity; the fault names the pointer.
+tl::expected<Severity, SettingFault>
+parse_severity(std::string_view name, std::string_view pointer);
+
 /// Reads and parses a file.
 tl::expected<nlohmann::json, SettingFault>
 load_settings_file(const std::string& path);
