Tell the end of a silent server's lease, and watch the settings file

Change: no lease is granted until a look is answered again; an agent that knows no server has renewed nothing, and after one lease the runs on its node are over; a server that says it ends and then does not answer is over at once; SIGHUP and changed files are read, checked and taken up or refused whole.

--- a/agent/main.cpp
+++ b/agent/main.cpp
@@ -217,7 +217,9 @@
       accept(agent::read_platform_settings(*root));
     if (!settings)
       return EXIT_UNUSABLE;
-    return only_check ? EXIT_OK : agent::serve_on_platform(*settings);
+    return only_check
+             ? EXIT_OK
+             : agent::serve_on_platform(*settings, arguments->settings);
   }
   std::optional<agent::AgentSettings> settings =
     accept(agent::read_agent_settings(*root));
--- a/agent/platform_program.cpp
+++ b/agent/platform_program.cpp
@@ -2,6 +2,7 @@
 
 #include "agent/events.h"
 #include "kernel/events.h"
+#include "kernel/settings_watch.h"
 #include "platform/events.h"
 #include "platform/tables.h"
 
@@ -126,6 +127,21 @@
   return true;
 }
 
+void
+PlatformProgram::reload(const PlatformSettings& changed)
+{
+  bool restart = changed.registry_listen != this->settings.registry_listen ||
+                 changed.peer_listen != this->settings.peer_listen ||
+                 changed.http_listen != this->settings.http_listen ||
+                 changed.store_address != this->settings.store_address ||
+                 changed.max_lease != this->settings.max_lease ||
+                 changed.orphan != this->settings.orphan;
+  this->settings.report = changed.report;
+  this->report_timer =
+    this->timers.every(this->settings.report, [this] { this->report(); });
+  this->log.write(kernel::SETTINGS_RELOADED, { { "restart", restart } });
+}
+
 void
 PlatformProgram::stop()
 {
@@ -238,7 +254,7 @@
 }
 
 int
-serve_on_platform(const PlatformSettings& settings)
+serve_on_platform(const PlatformSettings& settings, const std::string& path)
 {
   kernel::Loop loop;
   kernel::TimerService timers(loop);
@@ -248,6 +264,25 @@
     loop.watch_signal(SIGTERM, [&program] { program.stop(); });
   kernel::Subscription interrupt =
     loop.watch_signal(SIGINT, [&program] { program.stop(); });
+  kernel::SettingsWatch watch(
+    loop,
+    timers,
+    path,
+    [&log,
+     &program](const tl::expected<nlohmann::json, kernel::SettingFault>& root) {
+      tl::expected<PlatformSettings, std::vector<kernel::SettingFault>>
+        changed =
+          root
+            ? read_platform_settings(*root)
+            : tl::unexpected(std::vector<kernel::SettingFault>{ root.error() });
+      if (changed) {
+        program.reload(*changed);
+        return;
+      }
+      for (const kernel::SettingFault& fault : changed.error())
+        log.write(kernel::SETTINGS_REFUSED,
+                  { { "fault", kernel::describe(fault) } });
+    });
   log.write(kernel::PROCESS_STARTED, { { "zone", settings.zone } });
   if (!program.start())
     return EXIT_FAILED;
--- a/agent/platform_program.h
+++ b/agent/platform_program.h
@@ -31,6 +31,9 @@
   /// Leaves what runs to the next agent on this VM.
   void stop();
 
+  /// Takes up changed settings, as far as that needs no restart.
+  void reload(const PlatformSettings& changed);
+
 private:
   void on_registry_call(const gateway::HttpRequest& request,
                         const gateway::HttpServer::Respond& respond);
@@ -61,8 +64,9 @@
   kernel::Subscription register_timer;
 };
 
-/// Runs the agent until it is told to stop; returns the exit code.
+/// Runs the agent until it is told to stop; returns the exit code. `path` is
+/// the file of the settings, which is watched for changes.
 int
-serve_on_platform(const PlatformSettings& settings);
+serve_on_platform(const PlatformSettings& settings, const std::string& path);
 
 } // namespace geraniumhinge::agent
--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -70,6 +70,14 @@
                                         this->options.orphan.count();
 }
 
+/// A server that does not answer gets no longer lease: when the last one has
+/// expired must stay known.
+bool
+ServerAgent::may_grant() const
+{
+  return this->answering && this->owner_heard();
+}
+
 void
 ServerAgent::announced(const platform::Announcement& announcement)
 {
@@ -96,8 +104,10 @@
 void
 ServerAgent::departed(const std::string& id)
 {
-  if (this->server && this->server->life.id == id)
-    this->log.write(SERVER_LEFT, { { "server", id } });
+  if (!this->server || this->server->life.id != id)
+    return;
+  this->log.write(SERVER_LEFT, { { "server", id } });
+  this->leaving = true;
 }
 
 void
@@ -116,6 +126,8 @@
   this->lists = {};
   this->listed = false;
   this->looking = false;
+  this->answering = false;
+  this->leaving = false;
   this->lease_over = false;
   this->stored_ends = 0;
   this->have_orders = false;
@@ -131,7 +143,7 @@
   this->looking = true;
   std::int64_t now = kernel::boot_ms();
   platform::LeaseOrder order;
-  if (this->lease_clock.known() && this->owner_heard())
+  if (this->may_grant())
     order.lease_until_ms =
       this->lease_clock.grant(now, this->options.lease.count());
   order.seen_ends = this->stored_ends;
@@ -175,7 +187,7 @@
 ServerAgent::take_lists(std::int64_t sent_ms, platform::WorkerLists lists)
 {
   this->lease_clock.answered(sent_ms, kernel::boot_ms(), lists.clock_ms);
-  bool changed = !this->listed || this->lease_over ||
+  bool changed = !this->listed || !this->answering || this->lease_over ||
                  lists.ended.size() != this->lists.ended.size() ||
                  lists.running.size() != this->lists.running.size();
   if (!this->listed)
@@ -184,6 +196,7 @@
                       { "running", lists.running.size() },
                       { "ended", lists.ended.size() } });
   this->listed = true;
+  this->answering = true;
   this->lease_over = false;
   std::set<RunKey> running;
   for (const platform::RunningTask& task : lists.running)
@@ -223,9 +236,13 @@
   this->metrics.counter("agent_looks_failed_total").add();
   if (error == platform::WorkerError::Fenced)
     this->fenced();
-  bool over = this->lease_clock.expired(kernel::boot_ms());
-  if (over == this->lease_over)
+  bool first = std::exchange(this->answering, false);
+  bool over = this->leaving || this->lease_clock.expired(kernel::boot_ms());
+  if (over == this->lease_over) {
+    if (first)
+      this->on_change();
     return;
+  }
   this->lease_over = over;
   this->log.write(SERVER_LEASE_OVER,
                   { { "server", this->server->life.id },
@@ -410,7 +427,7 @@
 void
 ServerAgent::start(const RunKey& key, RunTrack& run)
 {
-  if (!this->lease_clock.known() || !this->owner_heard())
+  if (!this->may_grant())
     return;
   if (run.phase == RunPhase::Waiting)
     this->enter(key, run, RunPhase::Starting);
@@ -527,7 +544,7 @@
   report.mutable_room()->set_millicores(this->server->room.millicores);
   report.mutable_room()->set_memory_mb(this->server->room.memory_mb);
   report.mutable_room()->set_accelerators(this->server->room.accelerators);
-  report.set_ready(!this->server->draining);
+  report.set_ready(!this->server->draining && this->answering);
   report.set_lease_over(this->lease_over);
   report.set_listed(this->listed);
   report.set_orders_sequence(this->orders.sequence());
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -82,6 +82,7 @@
   platform::WorkerTarget target() const;
   bool usable() const;
   bool owner_heard() const;
+  bool may_grant() const;
   void begin_life(const platform::Announcement& announcement);
   void look();
   void looked(std::int64_t sent_ms,
@@ -116,6 +117,8 @@
   platform::WorkerLists lists;
   bool listed = false; ///< The lists are those of the current life.
   bool looking = false;
+  bool answering = false; ///< The last look was answered.
+  bool leaving = false;   ///< The server said that it ends.
   bool lease_over = false;
   std::uint64_t stored_ends = 0;
   v1::ServerOrders orders;
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -4,6 +4,7 @@
 #include "entry/work_rows.h"
 #include "kernel/clock.h"
 #include "kernel/events.h"
+#include "kernel/settings_watch.h"
 #include "platform/events.h"
 #include "platform/operator_config.h"
 
@@ -235,6 +236,22 @@
   return true;
 }
 
+void
+PlatformProgram::reload(const PlatformSettings& changed)
+{
+  bool restart = changed.caller_listen != this->settings.caller_listen ||
+                 changed.ready_listen != this->settings.ready_listen ||
+                 changed.relay_listen != this->settings.relay_listen ||
+                 changed.peer_listen != this->settings.peer_listen ||
+                 changed.store_address != this->settings.store_address ||
+                 changed.max_lease != this->settings.max_lease ||
+                 changed.orphan != this->settings.orphan;
+  this->settings.config_age = changed.config_age;
+  this->scheduler.set_limits(
+    { changed.early.count(), changed.retention.count() });
+  this->log.write(kernel::SETTINGS_RELOADED, { { "restart", restart } });
+}
+
 bool
 PlatformProgram::fresh() const
 {
@@ -393,7 +410,7 @@
 }
 
 int
-serve_on_platform(const PlatformSettings& settings)
+serve_on_platform(const PlatformSettings& settings, const std::string& path)
 {
   kernel::Loop loop;
   kernel::TimerService timers(loop);
@@ -403,6 +420,25 @@
     loop.watch_signal(SIGTERM, [&program] { program.drain(); });
   kernel::Subscription interrupt =
     loop.watch_signal(SIGINT, [&program] { program.drain(); });
+  kernel::SettingsWatch watch(
+    loop,
+    timers,
+    path,
+    [&log,
+     &program](const tl::expected<nlohmann::json, kernel::SettingFault>& root) {
+      tl::expected<PlatformSettings, std::vector<kernel::SettingFault>>
+        changed =
+          root
+            ? read_platform_settings(*root)
+            : tl::unexpected(std::vector<kernel::SettingFault>{ root.error() });
+      if (changed) {
+        program.reload(*changed);
+        return;
+      }
+      for (const kernel::SettingFault& fault : changed.error())
+        log.write(kernel::SETTINGS_REFUSED,
+                  { { "fault", kernel::describe(fault) } });
+    });
   log.write(kernel::PROCESS_STARTED, { { "zone", settings.zone } });
   if (!program.start())
     return EXIT_FAILED;
--- a/entry/platform_program.h
+++ b/entry/platform_program.h
@@ -38,6 +38,9 @@
   /// until the platform has noticed, then stops the loop.
   void drain();
 
+  /// Takes up changed settings, as far as that needs no restart.
+  void reload(const PlatformSettings& changed);
+
 private:
   WorkSchedulerHooks scheduler_hooks();
   OwnershipHooks ownership_hooks();
@@ -80,8 +83,9 @@
   kernel::Subscription read_timer;
 };
 
-/// Runs the entry until it is told to stop; returns the exit code.
+/// Runs the entry until it is told to stop; returns the exit code. `path` is
+/// the file of the settings, which is watched for changes.
 int
-serve_on_platform(const PlatformSettings& settings);
+serve_on_platform(const PlatformSettings& settings, const std::string& path);
 
 } // namespace geraniumhinge::entry
--- a/entry/server.cpp
+++ b/entry/server.cpp
@@ -59,7 +59,7 @@
   if (is_for_platform(root)) {
     tl::expected<PlatformSettings, std::vector<kernel::SettingFault>> settings =
       read_platform_settings(*root);
-    return settings ? serve_on_platform(*settings)
+    return settings ? serve_on_platform(*settings, settings_path)
                     : report_faults(settings.error());
   }
   tl::expected<EntrySettings, std::vector<kernel::SettingFault>> settings =
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -15,10 +15,9 @@
 } // namespace
 
 std::int64_t
-LeaseBounds::expiry_ms() const
+LeaseBounds::lease_ms() const
 {
-  return this->orphan_ms +
-         this->max_lease_ms * PERCENT / (PERCENT - SLOWNESS_PERCENT) +
+  return this->max_lease_ms * PERCENT / (PERCENT - SLOWNESS_PERCENT) +
          EXPIRY_SLACK_MS;
 }
 
@@ -48,10 +47,13 @@
   agent.heard_ms = now_ms;
   bool same_life = life_of(agent.report.life()) == life_of(report.life());
   if (report.life().id().empty()) {
+    if (!same_process)
+      agent.unknowing_ms = now_ms;
     agent.report.set_sequence(report.sequence());
     agent.report.set_ready(false);
     return &agent;
   }
+  agent.unknowing_ms = 0;
   if (!same_life)
     agent.stored_ends = 0;
   agent.report = report;
@@ -90,6 +92,10 @@
       return true;
     if (reported && agent.report.lease_over())
       return true;
+    // A process that knows no server renews no lease.
+    if (agent.unknowing_ms != 0 &&
+        now_ms - agent.unknowing_ms > this->bounds.lease_ms())
+      return true;
     if (agent.heard_ms != 0)
       word_ms = std::max(agent.heard_ms, agent.word_ms);
   }
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -19,8 +19,11 @@
   /// An owner that can't reach the store goes on sending its word this long.
   std::int64_t owner_word_ms = 12'000;
 
+  /// Length of a lease on our clock, at most.
+  std::int64_t lease_ms() const;
+
   /// After the last word, every lease has surely expired.
-  std::int64_t expiry_ms() const;
+  std::int64_t expiry_ms() const { return this->orphan_ms + this->lease_ms(); }
 };
 
 /// What an agent reported last, and what was sent to it.
@@ -30,6 +33,9 @@
   std::string address;
   std::uint64_t incarnation = 0; ///< Of the agent's process.
   v1::ServerReport report;
+  /// Boot time of the first report of a process that knows no server yet, 0 if
+  /// it knows one.
+  std::int64_t unknowing_ms = 0;
   std::int64_t heard_ms = 0; ///< Boot time of the last report, 0 if none.
   std::int64_t word_ms = 0;  ///< Boot time of the last orders sent.
   std::uint64_t orders_sequence = 0;
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -59,6 +59,11 @@
   void begin(std::uint64_t term);
   void end();
 
+  void set_limits(const WorkSchedulerLimits& changed)
+  {
+    this->limits = changed;
+  }
+
   /// Something changed: decides soon.
   void wake();
 
--- a/kernel/events.h
+++ b/kernel/events.h
@@ -24,10 +24,27 @@
   "Correct the setting named by the JSON pointer and start again."
 };
 
+inline constexpr EventInfo SETTINGS_RELOADED{
+  103,
+  Severity::Info,
+  "settings_reloaded",
+  "Changed settings are in force; addresses and names need a restart.",
+  "Restart the process if `restart` is true."
+};
+inline constexpr EventInfo SETTINGS_REFUSED{
+  104,
+  Severity::Error,
+  "settings_refused",
+  "A changed settings file can't be used; the running settings stay.",
+  "Correct the setting named by the JSON pointer."
+};
+
 inline constexpr EventInfo KERNEL_EVENTS[] = {
   PROCESS_STARTED,
   PROCESS_STOPPED,
   SETTINGS_INVALID,
+  SETTINGS_RELOADED,
+  SETTINGS_REFUSED,
 };
 
 } // namespace geraniumhinge::kernel
--- /dev/null
+++ b/kernel/settings_watch.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "kernel/loop.h"
+#include "kernel/settings.h"
+#include "kernel/subscription.h"
+#include "kernel/timer.h"
+
+#include <functional>
+#include <string>
+
+namespace geraniumhinge::kernel {
+
+/// Tells when the content of a settings file has changed: at SIGHUP, and by
+/// looking at it from time to time.
+class SettingsWatch
+{
+public:
+  using Changed =
+    std::function<void(tl::expected<nlohmann::json, SettingFault>)>;
+
+  SettingsWatch(Loop& loop,
+                TimerService& timers,
+                std::string path,
+                Changed changed);
+
+private:
+  void look();
+
+  std::string path;
+  Changed changed;
+  tl::expected<nlohmann::json, SettingFault> last;
+  Subscription on_signal;
+  Subscription on_time;
+};
+
+} // namespace geraniumhinge::kernel
