--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -16,6 +16,7 @@
 
 constexpr int EXIT_OK = 0;
 constexpr int EXIT_FAILED = 1;
+constexpr int HTTP_OK = 200;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_UNAVAILABLE = 503;
 constexpr int HTTP_METHOD_NOT_ALLOWED = 405;
@@ -147,11 +148,10 @@
                  MAX_PAGE_BODY_BYTES,
                  [this](const gateway::HttpRequest& request,
                         const gateway::HttpServer::Respond& respond) {
-                   respond(
-                     request.path == READY_PATH
-                       ? this->ready_answer()
-                       : gateway::HttpResponse{
-                           HTTP_NOT_FOUND, "application/json", "{}", {} });
+                   int status = this->ready() ? HTTP_OK : HTTP_UNAVAILABLE;
+                   if (request.path != READY_PATH)
+                     status = HTTP_NOT_FOUND;
+                   respond({ status, "application/json", "{}", {} });
                  })
   , page_server(loop,
                 timers,
@@ -326,17 +326,16 @@
                          gateway::HttpServer::Respond respond)
 {
   if (request.method == "GET" && request.path == "/metrics")
-    respond({ 200, "text/plain; version=0.0.4", this->metrics.text(), {} });
+    respond({ HTTP_OK, "text/plain; version=0.0.4", this->metrics.text(), {} });
   else
     this->on_call(request, std::move(respond));
 }
 
-gateway::HttpResponse
-PlatformProgram::ready_answer() const
+bool
+PlatformProgram::ready() const
 {
-  bool ready = !this->draining && this->directory.version != 0 &&
-               this->work_follower.loaded();
-  return { ready ? 200 : HTTP_UNAVAILABLE, "application/json", "{}", {} };
+  return !this->draining && this->directory.version != 0 &&
+         this->work_follower.loaded();
 }
 
 void
--- a/entry/platform_program.h
+++ b/entry/platform_program.h
@@ -38,6 +38,12 @@
   /// until the platform has noticed, then stops the loop.
   void drain();
 
+  /// Whether new connections are welcome.
+  bool ready() const;
+  /// Whether the configuration and the work are as new as callers may expect.
+  bool fresh() const;
+  std::uint64_t config_version() const { return this->directory.version; }
+
   /// Takes up changed settings, as far as that needs no restart.
   void reload(const PlatformSettings& changed);
 
@@ -51,11 +57,9 @@
                gateway::HttpServer::Respond respond);
   void on_page(const gateway::HttpRequest& request,
                gateway::HttpServer::Respond respond);
-  gateway::HttpResponse ready_answer() const;
   void term_began(std::uint64_t term);
   void read_work(std::uint64_t term);
   void greet_agents(std::uint64_t term);
-  bool fresh() const;
   bool may_speak() const;
 
   kernel::TimerService& timers;
--- a/kernel/metrics.cpp
+++ b/kernel/metrics.cpp
@@ -1,6 +1,15 @@
 #include "kernel/metrics.h"
 
+// The quantile header needs <sstream> and does not include it.
+#include <sstream>
+
 #include <array>
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
 #include <fmt/format.h>
 
 namespace geraniumhinge::kernel {
@@ -44,27 +53,46 @@
 
 } // namespace
 
+struct Summary::Samples
+{
+  using Statistics = acc::stats<acc::tag::count,
+                                acc::tag::sum,
+                                acc::tag::max,
+                                acc::tag::extended_p_square_quantile>;
+  acc::accumulator_set<double, Statistics> set{
+    acc::tag::extended_p_square_quantile::probabilities = QUANTILES
+  };
+};
+
 Summary::Summary()
-  : samples(acc::tag::extended_p_square_quantile::probabilities = QUANTILES)
+  : samples(std::make_unique<Samples>())
+{
+}
+
+Summary::~Summary() = default;
+
+void
+Summary::observe(double value)
 {
+  this->samples->set(value);
 }
 
 std::uint64_t
 Summary::count() const
 {
-  return acc::count(this->samples);
+  return acc::count(this->samples->set);
 }
 
 double
 Summary::sum() const
 {
-  return acc::sum(this->samples);
+  return acc::sum(this->samples->set);
 }
 
 double
 Summary::max() const
 {
-  return this->count() == 0 ? 0 : acc::max(this->samples);
+  return this->count() == 0 ? 0 : acc::max(this->samples->set);
 }
 
 double
@@ -73,7 +101,8 @@
   // The estimator needs one sample for each of its markers.
   if (this->count() < 2 * QUANTILES.size() + 3)
     return this->max();
-  return acc::quantile(this->samples, acc::quantile_probability = probability);
+  return acc::quantile(this->samples->set,
+                       acc::quantile_probability = probability);
 }
 
 Counter&
--- a/kernel/metrics.h
+++ b/kernel/metrics.h
@@ -1,14 +1,5 @@
 #pragma once
 
-// The quantile header needs <sstream> and does not include it.
-#include <sstream>
-
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
-#include <boost/accumulators/statistics/max.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -43,19 +34,19 @@
 {
 public:
   Summary();
-  void observe(double value) { this->samples(value); }
+  ~Summary();
+  Summary(const Summary&) = delete;
+  Summary& operator=(const Summary&) = delete;
+
+  void observe(double value);
   std::uint64_t count() const;
   double sum() const;
   double max() const;
   double quantile(double probability) const;
 
 private:
-  using Statistics = boost::accumulators::stats<
-    boost::accumulators::tag::count,
-    boost::accumulators::tag::sum,
-    boost::accumulators::tag::max,
-    boost::accumulators::tag::extended_p_square_quantile>;
-  boost::accumulators::accumulator_set<double, Statistics> samples;
+  struct Samples;
+  std::unique_ptr<Samples> samples;
 };
 
 /// All metrics of a process by name. References stay valid for its life.
--- /dev/null
+++ b/tests/core/round_test.cpp
@@ -0,0 +1,282 @@
+#define BOOST_TEST_MODULE round
+#include "core/round.h"
+
+#include "core/assign.h"
+#include "core/preempt.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace geraniumhinge::core;
+
+namespace {
+
+constexpr Resources SERVER_ROOM{ 32'000, 131'072, 8 };
+constexpr std::int64_t NOW_MS = 100'000;
+
+/// Servers s0, s1, ... with `per_rack` in each rack r0, r1, ...
+Pool
+make_pool(int servers, int per_rack)
+{
+  Pool pool;
+  for (int index = 0; index < servers; ++index) {
+    PoolServer server;
+    server.life = { "s" + std::to_string(index), 1 };
+    server.service = "planner";
+    server.rack = "r" + std::to_string(index / per_rack);
+    server.labels = { "a", server.rack };
+    server.room = SERVER_ROOM;
+    pool.free[server.life.id] = server.room;
+    pool.servers[server.life.id] = server;
+  }
+  return pool;
+}
+
+Step
+make_step(std::uint32_t tasks, Resources demand, bool gang = false)
+{
+  Step step;
+  step.tasks = tasks;
+  step.demand = demand;
+  step.gang = gang;
+  return step;
+}
+
+AssignRequest
+request_for(const Step& step)
+{
+  AssignRequest request;
+  request.step = &step;
+  request.service = "planner";
+  request.tasks = step.tasks;
+  return request;
+}
+
+/// Workflows with one step each, kept at fixed addresses.
+struct Jobs
+{
+  std::vector<std::unique_ptr<Workflow>> workflows;
+  std::vector<RoundJob> jobs;
+
+  RoundJob& add(const std::string& id,
+                const std::string& organisation,
+                std::uint32_t priority,
+                Step step)
+  {
+    std::unique_ptr<Workflow> workflow = std::make_unique<Workflow>();
+    workflow->id = id;
+    workflow->organisation = organisation;
+    workflow->accepted_ms = static_cast<std::int64_t>(this->workflows.size());
+    workflow->steps = { std::move(step) };
+    RoundJob job;
+    job.workflow = workflow.get();
+    job.service = "planner";
+    job.priority = priority;
+    job.need_accelerators = accelerators_of(*workflow);
+    open_due(*workflow, job.progress, 0, 0);
+    this->workflows.push_back(std::move(workflow));
+    this->jobs.push_back(std::move(job));
+    return this->jobs.back();
+  }
+};
+
+std::size_t
+running(const RoundJob& job)
+{
+  std::size_t count = 0;
+  for (const TaskState& task : job.progress.open.at(0)[0])
+    count += task.run && !task.run->stopping ? 1 : 0;
+  return count;
+}
+
+bool
+stopping(const RoundJob& job)
+{
+  for (const TaskState& task : job.progress.open.at(0)[0]) {
+    if (task.run && task.run->stopping)
+      return true;
+  }
+  return false;
+}
+
+RoundResult
+play(Jobs& jobs,
+     Pool& pool,
+     StepMemory& memory,
+     const std::map<std::string, std::int64_t>& guarantees)
+{
+  take_runs(jobs.jobs, pool);
+  mark_guaranteed(jobs.jobs, guarantees);
+  return run_round(jobs.jobs, pool, memory, {}, NOW_MS);
+}
+
+} // namespace
+
+// Guards against a gang of which only a part gets servers.
+BOOST_AUTO_TEST_CASE(gang_is_placed_whole_or_not_at_all)
+{
+  Pool pool = make_pool(2, 2);
+  Step fits = make_step(2, { 1'000, 1'024, 8 }, true);
+  Step too_large = make_step(3, { 1'000, 1'024, 8 }, true);
+  BOOST_TEST(assign(pool, request_for(fits)).size() == 2U);
+  BOOST_TEST(assign(pool, request_for(too_large)).empty());
+}
+
+// Guards against tasks on servers without the label, beyond the limit on one
+// server, or on a server that takes no work.
+BOOST_AUTO_TEST_CASE(constraints_on_servers_hold)
+{
+  Pool pool = make_pool(4, 2);
+  Step labelled = make_step(2, { 1'000, 1'024, 0 });
+  labelled.label = "r1";
+  for (const std::string& server : assign(pool, request_for(labelled)))
+    BOOST_TEST(pool.servers.at(server).rack == "r1");
+  Step spread = make_step(6, { 1'000, 1'024, 0 });
+  spread.max_per_server = 1;
+  std::vector<std::string> servers = assign(pool, request_for(spread));
+  BOOST_TEST(servers.size() == 4U);
+  BOOST_TEST(std::set<std::string>(servers.begin(), servers.end()).size() ==
+             4U);
+  for (std::pair<const std::string, PoolServer>& item : pool.servers)
+    item.second.accepting = false;
+  BOOST_TEST(assign(pool, request_for(spread)).empty());
+}
+
+// Guards against gangs over several racks, which run slower.
+BOOST_AUTO_TEST_CASE(same_rack_is_kept_while_a_rack_can_hold_the_gang)
+{
+  Pool pool = make_pool(6, 3);
+  pool.free["s0"] = {};
+  pool.free["s3"] = {};
+  Step step = make_step(3, { 1'000, 1'024, 8 }, true);
+  step.same_rack = true;
+  BOOST_TEST(assign(pool, request_for(step)).empty());
+  BOOST_TEST(fits_one_rack(pool, request_for(step)));
+  AssignRequest anywhere = request_for(step);
+  anywhere.any_rack = true;
+  BOOST_TEST(assign(pool, anywhere).size() == 3U);
+}
+
+// Guards against starts that bring a server over its room: whatever jobs come,
+// no server holds more than it has.
+BOOST_AUTO_TEST_CASE(no_server_is_overcommitted)
+{
+  BOOST_TEST(rc::check("rounds keep to the room", [] {
+    Pool pool = make_pool(5, 3);
+    Jobs jobs;
+    int count = *rc::gen::inRange(1, 25);
+    for (int index = 0; index < count; ++index) {
+      Step step = make_step(static_cast<std::uint32_t>(*rc::gen::inRange(1, 7)),
+                            { *rc::gen::inRange(0, 33'000),
+                              *rc::gen::inRange(0, 140'000),
+                              *rc::gen::inRange(0, 9) },
+                            *rc::gen::arbitrary<bool>());
+      step.same_rack = *rc::gen::arbitrary<bool>();
+      jobs.add("j" + std::to_string(index),
+               index % 2 == 0 ? "x" : "y",
+               static_cast<std::uint32_t>(*rc::gen::inRange(0, 3)),
+               step);
+    }
+    StepMemory memory;
+    for (int round = 0; round < 3; ++round) {
+      Pool fresh = pool;
+      play(jobs, fresh, memory, { { "x", 16 }, { "y", 8 } });
+      Pool used = pool;
+      take_runs(jobs.jobs, used);
+      for (const std::pair<const std::string, Resources>& item : used.free)
+        RC_ASSERT(item.second.covers({}));
+      // What is stopping ends before the next round.
+      for (RoundJob& job : jobs.jobs) {
+        StepState& tasks = job.progress.open[0][0];
+        for (TaskState& task : tasks) {
+          if (task.run && task.run->stopping)
+            task.run.reset();
+        }
+      }
+    }
+  }));
+}
+
+// Guards against a guarantee that its organisation can't get back from less
+// urgent work, and against room of the victims that others take first.
+BOOST_AUTO_TEST_CASE(guaranteed_step_gets_its_servers_from_less_urgent_work)
+{
+  Pool pool = make_pool(2, 2);
+  Jobs jobs;
+  StepMemory memory;
+  jobs.add("filler-1", "y", 1, make_step(2, { 1'000, 1'024, 8 }, true));
+  Pool first = pool;
+  play(jobs, first, memory, {});
+  BOOST_TEST(running(jobs.jobs[0]) == 2U);
+  jobs.add("urgent", "x", 0, make_step(1, { 1'000, 1'024, 8 }, true));
+  jobs.add("filler-2", "y", 2, make_step(1, { 1'000, 1'024, 8 }));
+  Pool second = pool;
+  RoundResult result = play(jobs, second, memory, { { "x", 8 } });
+  BOOST_TEST(result.preemptions.size() == 1U);
+  BOOST_TEST(stopping(jobs.jobs[0]));
+  BOOST_TEST(running(jobs.jobs[1]) == 0U);
+  // One member has ended: its server is kept for the urgent step.
+  jobs.jobs[0].progress.open[0][0][0].run.reset();
+  Pool third = pool;
+  play(jobs, third, memory, { { "x", 8 } });
+  BOOST_TEST(running(jobs.jobs[1]) == 1U);
+  BOOST_TEST(running(jobs.jobs[2]) == 0U);
+}
+
+// Guards against a guarantee that is reclaimed from another one.
+BOOST_AUTO_TEST_CASE(guaranteed_work_is_never_a_victim)
+{
+  Pool pool = make_pool(1, 1);
+  Jobs jobs;
+  StepMemory memory;
+  jobs.add("first", "y", 0, make_step(1, { 1'000, 1'024, 8 }));
+  Pool one = pool;
+  play(jobs, one, memory, { { "x", 8 }, { "y", 8 } });
+  jobs.add("second", "x", 0, make_step(1, { 1'000, 1'024, 8 }));
+  Pool two = pool;
+  RoundResult result = play(jobs, two, memory, { { "x", 8 }, { "y", 8 } });
+  BOOST_TEST(result.preemptions.empty());
+  BOOST_TEST(!stopping(jobs.jobs[0]));
+}
+
+// Guards against victims whose loss is larger than needed.
+BOOST_AUTO_TEST_CASE(cheapest_victim_is_stopped)
+{
+  Pool pool = make_pool(2, 2);
+  Step step = make_step(1, { 1'000, 1'024, 8 });
+  pool.free["s0"] = {};
+  pool.free["s1"] = {};
+  PlacedStep dear;
+  dear.key = { "dear", 0, 0 };
+  dear.priority = 1;
+  dear.demand = SERVER_ROOM;
+  dear.servers = { { "s0", 1 } };
+  dear.unsaved_core_s = 100;
+  PlacedStep cheap = dear;
+  cheap.key = { "cheap", 0, 0 };
+  cheap.servers = { { "s1", 1 } };
+  cheap.unsaved_core_s = 1;
+  PreemptRequest request;
+  request.place = request_for(step);
+  std::optional<PreemptPlan> plan =
+    plan_preemption(pool, { dear, cheap }, request);
+  BOOST_REQUIRE(plan.has_value());
+  BOOST_REQUIRE(plan->victims.size() == 1U);
+  BOOST_TEST(plan->victims.front().workflow == "cheap");
+}
+
+// Guards against members of one gang with different attempts.
+BOOST_AUTO_TEST_CASE(members_of_a_gang_share_their_attempt)
+{
+  Pool pool = make_pool(2, 2);
+  Jobs jobs;
+  StepMemory memory;
+  RoundJob& job =
+    jobs.add("gang", "x", 1, make_step(2, { 1'000, 1'024, 8 }, true));
+  job.progress.open[0][0][1].last_attempt = 4;
+  play(jobs, pool, memory, {});
+  for (const TaskState& task : job.progress.open[0][0]) {
+    BOOST_REQUIRE(task.run.has_value());
+    BOOST_TEST(task.run->attempt == 5U);
+  }
+}
--- /dev/null
+++ b/tests/core/workflow_test.cpp
@@ -0,0 +1,194 @@
+#define BOOST_TEST_MODULE workflow
+#include "core/workflow.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace geraniumhinge::core;
+
+namespace {
+
+constexpr std::uint32_t ATTEMPTS = 2;
+
+Workflow
+make_workflow(std::vector<Step> steps)
+{
+  Workflow workflow;
+  workflow.id = "5c0e7a21d94b36f8";
+  workflow.steps = std::move(steps);
+  return workflow;
+}
+
+Step
+make_step(std::uint32_t tasks, bool gang = false)
+{
+  Step step;
+  step.tasks = tasks;
+  step.gang = gang;
+  return step;
+}
+
+Progress
+opened(const Workflow& workflow)
+{
+  Progress progress;
+  open_due(workflow, progress, 0, 0);
+  return progress;
+}
+
+void
+run(Progress& progress, const TaskRef& task, std::uint32_t attempt)
+{
+  TaskState* state = find_task(progress, task);
+  state->last_attempt = attempt;
+  state->run = Run{ attempt, { "server", 1 }, "node", false };
+}
+
+} // namespace
+
+// Guards against members of a gang that run again after one end was `done`.
+BOOST_AUTO_TEST_CASE(one_end_completes_a_gang)
+{
+  Workflow workflow = make_workflow({ make_step(3, true) });
+  Progress progress = opened(workflow);
+  for (std::uint32_t index = 0; index < 3; ++index)
+    run(progress, { 0, 0, index }, 1);
+  BOOST_TEST(
+    apply_end(workflow, progress, { 0, 0, 1 }, 1, EndKind::Done, "", ATTEMPTS));
+  BOOST_TEST((progress.outcome == Outcome::Completed));
+  BOOST_TEST(ready_steps(workflow, progress).empty());
+  // The others hold their servers until their own ends are known.
+  BOOST_TEST(has_runs(progress));
+  apply_end(workflow, progress, { 0, 0, 0 }, 1, EndKind::Lost, "", ATTEMPTS);
+  apply_end(workflow, progress, { 0, 0, 2 }, 1, EndKind::Done, "", ATTEMPTS);
+  BOOST_TEST(!has_runs(progress));
+  BOOST_TEST((progress.outcome == Outcome::Completed));
+}
+
+// Guards against a part of a gang that is started again beside members of the
+// attempt before.
+BOOST_AUTO_TEST_CASE(gang_waits_until_all_members_have_ended)
+{
+  Workflow workflow = make_workflow({ make_step(2, true) });
+  Progress progress = opened(workflow);
+  run(progress, { 0, 0, 0 }, 1);
+  run(progress, { 0, 0, 1 }, 1);
+  apply_end(workflow, progress, { 0, 0, 0 }, 1, EndKind::Lost, "", ATTEMPTS);
+  BOOST_TEST(ready_steps(workflow, progress).empty());
+  BOOST_TEST(find_task(progress, { 0, 0, 1 })->run->stopping);
+  apply_end(workflow, progress, { 0, 0, 1 }, 1, EndKind::Broken, "", ATTEMPTS);
+  BOOST_TEST(ready_steps(workflow, progress).size() == 1U);
+}
+
+// Guards against a gang whose members' failures in one attempt count twice.
+BOOST_AUTO_TEST_CASE(failures_of_a_gang_count_once_an_attempt)
+{
+  Workflow workflow = make_workflow({ make_step(2, true) });
+  Progress progress = opened(workflow);
+  run(progress, { 0, 0, 0 }, 1);
+  run(progress, { 0, 0, 1 }, 1);
+  apply_end(workflow, progress, { 0, 0, 0 }, 1, EndKind::Failed, "", ATTEMPTS);
+  apply_end(workflow, progress, { 0, 0, 1 }, 1, EndKind::Failed, "", ATTEMPTS);
+  BOOST_TEST((progress.outcome == Outcome::Open));
+  run(progress, { 0, 0, 0 }, 2);
+  run(progress, { 0, 0, 1 }, 2);
+  apply_end(workflow, progress, { 0, 0, 1 }, 2, EndKind::Failed, "", ATTEMPTS);
+  BOOST_TEST((progress.outcome == Outcome::Failed));
+  BOOST_TEST(find_task(progress, { 0, 0, 0 })->run->stopping);
+}
+
+// Guards against a workflow that fails by ends other than `failed`.
+BOOST_AUTO_TEST_CASE(only_failures_use_up_attempts)
+{
+  Workflow workflow = make_workflow({ make_step(1) });
+  Progress progress = opened(workflow);
+  const EndKind harmless[] = { EndKind::Lapsed, EndKind::Stopped,
+                               EndKind::Broken, EndKind::Alone,
+                               EndKind::Absent, EndKind::Lost };
+  std::uint32_t attempt = 0;
+  for (EndKind kind : harmless) {
+    run(progress, { 0, 0, 0 }, ++attempt);
+    apply_end(workflow, progress, { 0, 0, 0 }, attempt, kind, "", ATTEMPTS);
+    BOOST_TEST((progress.outcome == Outcome::Open));
+    BOOST_TEST(ready_steps(workflow, progress).size() == 1U);
+  }
+}
+
+// Guards against an end of an earlier attempt that ends a later one.
+BOOST_AUTO_TEST_CASE(late_end_of_an_earlier_attempt_changes_nothing)
+{
+  Workflow workflow = make_workflow({ make_step(1) });
+  Progress progress = opened(workflow);
+  run(progress, { 0, 0, 0 }, 2);
+  BOOST_TEST(!apply_end(
+    workflow, progress, { 0, 0, 0 }, 1, EndKind::Done, "", ATTEMPTS));
+  BOOST_TEST(find_task(progress, { 0, 0, 0 })->run.has_value());
+}
+
+// Guards against a step that starts before those it depends on are done.
+BOOST_AUTO_TEST_CASE(steps_wait_for_their_dependencies)
+{
+  Step second = make_step(1);
+  second.after = { 0 };
+  Workflow workflow = make_workflow({ make_step(2), second });
+  Progress progress = opened(workflow);
+  run(progress, { 0, 0, 0 }, 1);
+  run(progress, { 0, 0, 1 }, 1);
+  apply_end(workflow, progress, { 0, 0, 0 }, 1, EndKind::Done, "", ATTEMPTS);
+  BOOST_TEST(ready_steps(workflow, progress).empty());
+  apply_end(workflow, progress, { 0, 0, 1 }, 1, EndKind::Done, "", ATTEMPTS);
+  std::vector<ReadyStep> ready = ready_steps(workflow, progress);
+  BOOST_REQUIRE(ready.size() == 1U);
+  BOOST_TEST(ready.front().step == 1U);
+}
+
+// Guards against occurrences before their time, and against a workflow that
+// is complete before its last occurrence.
+BOOST_AUTO_TEST_CASE(occurrences_open_when_they_are_due)
+{
+  Workflow workflow = make_workflow({ make_step(1) });
+  workflow.occurrences = 2;
+  workflow.first_due_ms = 1'000;
+  workflow.period_ms = 500;
+  Progress progress;
+  BOOST_TEST(!open_due(workflow, progress, 700, 250));
+  BOOST_TEST(open_due(workflow, progress, 750, 250));
+  BOOST_TEST(progress.open.size() == 1U);
+  run(progress, { 0, 0, 0 }, 1);
+  apply_end(workflow, progress, { 0, 0, 0 }, 1, EndKind::Done, "", ATTEMPTS);
+  BOOST_TEST((progress.outcome == Outcome::Open));
+  BOOST_TEST(open_due(workflow, progress, 5'000, 250));
+  run(progress, { 1, 0, 0 }, 1);
+  apply_end(workflow, progress, { 1, 0, 0 }, 1, EndKind::Done, "", ATTEMPTS);
+  BOOST_TEST((progress.outcome == Outcome::Completed));
+}
+
+// Guards against a lasting task that is not started again.
+BOOST_AUTO_TEST_CASE(lasting_tasks_run_again_however_they_end)
+{
+  Step step = make_step(1);
+  step.lasting = true;
+  Workflow workflow = make_workflow({ step });
+  Progress progress = opened(workflow);
+  std::uint32_t attempt = 0;
+  for (EndKind kind :
+       { EndKind::Done, EndKind::Failed, EndKind::Failed, EndKind::Failed }) {
+    run(progress, { 0, 0, 0 }, ++attempt);
+    apply_end(workflow, progress, { 0, 0, 0 }, attempt, kind, "", ATTEMPTS);
+    BOOST_TEST((progress.outcome == Outcome::Open));
+    BOOST_TEST(ready_steps(workflow, progress).size() == 1U);
+  }
+}
+
+// Guards against names that other parts of the system read otherwise.
+BOOST_AUTO_TEST_CASE(task_names_are_read_as_written)
+{
+  TaskRef task{ 3, 1, 17 };
+  std::string name = task_name("5c0e7a21d94b36f8", task);
+  BOOST_TEST(name == "5c0e7a21d94b36f8.3.1.17");
+  std::optional<std::pair<std::string, TaskRef>> read = parse_task_name(name);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->first == "5c0e7a21d94b36f8");
+  BOOST_TEST((read->second == task));
+  for (const char* wrong : { "", "a.b", "a.1.2", "a.1.2.x", ".1.2.3" })
+    BOOST_TEST(!parse_task_name(wrong).has_value());
+}
--- /dev/null
+++ b/tests/platform/store_test.cpp
@@ -0,0 +1,167 @@
+#define BOOST_TEST_MODULE store
+#include "platform/store.h"
+
+#include "platform/follower.h"
+#include "platform/store_codec.h"
+#include "tests/gateway/loop_fixture.h"
+#include "tests/platform/row_store_standin.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace geraniumhinge;
+using namespace geraniumhinge::platform;
+using namespace geraniumhinge::tests;
+
+namespace {
+
+constexpr kernel::Milliseconds TIMEOUT{ 2'000 };
+
+RowName
+row(const std::string& key)
+{
+  return { "work", "main", key };
+}
+
+struct Fixture : LoopFixture
+{
+  kernel::Log log{ "test", kernel::Severity::Error };
+  kernel::Metrics metrics;
+  gateway::HttpClient client{ loop, timers, 8 };
+  RowStoreStandin standin{ loop, timers };
+  Store store{ loop, log, metrics, client, standin.address() };
+
+  Store::CommitResult commit(const RowChange& change)
+  {
+    std::optional<Store::CommitResult> result;
+    store.commit(change, TIMEOUT, [&result](Store::CommitResult answer) {
+      result = std::move(answer);
+    });
+    run_until([&result] { return result.has_value(); });
+    return std::move(*result);
+  }
+};
+
+} // namespace
+
+// Guards against values that come back changed, and against rows of others in
+// a page.
+BOOST_FIXTURE_TEST_CASE(rows_are_read_as_written, Fixture)
+{
+  std::string value("\0\xff row", 6);
+  Store::CommitResult written =
+    commit({ { { row("a"), 0 } }, { { row("a"), value } }, {} });
+  BOOST_REQUIRE(written.has_value());
+  std::optional<Store::ReadResult> page;
+  store.read({ "work", "main", "", 0 }, TIMEOUT, [&page](Store::ReadResult r) {
+    page = std::move(r);
+  });
+  run_until([&page] { return page.has_value(); });
+  BOOST_REQUIRE(page->has_value());
+  BOOST_REQUIRE((*page)->rows.size() == 1U);
+  BOOST_TEST(((*page)->rows.front().value == value));
+  BOOST_TEST((*page)->rows.front().version == *written);
+}
+
+// Guards against a conflict that is taken for a success, or without the rows
+// that tell whose write it was.
+BOOST_FIXTURE_TEST_CASE(conflict_shows_the_current_rows, Fixture)
+{
+  BOOST_REQUIRE(commit({ {}, { { row("a"), "one" } }, {} }).has_value());
+  Store::CommitResult second =
+    commit({ { { row("a"), 0 } }, { { row("a"), "two" } }, {} });
+  BOOST_REQUIRE(!second.has_value());
+  BOOST_TEST((second.error().kind == StoreErrorKind::Conflict));
+  BOOST_REQUIRE(second.error().current.size() == 1U);
+  BOOST_TEST(second.error().current.front().value == "one");
+}
+
+// Guards against a lost answer that is reported as nothing done.
+BOOST_FIXTURE_TEST_CASE(lost_answer_is_ambiguous_and_refusal_is_not, Fixture)
+{
+  standin.lost_answers = 1;
+  Store::CommitResult lost = commit({ {}, { { row("a"), "one" } }, {} });
+  BOOST_REQUIRE(!lost.has_value());
+  BOOST_TEST((lost.error().kind == StoreErrorKind::Ambiguous));
+  BOOST_TEST(standin.has({ "work", "main", "a" }));
+  standin.refusing = true;
+  Store::CommitResult refused = commit({ {}, { { row("b"), "one" } }, {} });
+  BOOST_REQUIRE(!refused.has_value());
+  BOOST_TEST((refused.error().kind == StoreErrorKind::Refused));
+  BOOST_TEST(!store.serving());
+}
+
+// Guards against changes that are missed when the history is dropped.
+BOOST_FIXTURE_TEST_CASE(follower_reads_anew_after_lost_history, Fixture)
+{
+  std::map<std::string, std::string> seen;
+  int snapshots = 0;
+  std::function<void(const RowPage&)> apply = [&seen](const RowPage& page) {
+    for (const StoredRow& item : page.rows)
+      seen[item.name.key] = item.value;
+  };
+  FollowOptions options;
+  options.table = "work";
+  options.part = "main";
+  options.wait = kernel::Milliseconds(200);
+  Follower follower(loop,
+                    timers,
+                    log,
+                    store,
+                    options,
+                    { [&](const RowPage& page) {
+                       ++snapshots;
+                       apply(page);
+                     },
+                      apply });
+  follower.start();
+  run_until([&] { return follower.loaded(); });
+  standin.put({ "work", "main", "a" }, "one");
+  run_until([&] { return seen["a"] == "one"; });
+  BOOST_TEST(snapshots == 1);
+  standin.refusing = true;
+  run_until([&] { return follower.steady_since_ms() == 0; });
+  standin.put({ "work", "main", "a" }, "two");
+  standin.compact();
+  standin.refusing = false;
+  run_until([&] { return seen["a"] == "two"; });
+  BOOST_TEST(snapshots == 2);
+}
+
+// Guards against an answer that is newer than it can be shown to be: a
+// follower that does not get through must not count as up to date.
+BOOST_FIXTURE_TEST_CASE(confirmed_time_stands_still_without_answers, Fixture)
+{
+  FollowOptions options;
+  options.table = "work";
+  options.part = "main";
+  options.wait = kernel::Milliseconds(50);
+  Follower follower(loop,
+                    timers,
+                    log,
+                    store,
+                    options,
+                    { [](const RowPage&) {}, [](const RowPage&) {} });
+  follower.start();
+  run_until([&] { return follower.loaded(); });
+  std::int64_t first = follower.confirmed_ms();
+  run_until([&] { return follower.confirmed_ms() > first; });
+  standin.refusing = true;
+  run_until([&] { return follower.steady_since_ms() == 0; });
+  std::int64_t last = follower.confirmed_ms();
+  run_until([rounds = 0]() mutable { return ++rounds > 100; });
+  BOOST_TEST(follower.confirmed_ms() == last);
+}
+
+// Guards against answers of other writers that end the program.
+BOOST_AUTO_TEST_CASE(malformed_answers_are_refused)
+{
+  for (const char* body : { "", "[]", "{\"rows\":[1]", "nonsense" })
+    BOOST_TEST(!decode_rows(body).has_value());
+  std::optional<RowPage> page = decode_rows(
+    R"({"rows":[{"table":"t","part":"","key":"k","value":"!!","schema_ver":2},
+        7,{"table":"t","part":"","key":"l","value":"b25l","schema_ver":3}],
+        "schema_ver":9})");
+  BOOST_REQUIRE(page.has_value());
+  BOOST_REQUIRE(page->rows.size() == 1U);
+  BOOST_TEST(page->rows.front().value == "one");
+}
--- /dev/null
+++ b/tests/platform/worker_standin.h
@@ -0,0 +1,266 @@
+#pragma once
+
+#include "gateway/http_server.h"
+#include "kernel/clock.h"
+#include "kernel/loop.h"
+#include "kernel/timer.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace geraniumhinge::tests {
+
+/// A stand-in for a backend server of the operators' platform, in the process
+/// of the test: keeps runs under leases and lists their ends.
+class WorkerStandin
+{
+public:
+  using Json = nlohmann::json;
+  using Run = std::pair<std::string, std::uint32_t>;
+
+  struct End
+  {
+    std::uint64_t number = 0;
+    Run run;
+    std::string how;
+    std::string checkpoint;
+  };
+
+  WorkerStandin(kernel::Loop& loop,
+                kernel::TimerService& timers,
+                const std::string& address = "127.0.0.1:0")
+    : timers(timers)
+    , server(loop,
+             timers,
+             address,
+             1UL * 1'024 * 1'024,
+             [this](const gateway::HttpRequest& request,
+                    gateway::HttpServer::Respond respond) {
+               this->handle(request, std::move(respond));
+             })
+  {
+    this->listening = this->server.listen().has_value();
+    this->lease_watch =
+      timers.every(kernel::Milliseconds(10), [this] { this->expire(); });
+  }
+
+  std::string address() const
+  {
+    return "127.0.0.1:" + std::to_string(this->server.port());
+  }
+
+  std::int64_t clock_ms() const { return kernel::boot_ms() - this->zero_ms; }
+
+  /// Ends a run as the task itself does.
+  void finish(const Run& run, const std::string& how)
+  {
+    if (!this->running.contains(run))
+      return;
+    this->end(run, how);
+  }
+
+  /// Starts again under the same identifier: knows nothing of before.
+  void restart()
+  {
+    this->running.clear();
+    this->ended.clear();
+    this->starts.clear();
+    this->highest.clear();
+    this->next_end = 1;
+    this->fencing_token = 0;
+    this->until_ms = 0;
+    this->zero_ms = kernel::boot_ms();
+    ++this->born_ms;
+  }
+
+  Json announcement(const std::string& state, std::uint64_t sequence) const
+  {
+    return { { "service", "planner" },
+             { "address", this->address() },
+             { "zone", "zone-1" },
+             { "version", "v1" },
+             { "slots", 8 },
+             { "state", state },
+             { "warmup_left_ms", 0 },
+             { "free_capacity",
+               { { "cpu", 32'000 }, { "mem_mb", 131'072 }, { "gpu", 8 } } },
+             { "labels", { "a", this->rack } },
+             { "clock_ms", this->clock_ms() },
+             { "born", this->born_ms },
+             { "sequence", sequence } };
+  }
+
+  bool listening = false;
+  bool silent = false;    ///< Calls are read and never answered.
+  int lost_starts = 0;    ///< So many starts are done and not answered.
+  int unheard_starts = 0; ///< So many starts are neither done nor answered.
+  std::string rack = "r1-1";
+  std::int64_t born_ms = 1'000;
+  std::uint64_t fencing_token = 0;
+  std::map<Run, std::string> running; ///< With the payload.
+  std::vector<Run> starts;            ///< In order, with repeats.
+  std::vector<Json> start_bodies;
+  std::vector<End> ended;
+  std::uint64_t seen_ends = 0;
+  int stale_orders = 0; ///< Calls with a token lower than one seen before.
+
+private:
+  struct Waiting
+  {
+    gateway::HttpServer::Respond respond;
+    kernel::Subscription timeout;
+  };
+
+  void end(const Run& run, const std::string& how)
+  {
+    this->running.erase(run);
+    this->ended.push_back({ this->next_end++, run, how, "" });
+    for (Waiting& item : this->waiting)
+      this->answer_lists(item.respond);
+    this->waiting.clear();
+  }
+
+  void expire()
+  {
+    if (this->running.empty() || this->clock_ms() < this->until_ms)
+      return;
+    std::map<Run, std::string> lapsed = this->running;
+    for (const std::pair<const Run, std::string>& item : lapsed)
+      this->end(item.first, "lapsed");
+  }
+
+  void handle(const gateway::HttpRequest& request,
+              gateway::HttpServer::Respond respond)
+  {
+    if (this->silent) {
+      this->unanswered.push_back(std::move(respond));
+      return;
+    }
+    Json body = Json::parse(request.body, nullptr, false);
+    std::uint64_t token = body.value("fence_token", std::uint64_t{ 0 });
+    if (token < this->fencing_token) {
+      ++this->stale_orders;
+      this->refuse(respond, "fence");
+      return;
+    }
+    this->fencing_token = token;
+    if (body.contains("deadline_ms"))
+      this->until_ms =
+        std::max(this->until_ms, body["deadline_ms"].get<std::int64_t>());
+    if (request.path == "/geraniumhinge/run-start")
+      this->start(body, std::move(respond));
+    else if (request.path == "/geraniumhinge/run-stop")
+      this->stop(body, respond);
+    else if (request.path == "/geraniumhinge/hold")
+      this->hold(body, std::move(respond));
+    else
+      respond({ 404, "application/json", "{}", {} });
+  }
+
+  void refuse(const gateway::HttpServer::Respond& respond,
+              const std::string& reason) const
+  {
+    Json answer{ { "clock_ms", this->clock_ms() }, { "reason", reason } };
+    respond({ 409, "application/json", answer.dump(), {} });
+  }
+
+  void accept(const gateway::HttpServer::Respond& respond) const
+  {
+    Json answer{ { "clock_ms", this->clock_ms() } };
+    respond({ 200, "application/json", answer.dump(), {} });
+  }
+
+  void start(const Json& body, gateway::HttpServer::Respond respond)
+  {
+    Run run{ body.at("task").get<std::string>(),
+             body.at("attempt").get<std::uint32_t>() };
+    if (this->unheard_starts > 0) {
+      --this->unheard_starts;
+      respond({ gateway::CLOSE_CONNECTION, "", "", {} });
+      return;
+    }
+    this->starts.push_back(run);
+    this->start_bodies.push_back(body);
+    if (!this->running.contains(run)) {
+      if (run.second <= this->highest[run.first]) {
+        this->refuse(respond, "old");
+        return;
+      }
+      this->running[run] = body.value("task_spec", "");
+    }
+    if (this->lost_starts > 0) {
+      --this->lost_starts;
+      respond({ gateway::CLOSE_CONNECTION, "", "", {} });
+      return;
+    }
+    this->accept(respond);
+  }
+
+  void stop(const Json& body, const gateway::HttpServer::Respond& respond)
+  {
+    Run run{ body.at("task").get<std::string>(),
+             body.at("attempt").get<std::uint32_t>() };
+    this->highest[run.first] = std::max(this->highest[run.first], run.second);
+    if (this->running.contains(run))
+      this->end(run, "stopped");
+    this->accept(respond);
+  }
+
+  void hold(const Json& body, gateway::HttpServer::Respond respond)
+  {
+    this->seen_ends =
+      std::max(this->seen_ends, body.value("last_seen", std::uint64_t{ 0 }));
+    std::erase_if(this->ended, [this](const End& item) {
+      return item.number <= this->seen_ends;
+    });
+    std::int64_t wait_ms = body.value("wait_ms", std::int64_t{ 0 });
+    if (!this->ended.empty() || wait_ms == 0) {
+      this->answer_lists(respond);
+      return;
+    }
+    std::list<Waiting>::iterator item =
+      this->waiting.emplace(this->waiting.end());
+    item->respond = std::move(respond);
+    item->timeout =
+      this->timers.after(kernel::Milliseconds(wait_ms), [this, item] {
+        this->answer_lists(item->respond);
+        this->waiting.erase(item);
+      });
+  }
+
+  void answer_lists(const gateway::HttpServer::Respond& respond) const
+  {
+    Json answer{ { "clock_ms", this->clock_ms() },
+                 { "born", this->born_ms },
+                 { "running_tasks", Json::array() },
+                 { "ended", Json::array() } };
+    for (const std::pair<const Run, std::string>& item : this->running)
+      answer["running_tasks"].push_back(
+        { item.first.first, item.first.second, "", 10 });
+    for (const End& item : this->ended)
+      answer["ended"].push_back({ item.number,
+                                  item.run.first,
+                                  item.run.second,
+                                  item.how,
+                                  item.checkpoint });
+    respond({ 200, "application/json", answer.dump(), {} });
+  }
+
+  kernel::TimerService& timers;
+  gateway::HttpServer server;
+  std::map<std::string, std::uint32_t> highest; ///< Stopped or ended attempts.
+  std::list<Waiting> waiting;
+  std::vector<gateway::HttpServer::Respond> unanswered;
+  std::uint64_t next_end = 1;
+  std::int64_t until_ms = 0;
+  std::int64_t zero_ms = kernel::boot_ms();
+  kernel::Subscription lease_watch;
+};
+
+} // namespace geraniumhinge::tests
--- /dev/null
+++ b/tests/system/platform_path_test.cpp
@@ -0,0 +1,363 @@
+#define BOOST_TEST_MODULE platform_path
+#include "agent/platform_program.h"
+#include "entry/platform_program.h"
+#include "tests/gateway/loop_fixture.h"
+#include "tests/platform/row_store_standin.h"
+#include "tests/platform/worker_standin.h"
+#include "tests/support/ports.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+using namespace geraniumhinge;
+using namespace geraniumhinge::tests;
+
+// The programs of the operators' platform on one loop, against stand-ins of
+// the store and of the backend servers.
+
+namespace {
+
+constexpr char TOKEN[] = "d4a3hwrr6x73d3zji9n7";
+constexpr char JOB[] = "5c0e7a21d94b36f8";
+constexpr char PREFIX[] = "/lohu930/";
+
+std::string
+configuration(std::uint64_t version,
+              const std::string& keys = "\"d4a3hwrr6x73d3zji9n7\"")
+{
+  return fmt::format(
+    R"({{"version":{},"routes":[{{"name":"r-1","host":"127.0.0.1",
+        "path_prefix":"{}","service":"planner","attempts":2,"priority":1,
+        "slo_factor":3.0,"slo_ms":1000}},{{"name":"r-0","host":"127.0.0.1",
+        "path_prefix":"/urgent/","service":"planner","attempts":2,
+        "priority":0}}],"tenants":[{{"name":"porto","api_keys":[{}],
+        "guaranteed":{{"gpu":8}}}}]}})",
+    version,
+    PREFIX,
+    keys);
+}
+
+std::string
+submission(int tasks, int accelerators, bool gang)
+{
+  return fmt::format(
+    R"({{"task_spec":"text","phases":[{{"count":{},"cpu":1000,"mem_mb":1024,
+        "gpu":{},"gang":{}}}]}})",
+    tasks,
+    accelerators,
+    gang);
+}
+
+struct Fixture : LoopFixture
+{
+  kernel::Log log{ "test", kernel::Severity::Error };
+  RowStoreStandin store{ loop, timers };
+  gateway::HttpClient client{ loop, timers, 8 };
+  std::vector<std::unique_ptr<WorkerStandin>> workers;
+  std::vector<std::unique_ptr<agent::PlatformProgram>> agents;
+  std::vector<agent::PlatformSettings> agent_settings;
+  std::vector<std::unique_ptr<entry::PlatformProgram>> entries;
+  std::vector<entry::PlatformSettings> entry_settings;
+  std::vector<std::uint64_t> announced;
+  kernel::Subscription beats;
+
+  Fixture()
+  {
+    store.put({ "op", "", "config" }, configuration(3));
+    beats = timers.every(kernel::Milliseconds(100), [this] {
+      for (std::size_t index = 0; index < workers.size(); ++index)
+        announce(index);
+    });
+  }
+
+  void add_entry()
+  {
+    entry::PlatformSettings settings;
+    settings.name = "entry-" + std::to_string(entries.size() + 1);
+    settings.zone = "zone-1";
+    settings.caller_listen = free_address();
+    settings.ready_listen = free_address();
+    settings.relay_listen = free_address();
+    settings.peer_listen = free_address();
+    settings.store_address = store.address();
+    settings.max_lease = kernel::Milliseconds(2'000);
+    settings.orphan = kernel::Milliseconds(1'500);
+    settings.early = kernel::Milliseconds(250);
+    settings.retention = kernel::Milliseconds(60'000);
+    settings.config_age = kernel::Milliseconds(1'800);
+    entry_settings.push_back(settings);
+    entries.push_back(
+      std::make_unique<entry::PlatformProgram>(loop, timers, log, settings));
+    BOOST_REQUIRE(entries.back()->start());
+  }
+
+  void add_agent()
+  {
+    workers.push_back(std::make_unique<WorkerStandin>(loop, timers));
+    announced.push_back(0);
+    agent::PlatformSettings settings;
+    settings.name = "node-" + std::to_string(agents.size() + 1);
+    settings.zone = "zone-1";
+    settings.registry_listen = free_address();
+    settings.peer_listen = free_address();
+    settings.http_listen = free_address();
+    settings.store_address = store.address();
+    settings.max_lease = kernel::Milliseconds(2'000);
+    settings.orphan = kernel::Milliseconds(1'500);
+    settings.report = kernel::Milliseconds(200);
+    agent_settings.push_back(settings);
+    agents.push_back(
+      std::make_unique<agent::PlatformProgram>(loop, timers, log, settings));
+    BOOST_REQUIRE(agents.back()->start());
+  }
+
+  void announce(std::size_t index, const std::string& state = "ready")
+  {
+    if (!agents[index] || workers[index]->silent)
+      return;
+    gateway::HttpCall call;
+    call.url = fmt::format("http://{}/geraniumhinge/instances/i-{}/heartbeat",
+                           agent_settings[index].registry_listen,
+                           index);
+    call.body = workers[index]->announcement(state, ++announced[index]).dump();
+    client.call(std::move(call), [](const gateway::HttpClient::Result&) {});
+  }
+
+  gateway::HttpAnswer call(const std::string& method,
+                           const std::string& path,
+                           const std::string& body = "",
+                           std::size_t entry = 0,
+                           const std::string& token = TOKEN)
+  {
+    gateway::HttpCall request;
+    request.method = method;
+    request.url = "http://" + entry_settings[entry].caller_listen + path;
+    request.headers["Authorization"] = "Bearer " + token;
+    request.headers["Deadline-Ms"] = "3000";
+    request.body = body;
+    request.timeout = kernel::Milliseconds(5'000);
+    std::optional<gateway::HttpClient::Result> result;
+    client.call(std::move(request),
+                [&result](gateway::HttpClient::Result answer) {
+                  result = std::move(answer);
+                });
+    run_until([&result] { return result.has_value(); });
+    return *result ? **result : gateway::HttpAnswer{};
+  }
+
+  std::string state(const std::string& id, std::size_t entry = 0)
+  {
+    return call("GET", PREFIX + id, "", entry).body;
+  }
+
+  void wait_state(const std::string& id,
+                  const std::string& expected,
+                  std::size_t entry = 0)
+  {
+    std::string wanted = "{\"state\":\"" + expected + "\"}";
+    for (int tries = 0; tries < 200 && state(id, entry) != wanted; ++tries)
+      run_until([rounds = 0]() mutable { return ++rounds > 20; });
+    BOOST_TEST(state(id, entry) == wanted);
+  }
+
+  void wait_ready(std::size_t entry = 0)
+  {
+    run_until([this, entry] { return entries[entry]->ready(); });
+  }
+
+  std::size_t running() const
+  {
+    std::size_t count = 0;
+    for (const std::unique_ptr<WorkerStandin>& worker : workers)
+      count += worker->running.size();
+    return count;
+  }
+
+  void finish_all(const std::string& how)
+  {
+    for (const std::unique_ptr<WorkerStandin>& worker : workers) {
+      std::map<WorkerStandin::Run, std::string> now = worker->running;
+      for (const std::pair<const WorkerStandin::Run, std::string>& item : now)
+        worker->finish(item.first, how);
+    }
+  }
+};
+
+} // namespace
+
+// Guards against a path that does not serve a job from its submission to its
+// outcome, and against an id that becomes two jobs.
+BOOST_FIXTURE_TEST_CASE(job_is_accepted_run_and_completed, Fixture)
+{
+  add_entry();
+  add_agent();
+  add_agent();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("GET", path).status == 410);
+  BOOST_TEST(call("POST", path, submission(2, 8, true)).status == 200);
+  BOOST_TEST(call("POST", path, submission(2, 8, true)).status == 200);
+  run_until([this] { return running() == 2; });
+  wait_state(JOB, "running");
+  finish_all("done");
+  wait_state(JOB, "completed");
+  for (const std::unique_ptr<WorkerStandin>& worker : workers)
+    BOOST_TEST(worker->starts.size() == 1U);
+  run_until([this] {
+    return workers[0]->seen_ends == 1 && workers[1]->seen_ends == 1;
+  });
+}
+
+// Guards against a submission that is refused as not done and runs later, and
+// against one that is lost with the answer of the store.
+BOOST_FIXTURE_TEST_CASE(lost_and_late_writes_keep_answers_true, Fixture)
+{
+  add_entry();
+  add_agent();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  store.lost_answers = 1;
+  BOOST_TEST(call("POST", path, submission(1, 1, false)).status == 200);
+  run_until([this] { return running() == 1; });
+  std::string other = std::string(PREFIX) + "00000000000000aa";
+  store.late_writes = 1;
+  int status = call("POST", other, submission(1, 1, false)).status;
+  // The second try was stored; the first one finds its row there.
+  BOOST_TEST(status == 200);
+  store.release_late();
+  run_until([this] { return running() == 2; });
+  BOOST_TEST(workers[0]->starts.size() == 2U);
+}
+
+// Guards against callers without a valid key, and against configurations that
+// are not in force or go back to an older one.
+BOOST_FIXTURE_TEST_CASE(configuration_is_in_force_and_never_older, Fixture)
+{
+  add_entry();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("GET", path, "", 0, "unknown").status == 401);
+  BOOST_TEST(call("GET", "/nowhere/x").status == 404);
+  store.put({ "op", "", "config" }, configuration(5, "\"fresh\""));
+  run_until([this] { return entries[0]->config_version() == 5; });
+  BOOST_TEST(call("GET", path).status == 401);
+  BOOST_TEST(call("GET", path, "", 0, "fresh").status == 410);
+  store.put({ "op", "", "config" }, configuration(4));
+  store.put({ "op", "", "config" }, "not a configuration");
+  run_until([rounds = 0]() mutable { return ++rounds > 200; });
+  BOOST_TEST(entries[0]->config_version() == 5U);
+}
+
+// Guards against jobs that stand still when the entry that places them ends
+// without a word, and against runs that are started twice by its successor.
+BOOST_FIXTURE_TEST_CASE(another_entry_takes_over, Fixture)
+{
+  add_entry();
+  add_agent();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("POST", path, submission(1, 1, false)).status == 200);
+  run_until([this] { return running() == 1; });
+  add_entry();
+  wait_ready(1);
+  entries[0].reset();
+  finish_all("done");
+  wait_state(JOB, "completed", 1);
+  std::string other = std::string(PREFIX) + "00000000000000bb";
+  BOOST_TEST(call("POST", other, submission(1, 1, false), 1).status == 200);
+  run_until([this] { return running() == 1; });
+  BOOST_TEST(workers[0]->starts.size() == 2U);
+  BOOST_TEST(workers[0]->stale_orders == 0);
+}
+
+// Guards against runs of a server that is gone for good, which once were never
+// started elsewhere.
+BOOST_FIXTURE_TEST_CASE(runs_of_a_gone_server_start_elsewhere, Fixture)
+{
+  add_entry();
+  add_agent();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("POST", path, submission(1, 1, false)).status == 200);
+  run_until([this] { return running() == 1; });
+  add_agent();
+  workers[0]->silent = true;
+  run_until([this] { return workers[1]->running.size() == 1; });
+  BOOST_TEST(workers[1]->starts.front().second == 2U);
+}
+
+// Guards against cancelled jobs that run on.
+BOOST_FIXTURE_TEST_CASE(cancelled_job_is_stopped, Fixture)
+{
+  add_entry();
+  add_agent();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("DELETE", path).status == 410);
+  BOOST_TEST(call("POST", path, submission(2, 1, false)).status == 200);
+  run_until([this] { return running() == 2; });
+  BOOST_TEST(call("DELETE", path).status == 200);
+  run_until([this] { return running() == 0; });
+  wait_state(JOB, "canceled");
+}
+
+// Guards against a guarantee whose owner waits behind less urgent work.
+BOOST_FIXTURE_TEST_CASE(guaranteed_job_takes_the_place_of_another, Fixture)
+{
+  add_entry();
+  add_agent();
+  wait_ready();
+  std::string filler = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("POST", filler, submission(2, 4, true)).status == 200);
+  run_until([this] { return running() == 2; });
+  std::string urgent = "/urgent/00000000000000cc";
+  BOOST_TEST(call("POST", urgent, submission(1, 8, true)).status == 200);
+  run_until([this] {
+    return workers[0]->running.contains({ "00000000000000cc.0.0.0", 1 });
+  });
+  BOOST_TEST(workers[0]->running.size() == 1U);
+  finish_all("done");
+  run_until([this] { return running() == 2; });
+}
+
+// Guards against an entry that refuses while the store turns it away, though
+// another entry could serve.
+BOOST_FIXTURE_TEST_CASE(requests_are_passed_on_while_the_store_refuses, Fixture)
+{
+  add_entry();
+  add_agent();
+  wait_ready();
+  RowStoreStandin closed{ loop, timers };
+  closed.put({ "op", "", "config" }, configuration(3));
+  std::string path = std::string(PREFIX) + JOB;
+  // The store is refused to both: nothing is done, and the answer says so.
+  store.refusing = true;
+  gateway::HttpAnswer refused = call("POST", path, submission(1, 1, false));
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(refused.headers.contains("retry-after"));
+  store.refusing = false;
+  run_until([this] { return entries[0]->fresh(); });
+  BOOST_TEST(call("GET", path).status == 410);
+  BOOST_TEST(call("POST", path, submission(1, 1, false)).status == 200);
+  run_until([this] { return running() == 1; });
+}
+
+// Guards against runs that end while the store is away: leases must be renewed
+// and ends kept until they can be stored.
+BOOST_FIXTURE_TEST_CASE(work_survives_an_outage_of_the_store, Fixture)
+{
+  add_entry();
+  add_agent();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("POST", path, submission(2, 1, false)).status == 200);
+  run_until([this] { return running() == 2; });
+  store.refusing = true;
+  std::int64_t begin = kernel::boot_ms();
+  run_until([begin] { return kernel::boot_ms() - begin > 4'000; });
+  BOOST_TEST(running() == 2U);
+  finish_all("done");
+  store.refusing = false;
+  wait_state(JOB, "completed");
+  BOOST_TEST(workers[0]->starts.size() == 2U);
+}
