Let urgent steps stop less urgent ones within a bound of lost work

A guaranteed step took any racks at once, though one rack was to be had. With the store 81 times slower, transactions of 810 ms ran into limits of 700 and 800 ms. Change: steps of priority 0 stop others for up to 100 core-seconds of unsaved work, and 200 more for each second waited; one rack is tried first; limits of calls to the store are 1.2 s.

--- a/core/preempt.cpp
+++ b/core/preempt.cpp
@@ -148,6 +148,7 @@
       plan.victims.push_back(victim->key);
   }
   plan.servers = assign(after, request.place);
+  plan.unsaved_core_s = best->cost;
   return plan;
 }
 
--- a/core/preempt.h
+++ b/core/preempt.h
@@ -20,6 +20,7 @@
 {
   std::vector<StepKey> victims;
   std::vector<std::string> servers; ///< For the tasks, once the victims ended.
+  double unsaved_core_s = 0;        ///< Of all victims.
 };
 
 /// Chooses the steps to stop so that the request fits, with little unsaved
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -83,7 +83,10 @@
   void commit(RoundJob& job,
               const StepKey& key,
               const std::vector<std::string>& servers);
-  void preempt(RoundJob& job, const StepKey& key, const AssignRequest& request);
+  void preempt(const RoundJob& job,
+               const StepKey& key,
+               const AssignRequest& request,
+               std::int64_t waited_ms);
   std::vector<PlacedStep> placed_steps() const;
   double unsaved(const StepKey& key, const Step& step, std::size_t tasks) const;
   void stop(const StepKey& key);
@@ -127,8 +130,8 @@
     request.avoided.clear();
     servers = assign(this->pool, request);
   }
-  if (servers.size() < request.tasks && job.guaranteed && job.priority == 0)
-    this->preempt(job, key, request);
+  if (servers.size() < request.tasks && job.priority == 0)
+    this->preempt(job, key, request, this->now_ms - ready_ms);
   if (!servers.empty())
     this->commit(job, key, servers);
 }
@@ -164,16 +167,25 @@
 }
 
 void
-Round::preempt(RoundJob& job, const StepKey& key, const AssignRequest& request)
+Round::preempt(const RoundJob& job,
+               const StepKey& key,
+               const AssignRequest& request,
+               std::int64_t waited_ms)
 {
   PreemptRequest wanted;
   wanted.place = request;
-  wanted.place.any_rack = true;
   wanted.priority = job.priority;
-  wanted.guaranteed = true;
+  wanted.guaranteed = job.guaranteed;
   std::vector<PlacedStep> placed = this->placed_steps();
   std::optional<PreemptPlan> plan = plan_preemption(this->pool, placed, wanted);
-  if (!plan)
+  if (!plan) {
+    wanted.place.any_rack = true;
+    plan = plan_preemption(this->pool, placed, wanted);
+  }
+  double allowed = this->limits.urgent_waste_core_s +
+                   this->limits.urgent_waste_core_s_per_s *
+                     static_cast<double>(waited_ms) / MS_PER_S;
+  if (!plan || (!job.guaranteed && plan->unsaved_core_s > allowed))
     return;
   for (const StepKey& victim : plan->victims) {
     for (const PlacedStep& step : placed) {
--- a/core/round.h
+++ b/core/round.h
@@ -28,6 +28,10 @@
 {
   /// A step that wants one rack takes several after waiting this long.
   std::int64_t rack_patience_ms = 4'000;
+  /// Unsaved work that the most urgent steps may throw away, beyond their
+  /// organisation's guarantee: at once, and more for each second of waiting.
+  double urgent_waste_core_s = 100;
+  double urgent_waste_core_s_per_s = 200;
 };
 
 /// What the owner remembers of steps from round to round.
--- a/entry/caller_api.cpp
+++ b/entry/caller_api.cpp
@@ -14,8 +14,8 @@
 using platform::CallerResult;
 using platform::CallerState;
 
-constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 700 };
-constexpr kernel::Milliseconds READ_TIMEOUT{ 700 };
+constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 1'200 };
+constexpr kernel::Milliseconds READ_TIMEOUT{ 1'200 };
 constexpr kernel::Milliseconds RETRY_PAUSE{ 60 };
 /// Kept of a caller's deadline for the answer to arrive.
 constexpr std::int64_t ANSWER_MARGIN_MS = 300;
--- a/entry/ownership.cpp
+++ b/entry/ownership.cpp
@@ -12,7 +12,7 @@
 
 constexpr kernel::Milliseconds CHECK_PERIOD{ 100 };
 constexpr kernel::Milliseconds PULSE_PERIOD{ 600 };
-constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 800 };
+constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 1'200 };
 constexpr kernel::Milliseconds OWNER_WAIT{ 1'000 };
 /// Three pulses missed.
 constexpr std::int64_t SILENCE_LIMIT_MS = 1'900;
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -12,7 +12,7 @@
 
 /// Times that pass without an event: occurrences, silent servers.
 constexpr kernel::Milliseconds TICK{ 200 };
-constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 800 };
+constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 1'200 };
 constexpr kernel::Milliseconds COMMIT_RETRY{ 100 };
 constexpr kernel::Milliseconds EXPIRY_PERIOD{ 10'000 };
 /// The store takes 100 entries in a transaction; each workflow has two.
