Stop single tasks of steps that are no gang

Change: a gang is stopped whole, other tasks one by one; the time of placement is kept for each task. A test fails without it (4 of 4 tasks stopped).

--- a/core/pool.h
+++ b/core/pool.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace geraniumhinge::core {
@@ -21,24 +22,28 @@
   bool accepting = true; ///< Ready, heard of lately, and not set aside.
 };
 
-/// A step of a workflow that holds servers or may be stopped for another.
+/// Names one step of a workflow.
 struct StepKey
 {
   std::string workflow;
   std::uint32_t occurrence = 0;
   std::uint32_t step = 0;
 
-  auto operator<=>(const StepKey&) const = default;
+  bool operator==(const StepKey&) const = default;
+  bool operator<(const StepKey& other) const
+  {
+    return std::tie(this->workflow, this->occurrence, this->step) <
+           std::tie(other.workflow, other.occurrence, other.step);
+  }
 };
 
-/// The runs of one step, all of which end if it is stopped.
-struct PlacedStep
+/// Runs that can only be stopped together: all of a gang's step, or one task.
+struct RunGroup
 {
-  StepKey key;
-  std::string organisation;
-  std::uint32_t priority = 0; ///< 0 is the most urgent.
-  bool guaranteed = false;    ///< Runs within its organisation's guarantee.
-  bool gang = false;
+  StepKey step;
+  std::vector<std::uint32_t> tasks; ///< Their indices in the step.
+  std::uint32_t priority = 0;       ///< 0 is the most urgent.
+  bool guaranteed = false; ///< Runs within its organisation's guarantee.
   bool stopping = false;
   Resources demand;                             ///< Of one task.
   std::map<std::string, std::uint32_t> servers; ///< Tasks on each server.
--- a/core/preempt.cpp
+++ b/core/preempt.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 bool
-preemptible(const PlacedStep& victim, const PreemptRequest& request)
+preemptible(const RunGroup& victim, const PreemptRequest& request)
 {
   if (victim.stopping)
     return true;
@@ -18,13 +18,13 @@
 }
 
 double
-cost(const PlacedStep& victim)
+cost(const RunGroup& victim)
 {
   return victim.stopping ? 0 : victim.unsaved_core_s;
 }
 
 void
-release(Pool& pool, const PlacedStep& victim)
+release(Pool& pool, const RunGroup& victim)
 {
   for (const std::pair<const std::string, std::uint32_t>& item :
        victim.servers) {
@@ -34,7 +34,7 @@
 }
 
 void
-retake(Pool& pool, const PlacedStep& victim)
+retake(Pool& pool, const RunGroup& victim)
 {
   for (const std::pair<const std::string, std::uint32_t>& item :
        victim.servers) {
@@ -44,14 +44,14 @@
 }
 
 /// Drops victims, the dearest first, without which the request still fits.
-std::vector<const PlacedStep*>
+std::vector<const RunGroup*>
 needed(Pool pool,
-       std::vector<const PlacedStep*> victims,
+       std::vector<const RunGroup*> victims,
        const AssignRequest& place)
 {
-  std::vector<const PlacedStep*> kept;
+  std::vector<const RunGroup*> kept;
   while (!victims.empty()) {
-    const PlacedStep* victim = victims.back();
+    const RunGroup* victim = victims.back();
     victims.pop_back();
     retake(pool, *victim);
     if (assign(pool, place).size() < place.tasks) {
@@ -63,9 +63,7 @@
 }
 
 bool
-touches_rack(const PlacedStep& victim,
-             const Pool& pool,
-             const std::string& rack)
+touches_rack(const RunGroup& victim, const Pool& pool, const std::string& rack)
 {
   return std::any_of(
     victim.servers.begin(),
@@ -79,21 +77,21 @@
 
 struct Choice
 {
-  std::vector<const PlacedStep*> victims;
+  std::vector<const RunGroup*> victims;
   double cost = 0;
 };
 
 /// Stops the cheapest victims, in one rack or anywhere, until it fits.
 std::optional<Choice>
 choose(const Pool& pool,
-       const std::vector<const PlacedStep*>& cheapest_first,
+       const std::vector<const RunGroup*>& cheapest_first,
        const AssignRequest& place,
        const std::string& rack)
 {
   Pool trial = pool;
-  std::vector<const PlacedStep*> victims;
+  std::vector<const RunGroup*> victims;
   bool found = false;
-  for (const PlacedStep* victim : cheapest_first) {
+  for (const RunGroup* victim : cheapest_first) {
     if (!rack.empty() && !touches_rack(*victim, pool, rack))
       continue;
     release(trial, *victim);
@@ -106,7 +104,7 @@
     return std::nullopt;
   Choice choice;
   choice.victims = needed(trial, std::move(victims), place);
-  for (const PlacedStep* victim : choice.victims)
+  for (const RunGroup* victim : choice.victims)
     choice.cost += cost(*victim);
   return choice;
 }
@@ -115,17 +113,17 @@
 
 std::optional<PreemptPlan>
 plan_preemption(const Pool& pool,
-                const std::vector<PlacedStep>& placed,
+                const std::vector<RunGroup>& running,
                 const PreemptRequest& request)
 {
-  std::vector<const PlacedStep*> candidates;
-  for (const PlacedStep& victim : placed) {
+  std::vector<const RunGroup*> candidates;
+  for (const RunGroup& victim : running) {
     if (preemptible(victim, request))
       candidates.push_back(&victim);
   }
   std::stable_sort(candidates.begin(),
                    candidates.end(),
-                   [](const PlacedStep* left, const PlacedStep* right) {
+                   [](const RunGroup* left, const RunGroup* right) {
                      return cost(*left) < cost(*right);
                    });
   std::set<std::string> racks{ "" };
@@ -142,10 +140,10 @@
     return std::nullopt;
   Pool after = pool;
   PreemptPlan plan;
-  for (const PlacedStep* victim : best->victims) {
+  for (const RunGroup* victim : best->victims) {
     release(after, *victim);
     if (!victim->stopping)
-      plan.victims.push_back(victim->key);
+      plan.victims.push_back(*victim);
   }
   plan.servers = assign(after, request.place);
   plan.unsaved_core_s = best->cost;
--- a/core/preempt.h
+++ b/core/preempt.h
@@ -18,17 +18,17 @@
 
 struct PreemptPlan
 {
-  std::vector<StepKey> victims;
+  std::vector<RunGroup> victims;    ///< That are not stopping already.
   std::vector<std::string> servers; ///< For the tasks, once the victims ended.
   double unsaved_core_s = 0;        ///< Of all victims.
 };
 
-/// Chooses the steps to stop so that the request fits, with little unsaved
-/// work lost. Room of steps that are stopping already is used first. Nothing
-/// if no choice makes it fit.
+/// Chooses the runs to stop so that the request fits, with little unsaved work
+/// lost. Room of runs that are stopping already is used first. Nothing if no
+/// choice makes it fit.
 std::optional<PreemptPlan>
 plan_preemption(const Pool& pool,
-                const std::vector<PlacedStep>& placed,
+                const std::vector<RunGroup>& running,
                 const PreemptRequest& request);
 
 } // namespace geraniumhinge::core
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -87,9 +87,15 @@
                const StepKey& key,
                const AssignRequest& request,
                std::int64_t waited_ms);
-  std::vector<PlacedStep> placed_steps() const;
-  double unsaved(const StepKey& key, const Step& step, std::size_t tasks) const;
-  void stop(const StepKey& key);
+  std::vector<RunGroup> running_groups() const;
+  void add_groups(const RoundJob& job,
+                  const StepKey& key,
+                  const StepState& tasks,
+                  std::vector<RunGroup>& groups) const;
+  double unsaved(const StepKey& key,
+                 const Step& step,
+                 std::uint32_t task) const;
+  void stop(const RunGroup& group);
 
   std::vector<RoundJob>& jobs;
   Pool& pool;
@@ -157,12 +163,13 @@
                     this->memory.nodes[server],
                     false };
     this->pool.take(server, held_by(step));
+    std::uint32_t index = static_cast<std::uint32_t>(&task - tasks.data());
+    this->memory.placed_ms[{ key, index }] = this->now_ms;
   }
   job.progress.started = true;
   job.changed = true;
   std::int64_t waited = this->now_ms - this->memory.ready_ms[key];
   this->memory.ready_ms.erase(key);
-  this->memory.placed_ms[key] = this->now_ms;
   this->result.placements.push_back({ key, servers, waited });
 }
 
@@ -176,23 +183,21 @@
   wanted.place = request;
   wanted.priority = job.priority;
   wanted.guaranteed = job.guaranteed;
-  std::vector<PlacedStep> placed = this->placed_steps();
-  std::optional<PreemptPlan> plan = plan_preemption(this->pool, placed, wanted);
+  std::vector<RunGroup> running = this->running_groups();
+  std::optional<PreemptPlan> plan =
+    plan_preemption(this->pool, running, wanted);
   if (!plan) {
     wanted.place.any_rack = true;
-    plan = plan_preemption(this->pool, placed, wanted);
+    plan = plan_preemption(this->pool, running, wanted);
   }
   double allowed = this->limits.urgent_waste_core_s +
                    this->limits.urgent_waste_core_s_per_s *
                      static_cast<double>(waited_ms) / MS_PER_S;
   if (!plan || (!job.guaranteed && plan->unsaved_core_s > allowed))
     return;
-  for (const StepKey& victim : plan->victims) {
-    for (const PlacedStep& step : placed) {
-      if (step.key == victim)
-        this->result.preemptions.push_back(
-          { key, victim, step.unsaved_core_s });
-    }
+  for (const RunGroup& victim : plan->victims) {
+    this->result.preemptions.push_back(
+      { key, victim.step, victim.tasks.size(), victim.unsaved_core_s });
     this->stop(victim);
   }
   // Keeps the room from steps that are less urgent.
@@ -201,60 +206,76 @@
 }
 
 double
-Round::unsaved(const StepKey& key, const Step& step, std::size_t tasks) const
+Round::unsaved(const StepKey& key, const Step& step, std::uint32_t task) const
 {
-  std::map<StepKey, std::int64_t>::const_iterator placed =
-    this->memory.placed_ms.find(key);
+  std::map<std::pair<StepKey, std::uint32_t>, std::int64_t>::const_iterator
+    placed = this->memory.placed_ms.find({ key, task });
   std::int64_t elapsed = placed == this->memory.placed_ms.end()
                            ? UNKNOWN_ELAPSED_MS
                            : this->now_ms - placed->second;
   double seconds = static_cast<double>(elapsed) / MS_PER_S;
   if (step.checkpoints)
     seconds = std::min(seconds, CHECKPOINT_S);
-  return core_seconds(step.demand, seconds) * static_cast<double>(tasks);
+  return core_seconds(step.demand, seconds);
 }
 
-std::vector<PlacedStep>
-Round::placed_steps() const
+void
+Round::add_groups(const RoundJob& job,
+                  const StepKey& key,
+                  const StepState& tasks,
+                  std::vector<RunGroup>& groups) const
 {
-  std::vector<PlacedStep> placed;
+  const Step& step = job.workflow->steps[key.step];
+  bool together = false; // A gang's group has begun.
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    const TaskState& task = tasks[index];
+    if (!task.run)
+      continue;
+    if (!together) {
+      RunGroup group;
+      group.step = key;
+      group.priority = job.priority;
+      group.guaranteed = job.guaranteed;
+      group.demand = held_by(step);
+      groups.push_back(std::move(group));
+      together = step.gang;
+    }
+    RunGroup& group = groups.back();
+    group.tasks.push_back(index);
+    ++group.servers[task.run->server.id];
+    group.stopping = group.stopping || task.run->stopping;
+    group.unsaved_core_s += this->unsaved(key, step, index);
+  }
+}
+
+std::vector<RunGroup>
+Round::running_groups() const
+{
+  std::vector<RunGroup> groups;
   for (const RoundJob& job : this->jobs) {
     for (const std::pair<const std::uint32_t, OccurrenceState>& item :
          job.progress.open) {
-      for (std::uint32_t index = 0; index < item.second.size(); ++index) {
-        const Step& step = job.workflow->steps[index];
-        PlacedStep entry;
-        entry.key = { job.workflow->id, item.first, index };
-        entry.organisation = job.workflow->organisation;
-        entry.priority = job.priority;
-        entry.guaranteed = job.guaranteed;
-        entry.gang = step.gang;
-        entry.demand = held_by(step);
-        std::size_t tasks = 0;
-        for (const TaskState& task : item.second[index]) {
-          if (!task.run)
-            continue;
-          ++tasks;
-          ++entry.servers[task.run->server.id];
-          entry.stopping = entry.stopping || task.run->stopping;
-        }
-        if (tasks == 0)
-          continue;
-        entry.unsaved_core_s = this->unsaved(entry.key, step, tasks);
-        placed.push_back(std::move(entry));
-      }
+      for (std::uint32_t step = 0; step < item.second.size(); ++step)
+        this->add_groups(job,
+                         { job.workflow->id, item.first, step },
+                         item.second[step],
+                         groups);
     }
   }
-  return placed;
+  return groups;
 }
 
 void
-Round::stop(const StepKey& key)
+Round::stop(const RunGroup& group)
 {
   for (RoundJob& job : this->jobs) {
-    if (job.workflow->id == key.workflow)
-      job.changed =
-        stop_step(job.progress, key.occurrence, key.step) || job.changed;
+    if (job.workflow->id != group.step.workflow)
+      continue;
+    StepState& tasks =
+      job.progress.open[group.step.occurrence][group.step.step];
+    for (std::uint32_t index : group.tasks)
+      tasks[index].run->stopping = true;
+    job.changed = true;
   }
 }
 
--- a/core/round.h
+++ b/core/round.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace geraniumhinge::core {
@@ -37,8 +38,9 @@
 /// What the owner remembers of steps from round to round.
 struct StepMemory
 {
-  std::map<StepKey, std::int64_t> placed_ms; ///< Boot time.
-  std::map<StepKey, std::int64_t> ready_ms;
+  /// Boot time of the placement of each task, by its index in the step.
+  std::map<std::pair<StepKey, std::uint32_t>, std::int64_t> placed_ms;
+  std::map<StepKey, std::int64_t> ready_ms; ///< Boot time.
   std::map<std::string, std::string> nodes; ///< Agent's node of a server.
 };
 
@@ -53,6 +55,7 @@
 {
   StepKey step;
   StepKey victim;
+  std::size_t tasks = 0; ///< Of the victim.
   double unsaved_core_s = 0;
 };
 
--- a/core/workflow.cpp
+++ b/core/workflow.cpp
@@ -224,16 +224,6 @@
   return changed;
 }
 
-bool
-stop_step(Progress& progress, std::uint32_t occurrence, std::uint32_t step)
-{
-  std::map<std::uint32_t, OccurrenceState>::iterator found =
-    progress.open.find(occurrence);
-  if (found == progress.open.end() || step >= found->second.size())
-    return false;
-  return mark_stopping(found->second[step]);
-}
-
 bool
 has_runs(const Progress& progress)
 {
--- a/core/workflow.h
+++ b/core/workflow.h
@@ -53,7 +53,6 @@
   std::int64_t born_ms = 0;
 
   bool operator==(const ServerLife&) const = default;
-  auto operator<=>(const ServerLife&) const = default;
 };
 
 /// A task on a backend server.
@@ -117,7 +116,7 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
 
-  auto operator<=>(const TaskRef&) const = default;
+  bool operator==(const TaskRef&) const = default;
 };
 
 using StepState = std::vector<TaskState>;
@@ -178,10 +177,6 @@
 bool
 stop_all(Progress& progress);
 
-/// Marks the runs of one step as stopping. Returns whether any was not.
-bool
-stop_step(Progress& progress, std::uint32_t occurrence, std::uint32_t step);
-
 /// Whether any task has a run.
 bool
 has_runs(const Progress& progress);
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -569,6 +569,7 @@
                     { { "job", preemption.step.workflow },
                       { "victim", preemption.victim.workflow },
                       { "victim_step", preemption.victim.step },
+                      { "tasks", preemption.tasks },
                       { "unsaved_core_s", preemption.unsaved_core_s } });
   }
   for (const core::RoundJob& job : round.jobs) {
--- a/tests/core/round_test.cpp
+++ b/tests/core/round_test.cpp
@@ -246,14 +246,14 @@
   Step step = make_step(1, { 1'000, 1'024, 8 });
   pool.free["s0"] = {};
   pool.free["s1"] = {};
-  PlacedStep dear;
-  dear.key = { "dear", 0, 0 };
+  RunGroup dear;
+  dear.step = { "dear", 0, 0 };
   dear.priority = 1;
   dear.demand = SERVER_ROOM;
   dear.servers = { { "s0", 1 } };
   dear.unsaved_core_s = 100;
-  PlacedStep cheap = dear;
-  cheap.key = { "cheap", 0, 0 };
+  RunGroup cheap = dear;
+  cheap.step = { "cheap", 0, 0 };
   cheap.servers = { { "s1", 1 } };
   cheap.unsaved_core_s = 1;
   PreemptRequest request;
@@ -262,7 +262,23 @@
     plan_preemption(pool, { dear, cheap }, request);
   BOOST_REQUIRE(plan.has_value());
   BOOST_REQUIRE(plan->victims.size() == 1U);
-  BOOST_TEST(plan->victims.front().workflow == "cheap");
+  BOOST_TEST(plan->victims.front().step.workflow == "cheap");
+}
+
+// Guards against tasks that are stopped though their server is not needed.
+BOOST_AUTO_TEST_CASE(only_the_needed_tasks_of_a_step_are_stopped)
+{
+  Pool pool = make_pool(4, 2);
+  Jobs jobs;
+  StepMemory memory;
+  jobs.add("filler", "y", 2, make_step(4, { 1'000, 1'024, 8 }));
+  Pool first = pool;
+  play(jobs, first, memory, {});
+  BOOST_TEST(running(jobs.jobs[0]) == 4U);
+  jobs.add("urgent", "x", 0, make_step(1, { 1'000, 1'024, 8 }));
+  Pool second = pool;
+  play(jobs, second, memory, { { "x", 8 } });
+  BOOST_TEST(running(jobs.jobs[0]) == 3U);
 }
 
 // Guards against members of one gang with different attempts.
