--- a/tests/docs/reference_test.cpp
+++ b/tests/docs/reference_test.cpp
@@ -1,8 +1,10 @@
 #define BOOST_TEST_MODULE reference
 #include "agent/events.h"
+#include "agent/platform_settings.h"
 #include "agent/settings.h"
 #include "entry/config_events.h"
 #include "entry/events.h"
+#include "entry/platform_settings.h"
 #include "entry/settings.h"
 #include "kernel/events.h"
 #include "peer/events.h"
@@ -39,7 +41,7 @@
 events_page()
 {
   std::string page =
-    "# Log events\n\nEach line on standard error is `<time> <severity> "
+    "# Log events\n\nEach line on standard output is `<time> <severity> "
     "<number> <name> node=<node> key=value ...`. This page is made from the "
     "catalogue in the code; `docs.reference_test` compares them.\n";
   for (const Catalogue& catalogue : CATALOGUES) {
@@ -109,7 +111,13 @@
          "serve`)\n\n" +
          settings_table(entry::setting_table()) +
          "\n## Agent (`geraniumhinge-agent serve`)\n\n" +
-         settings_table(agent::agent_settings_table());
+         settings_table(agent::agent_settings_table()) +
+         "\n## Entry on the operators' platform\n\nA settings file with a "
+         "group `platform` is read by this table. The templates in `deploy/` "
+         "fill it in.\n\n" +
+         settings_table(entry::platform_settings_table()) +
+         "\n## Agent on the operators' platform\n\n" +
+         settings_table(agent::platform_settings_table());
 }
 
 /// Compares a page with its text from the code, or writes it if
@@ -161,7 +169,10 @@
 BOOST_AUTO_TEST_CASE(defaults_are_valid)
 {
   for (std::span<const kernel::Setting> table :
-       { entry::setting_table(), agent::agent_settings_table() }) {
+       { entry::setting_table(),
+         agent::agent_settings_table(),
+         entry::platform_settings_table(),
+         agent::platform_settings_table() }) {
     for (const kernel::Setting& setting : table) {
       bool numeric = setting.type == kernel::SettingType::Integer ||
                      setting.type == kernel::SettingType::Number;
--- a/tests/platform/worker_standin.h
+++ b/tests/platform/worker_standin.h
@@ -68,6 +68,8 @@
   /// Starts again under the same identifier: knows nothing of before.
   void restart()
   {
+    for (const std::pair<const Run, std::string>& item : this->running)
+      this->on_end(item.first, "gone");
     this->running.clear();
     this->ended.clear();
     this->starts.clear();
@@ -108,6 +110,10 @@
   std::vector<Json> start_bodies;
   std::vector<End> ended;
   std::uint64_t seen_ends = 0;
+  /// Told of each run that begins, and of each that ends and how.
+  std::function<void(const Run&)> on_start = [](const Run&) {};
+  std::function<void(const Run&, const std::string&)> on_end =
+    [](const Run&, const std::string&) {};
   int stale_orders = 0; ///< Calls with a token lower than one seen before.
 
 private:
@@ -120,6 +126,7 @@
   void end(const Run& run, const std::string& how)
   {
     this->running.erase(run);
+    this->on_end(run, how);
     this->ended.push_back({ this->next_end++, run, how, "" });
     for (Waiting& item : this->waiting)
       this->answer_lists(item.respond);
@@ -193,6 +200,7 @@
         return;
       }
       this->running[run] = body.value("task_spec", "");
+      this->on_start(run);
     }
     if (this->lost_starts > 0) {
       --this->lost_starts;
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -1,5 +1,5 @@
 // Stand-in for the platform's table service and object store, with faults.
-// Protocol and fault switches: docs/operations.md.
+// Protocol and fault switches: docs/OPERATIONS.md.
 
 #include "gateway/base64.h"
 #include "gateway/http_server.h"
