Run accepted jobs whose queue is gone; skip silent entries when relaying

Cause: an accepted job whose queue a later configuration removed had no service and was never placed; found by reading, a test fails without the change. A relayed request waited 150 ms for an entry that had just not answered. Change: the service, priority and attempts of the queue are stored with the job; an entry that did not answer is not asked for 3 s.

--- a/core/workflow.h
+++ b/core/workflow.h
@@ -37,6 +37,10 @@
   std::string id;
   std::string queue;
   std::string organisation;
+  /// Of the queue at the submission, for when it is no longer configured.
+  std::string service;
+  std::uint32_t priority = 0;
+  std::uint32_t attempts = 1;
   std::string payload; ///< Handed to every task unread.
   std::vector<Step> steps;
   std::uint32_t occurrences =
--- a/entry/caller_api.cpp
+++ b/entry/caller_api.cpp
@@ -24,7 +24,11 @@
 same_submission(const core::Workflow& left, const core::Workflow& right)
 {
   core::Workflow other = right;
+  // These are not the caller's, and may differ between two tries.
   other.accepted_ms = left.accepted_ms;
+  other.service = left.service;
+  other.priority = left.priority;
+  other.attempts = left.attempts;
   return encode_workflow(left) == encode_workflow(other);
 }
 
@@ -141,6 +145,11 @@
   workflow->queue = call->queue;
   workflow->organisation = call->organisation;
   workflow->accepted_ms = kernel::unix_ms();
+  const core::Queue* queue =
+    core::find_queue(this->hooks.directory(), call->queue);
+  workflow->service = queue->service;
+  workflow->priority = queue->priority;
+  workflow->attempts = std::max(queue->attempts, 1U);
   call->workflow = std::move(*workflow);
   const WorkItem* known = this->view.find(call->id);
   if (known) {
--- a/entry/relay.cpp
+++ b/entry/relay.cpp
@@ -17,7 +17,7 @@
 constexpr kernel::Milliseconds REGISTER_RETRY{ 500 };
 constexpr kernel::Milliseconds CONNECT_TIMEOUT{ 150 };
 constexpr kernel::Milliseconds ANSWER_TIMEOUT{ 1'200 };
-/// An entry that did not answer is asked last for this long.
+/// An entry that did not answer is not asked again for this long.
 constexpr std::int64_t AVOID_MS = 3'000;
 
 platform::FollowOptions
@@ -103,14 +103,11 @@
   for (const std::pair<const std::string, std::string>& item : this->others)
     addresses.push_back(item.second);
   std::int64_t now = kernel::boot_ms();
-  std::stable_partition(
-    addresses.begin(),
-    addresses.end(),
-    [this, now](const std::string& address) {
-      std::map<std::string, std::int64_t>::const_iterator failed =
-        this->failed_ms.find(address);
-      return failed == this->failed_ms.end() || now - failed->second > AVOID_MS;
-    });
+  std::erase_if(addresses, [this, now](const std::string& address) {
+    std::map<std::string, std::int64_t>::const_iterator failed =
+      this->failed_ms.find(address);
+    return failed != this->failed_ms.end() && now - failed->second < AVOID_MS;
+  });
   this->ask(request, std::move(addresses), std::move(done));
 }
 
--- a/entry/work_rows.cpp
+++ b/entry/work_rows.cpp
@@ -152,6 +152,9 @@
   row.set_first_due_ms(workflow.first_due_ms);
   row.set_period_ms(workflow.period_ms);
   row.set_accepted_ms(workflow.accepted_ms);
+  row.set_service(workflow.service);
+  row.set_priority(workflow.priority);
+  row.set_attempts(workflow.attempts);
   return row.SerializeAsString();
 }
 
@@ -172,6 +175,9 @@
   workflow.first_due_ms = row.first_due_ms();
   workflow.period_ms = row.period_ms();
   workflow.accepted_ms = row.accepted_ms();
+  workflow.service = row.service();
+  workflow.priority = row.priority();
+  workflow.attempts = row.attempts();
   return workflow;
 }
 
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -200,7 +200,7 @@
 {
   const core::Queue* queue =
     core::find_queue(this->hooks.directory(), workflow.queue);
-  return queue ? std::max(queue->attempts, 1U) : 1;
+  return std::max(queue ? queue->attempts : workflow.attempts, 1U);
 }
 
 std::string
@@ -227,11 +227,9 @@
     job.progress = item.progress;
     const core::Queue* queue =
       core::find_queue(directory, item.workflow->queue);
-    // A queue that is no longer configured gets no servers.
-    if (queue) {
-      job.service = queue->service;
-      job.priority = queue->priority;
-    }
+    // What was accepted runs also when its queue is no longer configured.
+    job.service = queue ? queue->service : item.workflow->service;
+    job.priority = queue ? queue->priority : item.workflow->priority;
     job.need_accelerators = core::accelerators_of(*item.workflow);
     std::map<std::string, std::set<std::string>>::const_iterator failed =
       this->failed_on.find(entry.first);
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -90,13 +90,13 @@
     CallerResult result;
     int status;
   };
-  const Expected EXPECTED[] = {
+  const Expected expected[] = {
     { CallerResult::Accepted, 200 },  { CallerResult::NoSuchQueue, 404 },
     { CallerResult::NoSuchJob, 410 }, { CallerResult::Unauthorised, 401 },
     { CallerResult::NotDone, 503 },   { CallerResult::Uncertain, 504 },
     { CallerResult::Malformed, 400 },
   };
-  for (const Expected& row : EXPECTED) {
+  for (const Expected& row : expected) {
     gateway::HttpResponse response =
       encode_caller_answer({ row.result, {}, 0 });
     BOOST_TEST(response.status == row.status);
--- a/tests/platform/worker_standin.h
+++ b/tests/platform/worker_standin.h
@@ -161,7 +161,7 @@
       this->until_ms =
         std::max(this->until_ms, body["deadline_ms"].get<std::int64_t>());
     if (request.path == "/geraniumhinge/run-start")
-      this->start(body, std::move(respond));
+      this->start(body, respond);
     else if (request.path == "/geraniumhinge/run-stop")
       this->stop(body, respond);
     else if (request.path == "/geraniumhinge/hold")
@@ -183,7 +183,7 @@
     respond({ 200, "application/json", answer.dump(), {} });
   }
 
-  void start(const Json& body, gateway::HttpServer::Respond respond)
+  void start(const Json& body, const gateway::HttpServer::Respond& respond)
   {
     Run run{ body.at("task").get<std::string>(),
              body.at("attempt").get<std::uint32_t>() };
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -248,6 +248,22 @@
   BOOST_TEST(entries[0]->config_version() == 5U);
 }
 
+// Guards against accepted jobs that never run because their queue was removed
+// before they were placed.
+BOOST_FIXTURE_TEST_CASE(accepted_job_runs_after_its_queue_is_gone, Fixture)
+{
+  add_entry();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("POST", path, submission(1, 1, false)).status == 200);
+  store.put({ "op", "", "config" },
+            R"({"version":4,"routes":[],"tenants":[]})");
+  run_until([this] { return entries[0]->config_version() == 4; });
+  BOOST_TEST(call("GET", path).status == 404);
+  add_agent();
+  run_until([this] { return running() == 1; });
+}
+
 // Guards against jobs that stand still when the entry that places them ends
 // without a word, and against runs that are started twice by its successor.
 BOOST_FIXTURE_TEST_CASE(another_entry_takes_over, Fixture)
