Try a refused submission again for 200 ms; state what is open

Change: a submission or cancel that nobody could store is tried again, 100 ms apart, for 200 ms before it is refused. The test fails without it.

--- a/entry/caller_api.cpp
+++ b/entry/caller_api.cpp
@@ -17,6 +17,10 @@
 constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 1'200 };
 constexpr kernel::Milliseconds READ_TIMEOUT{ 1'200 };
 constexpr kernel::Milliseconds RETRY_PAUSE{ 60 };
+/// A request that nobody could store is tried again for so long before it is
+/// refused. Longer than this, callers leave before they are told.
+constexpr std::int64_t STORE_RETRY_LIMIT_MS = 200;
+constexpr kernel::Milliseconds STORE_RETRY_PAUSE{ 100 };
 /// Kept of a caller's deadline for the answer to arrive.
 constexpr std::int64_t ANSWER_MARGIN_MS = 300;
 
@@ -74,12 +78,30 @@
   call->request = std::move(request);
   call->respond = std::move(respond);
   call->received_ms = kernel::boot_ms();
+  this->begin(call);
+}
+
+void
+CallerApi::begin(const CallPointer& call)
+{
   if (this->hooks.fresh())
     this->dispatch(call);
   else
     this->pass_on(call, CallerResult::NotDone);
 }
 
+void
+CallerApi::after(kernel::Milliseconds delay, std::function<void()> action)
+{
+  std::shared_ptr<kernel::Subscription> timer =
+    std::make_shared<kernel::Subscription>();
+  *timer = this->timers.after(
+    delay, this->guarded([timer, action = std::move(action)] {
+      action();
+      timer->reset();
+    }));
+}
+
 void
 CallerApi::dispatch(const CallPointer& call)
 {
@@ -158,6 +180,7 @@
     return;
   }
   platform::RowName row = work_row(WorkRowKind::Workflow, call->id);
+  call->change = {};
   call->change.conditions.push_back({ row, 0 });
   call->change.writes.push_back({ row, encode_workflow(call->workflow) });
   this->try_submit(call);
@@ -218,13 +241,7 @@
     this->answer(call, CallerResult::Uncertain);
     return;
   }
-  std::shared_ptr<kernel::Subscription> timer =
-    std::make_shared<kernel::Subscription>();
-  *timer = this->timers.after(RETRY_PAUSE,
-                              this->guarded([timer, again = std::move(again)] {
-                                again();
-                                timer->reset();
-                              }));
+  this->after(RETRY_PAUSE, std::move(again));
 }
 
 void
@@ -360,22 +377,28 @@
   this->metrics.counter("entry_relayed_total").add();
   this->relay.pass(
     call->request,
-    this->guarded([this, call, otherwise](
-                    const platform::CallerAnswer& answer) {
-      if (answer.result != CallerResult::NotDone) {
-        this->answer(call, answer);
-        return;
-      }
-      const WorkItem* known = this->view.find(
-        call->request.path.substr(call->request.path.rfind('/') + 1));
-      bool show = call->request.operation == CallerOperation::GetState && known;
-      if (show)
-        this->answer(call,
-                     platform::CallerAnswer{
-                       CallerResult::State, this->state_of(*known), 0 });
-      else
-        this->answer(call, otherwise);
-    }));
+    this->guarded(
+      [this, call, otherwise](const platform::CallerAnswer& answer) {
+        if (answer.result != CallerResult::NotDone) {
+          this->answer(call, answer);
+          return;
+        }
+        const WorkItem* known = this->view.find(
+          call->request.path.substr(call->request.path.rfind('/') + 1));
+        bool get = call->request.operation == CallerOperation::GetState;
+        std::int64_t waited = kernel::boot_ms() - call->received_ms;
+        if (!get && waited < STORE_RETRY_LIMIT_MS) {
+          this->after(STORE_RETRY_PAUSE, [this, call] { this->begin(call); });
+          return;
+        }
+        bool show = get && known;
+        if (show)
+          this->answer(call,
+                       platform::CallerAnswer{
+                         CallerResult::State, this->state_of(*known), 0 });
+        else
+          this->answer(call, otherwise);
+      }));
 }
 
 void
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -45,6 +45,7 @@
   struct Call;
   using CallPointer = std::shared_ptr<Call>;
 
+  void begin(const CallPointer& call);
   void dispatch(const CallPointer& call);
   void submit(const CallPointer& call);
   void try_submit(const CallPointer& call);
@@ -57,6 +58,7 @@
                std::function<void(platform::Store::ReadResult)> found);
   void pass_on(const CallPointer& call, platform::CallerResult otherwise);
   void retry(const CallPointer& call, std::function<void()> again);
+  void after(kernel::Milliseconds delay, std::function<void()> action);
   void answer(const CallPointer& call, platform::CallerResult result);
   void answer(const CallPointer& call, const platform::CallerAnswer& answer);
   platform::CallerState state_of(const WorkItem& item) const;
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -374,6 +374,20 @@
   run_until([this] { return running() == 1; });
 }
 
+// Guards against a refusal for a hiccup of the store that is shorter than the
+// way back to the caller.
+BOOST_FIXTURE_TEST_CASE(short_refusal_of_the_store_is_ridden_out, Fixture)
+{
+  add_entry();
+  wait_ready();
+  run_until([this] { return entries[0]->fresh(); });
+  store.refusing = true;
+  kernel::Subscription back =
+    timers.after(kernel::Milliseconds(60), [this] { store.refusing = false; });
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("POST", path, submission(1, 1, false)).status == 200);
+}
+
 // Guards against runs that end while the store is away: leases must be renewed
 // and ends kept until they can be stored.
 BOOST_FIXTURE_TEST_CASE(work_survives_an_outage_of_the_store, Fixture)
