Split the owner's decisions: orders and stored changes in files of their own

Change: entry/orders builds an agent's orders, entry/work_writer stores one change after another, core::for_each_run is with the model.

--- a/core/workflow.cpp
+++ b/core/workflow.cpp
@@ -226,17 +226,27 @@
 
 bool
 has_runs(const Progress& progress)
+{
+  bool found = false;
+  for_each_run(progress,
+               [&found](const TaskRef&, const TaskState&) { found = true; });
+  return found;
+}
+
+void
+for_each_run(const Progress& progress,
+             const std::function<void(const TaskRef&, const TaskState&)>& visit)
 {
   for (const std::pair<const std::uint32_t, OccurrenceState>& item :
        progress.open) {
-    for (const StepState& step : item.second) {
-      for (const TaskState& task : step) {
+    for (std::uint32_t step = 0; step < item.second.size(); ++step) {
+      for (std::uint32_t index = 0; index < item.second[step].size(); ++index) {
+        const TaskState& task = item.second[step][index];
         if (task.run)
-          return true;
+          visit({ item.first, step, index }, task);
       }
     }
   }
-  return false;
 }
 
 std::string
--- a/core/workflow.h
+++ b/core/workflow.h
@@ -4,6 +4,7 @@
 #include "kernel/names.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -185,6 +186,12 @@
 bool
 has_runs(const Progress& progress);
 
+/// Calls `visit` with each task that has a run.
+void
+for_each_run(
+  const Progress& progress,
+  const std::function<void(const TaskRef&, const TaskState&)>& visit);
+
 /// ID.OCCURRENCE.STEP.INDEX
 std::string
 task_name(const std::string& id, const TaskRef& task);
--- /dev/null
+++ b/entry/orders.cpp
@@ -0,0 +1,81 @@
+#include "entry/orders.h"
+
+#include <set>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+v1::RunOrder
+make_order(const core::Step& step,
+           const std::string& task,
+           std::uint32_t attempt)
+{
+  v1::RunOrder order;
+  order.set_task(task);
+  order.set_attempt(attempt);
+  order.mutable_demand()->set_millicores(step.fills ? 0
+                                                    : step.demand.millicores);
+  order.mutable_demand()->set_memory_mb(step.demand.memory_mb);
+  order.mutable_demand()->set_accelerators(step.demand.accelerators);
+  return order;
+}
+
+/// What a start needs beyond the order itself.
+void
+add_start(v1::RunOrder& order,
+          const WorkItem& item,
+          const core::TaskRef& ref,
+          const core::TaskState& task)
+{
+  const core::Step& step = item.workflow->steps[ref.step];
+  order.set_payload(item.workflow->payload);
+  const core::TaskState& counted =
+    step.gang ? item.progress.open.at(ref.occurrence)[ref.step].front() : task;
+  if (step.checkpoints)
+    order.set_checkpoint(counted.checkpoint);
+}
+
+} // namespace
+
+v1::ServerOrders
+make_orders(const WorkView& view,
+            const AgentView& agent,
+            const OrdersNumber& number)
+{
+  v1::ServerOrders orders;
+  orders.set_term(number.term);
+  orders.set_sequence(number.sequence);
+  *orders.mutable_life() = agent.report.life();
+  orders.set_stored_ends(agent.stored_ends);
+  core::ServerLife life = life_of(agent.report.life());
+  if (life.id.empty())
+    return orders;
+  std::set<std::string> reported;
+  for (const v1::RunReport& run : agent.report.running())
+    reported.insert(run.task());
+  for (const std::pair<const std::string, WorkItem>& entry : view.items()) {
+    const WorkItem& item = entry.second;
+    if (!item.workflow)
+      continue;
+    core::for_each_run(
+      item.progress,
+      [&](const core::TaskRef& ref, const core::TaskState& task) {
+        if (task.run->server != life)
+          return;
+        std::string name = core::task_name(entry.first, ref);
+        v1::RunOrder order =
+          make_order(item.workflow->steps[ref.step], name, task.run->attempt);
+        if (task.run->stopping) {
+          *orders.add_stops() = std::move(order);
+          return;
+        }
+        if (!reported.contains(name))
+          add_start(order, item, ref, task);
+        *orders.add_runs() = std::move(order);
+      });
+  }
+  return orders;
+}
+
+} // namespace geraniumhinge::entry
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "entry/work_scheduler.h"
 
 #include "entry/events.h"
+#include "entry/orders.h"
 #include "entry/work_rows.h"
 #include "kernel/clock.h"
 
@@ -12,8 +13,7 @@
 
 /// Times that pass without an event: occurrences, silent servers.
 constexpr kernel::Milliseconds TICK{ 200 };
-constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 1'200 };
-constexpr kernel::Milliseconds COMMIT_RETRY{ 100 };
+constexpr kernel::Milliseconds EXPIRY_TIMEOUT{ 1'200 };
 constexpr kernel::Milliseconds EXPIRY_PERIOD{ 10'000 };
 /// The store takes 100 entries in a transaction; each workflow has two.
 constexpr std::size_t MAX_WORKFLOWS_PER_COMMIT = 45;
@@ -38,39 +38,6 @@
            : core::EndKind::Stopped;
 }
 
-void
-add_order(google::protobuf::RepeatedPtrField<v1::RunOrder>& orders,
-          const core::Step& step,
-          const std::string& task,
-          std::uint32_t attempt)
-{
-  v1::RunOrder& order = *orders.Add();
-  order.set_task(task);
-  order.set_attempt(attempt);
-  order.mutable_demand()->set_millicores(step.fills ? 0
-                                                    : step.demand.millicores);
-  order.mutable_demand()->set_memory_mb(step.demand.memory_mb);
-  order.mutable_demand()->set_accelerators(step.demand.accelerators);
-}
-
-/// Calls `visit` with each task that has a run.
-void
-for_each_run(const core::Progress& progress,
-             const std::function<void(const core::TaskRef&,
-                                      const core::TaskState&)>& visit)
-{
-  for (const std::pair<const std::uint32_t, core::OccurrenceState>& item :
-       progress.open) {
-    for (std::uint32_t step = 0; step < item.second.size(); ++step) {
-      for (std::uint32_t index = 0; index < item.second[step].size(); ++index) {
-        const core::TaskState& task = item.second[step][index];
-        if (task.run)
-          visit({ item.first, step, index }, task);
-      }
-    }
-  }
-}
-
 } // namespace
 
 WorkScheduler::WorkScheduler(kernel::Loop& loop,
@@ -91,6 +58,13 @@
   , servers(servers)
   , limits(limits)
   , hooks(std::move(hooks))
+  , writer(loop,
+           timers,
+           store,
+           { [this](const platform::RowChange& change, std::uint64_t version) {
+              this->applied(change, version);
+            },
+             [this](bool still_owner) { this->refused(still_owner); } })
   , failures(quarantine_limits())
 {
 }
@@ -99,7 +73,7 @@
 WorkScheduler::begin(std::uint64_t term)
 {
   this->term = term;
-  this->in_flight = false;
+  this->writer.begin(term);
   this->memory = {};
   this->checkpoints.clear();
   this->orders_sequence = 0;
@@ -113,9 +87,8 @@
 WorkScheduler::end()
 {
   this->term = 0;
-  this->in_flight = false;
+  this->writer.end();
   this->tick.reset();
-  this->retry.reset();
   this->expiry.reset();
 }
 
@@ -153,43 +126,8 @@
 {
   if (this->term == 0 || !this->hooks.may_speak())
     return;
-  v1::ServerOrders orders;
-  orders.set_term(this->term);
-  orders.set_sequence(++this->orders_sequence);
-  core::ServerLife life = life_of(agent.report.life());
-  *orders.mutable_life() = agent.report.life();
-  orders.set_stored_ends(agent.stored_ends);
-  std::set<std::string> running;
-  for (const v1::RunReport& run : agent.report.running())
-    running.insert(run.task());
-  for (const std::pair<const std::string, WorkItem>& entry :
-       this->view.items()) {
-    const WorkItem& item = entry.second;
-    if (!item.workflow || life.id.empty())
-      continue;
-    for_each_run(
-      item.progress,
-      [&](const core::TaskRef& ref, const core::TaskState& task) {
-        if (task.run->server != life)
-          return;
-        const core::Step& step = item.workflow->steps[ref.step];
-        std::string name = core::task_name(entry.first, ref);
-        if (task.run->stopping) {
-          add_order(*orders.mutable_stops(), step, name, task.run->attempt);
-          return;
-        }
-        add_order(*orders.mutable_runs(), step, name, task.run->attempt);
-        if (running.contains(name))
-          return;
-        v1::RunOrder& order = *orders.mutable_runs()->rbegin();
-        order.set_payload(item.workflow->payload);
-        const core::TaskState& counted =
-          step.gang ? item.progress.open.at(ref.occurrence)[ref.step].front()
-                    : task;
-        if (step.checkpoints)
-          order.set_checkpoint(counted.checkpoint);
-      });
-  }
+  v1::ServerOrders orders =
+    make_orders(this->view, agent, { this->term, ++this->orders_sequence });
   agent.orders_sequence = orders.sequence();
   agent.word_ms = kernel::boot_ms();
   this->hooks.send(agent.address, std::move(orders));
@@ -311,7 +249,7 @@
 WorkScheduler::note_lost(core::RoundJob& job, std::int64_t now_ms)
 {
   std::vector<std::pair<core::TaskRef, core::Run>> lost;
-  for_each_run(
+  core::for_each_run(
     job.progress, [&](const core::TaskRef& ref, const core::TaskState& task) {
       if (this->servers.life_over(task.run->server, task.run->node, now_ms))
         lost.emplace_back(ref, *task.run);
@@ -377,7 +315,7 @@
 void
 WorkScheduler::decide()
 {
-  if (this->term == 0 || this->in_flight)
+  if (this->term == 0 || this->writer.busy())
     return;
   std::int64_t now = kernel::boot_ms();
   Round round = this->make_round(now);
@@ -405,13 +343,13 @@
 bool
 WorkScheduler::commit(Round& round)
 {
-  this->change = {};
-  this->change.conditions.push_back({ owner_row(), this->term });
+  platform::RowChange change;
+  change.conditions.push_back({ owner_row(), this->term });
   std::size_t left_out = 0;
   for (core::RoundJob& job : round.jobs) {
     if (!job.changed)
       continue;
-    if (this->change.writes.size() == MAX_WORKFLOWS_PER_COMMIT) {
+    if (change.writes.size() == MAX_WORKFLOWS_PER_COMMIT) {
       ++left_out;
       continue;
     }
@@ -420,99 +358,35 @@
       job.progress.ended_ms = kernel::unix_ms();
     platform::RowName row = work_row(WorkRowKind::Progress, job.workflow->id);
     const WorkItem* item = this->view.find(job.workflow->id);
-    this->change.conditions.push_back({ row, item->progress_version });
-    this->change.writes.push_back({ row, encode_progress(job.progress) });
+    change.conditions.push_back({ row, item->progress_version });
+    change.writes.push_back({ row, encode_progress(job.progress) });
   }
-  if (this->change.writes.empty())
+  if (change.writes.empty())
     return false;
   // Ends of workflows that were left out are noted in a later round.
   if (left_out > 0)
     round.stored_ends.clear();
   this->pending = std::move(round);
-  this->in_flight = true;
-  this->send_commit();
+  this->writer.write(std::move(change));
   return true;
 }
 
 void
-WorkScheduler::send_commit()
+WorkScheduler::refused(bool still_owner)
 {
-  this->store.commit(
-    this->change,
-    COMMIT_TIMEOUT,
-    this->guarded(
-      [this, term = this->term](const platform::Store::CommitResult& result) {
-        if (term == this->term && this->in_flight)
-          this->committed(result);
-      }));
-}
-
-bool
-WorkScheduler::applied_before(const platform::StoreError& error) const
-{
-  // All rows have our values: an earlier call without an answer was applied.
-  for (const platform::RowValue& write : this->change.writes) {
-    std::vector<platform::StoredRow>::const_iterator found =
-      std::find_if(error.current.begin(),
-                   error.current.end(),
-                   [&write](const platform::StoredRow& row) {
-                     return row.name == write.name;
-                   });
-    if (found == error.current.end() || found->value != write.value)
-      return false;
-  }
-  return true;
-}
-
-void
-WorkScheduler::committed(const platform::Store::CommitResult& result)
-{
-  if (result) {
-    this->applied(*result);
-    return;
-  }
-  switch (result.error().kind) {
-    case platform::StoreErrorKind::Conflict: {
-      std::uint64_t version = 0;
-      bool owner = true;
-      for (const platform::StoredRow& row : result.error().current) {
-        if (row.name == owner_row())
-          owner = row.version == this->term;
-        else
-          version = std::max(version, row.version);
-      }
-      if (this->applied_before(result.error()) && version > 0) {
-        this->applied(version);
-        return;
-      }
-      this->in_flight = false;
-      this->log.write(WORK_CONFLICT,
-                      { { "term", this->term },
-                        { "owner", owner },
-                        { "rows", this->change.writes.size() } });
-      if (owner)
-        this->hooks.reread();
-      else
-        this->hooks.overruled();
-      return;
-    }
-    case platform::StoreErrorKind::Ambiguous:
-    case platform::StoreErrorKind::Malformed:
-    default:
-      // The same change again: it is applied once, since it names the versions
-      // of its rows.
-      this->retry =
-        this->timers.after(COMMIT_RETRY, [this] { this->send_commit(); });
-      return;
-  }
+  this->log.write(WORK_CONFLICT,
+                  { { "term", this->term }, { "owner", still_owner } });
+  if (still_owner)
+    this->hooks.reread();
+  else
+    this->hooks.overruled();
 }
 
 void
-WorkScheduler::applied(std::uint64_t version)
+WorkScheduler::applied(const platform::RowChange& change, std::uint64_t version)
 {
-  this->in_flight = false;
   std::set<std::string> nodes;
-  for (const platform::RowValue& write : this->change.writes)
+  for (const platform::RowValue& write : change.writes)
     this->view.apply(
       platform::StoredRow{ write.name, write.value, version, false });
   this->log_round(this->pending);
@@ -527,10 +401,11 @@
   for (const core::RoundJob& job : this->pending.jobs) {
     if (!job.changed)
       continue;
-    for_each_run(job.progress,
-                 [&nodes](const core::TaskRef&, const core::TaskState& task) {
-                   nodes.insert(task.run->node);
-                 });
+    core::for_each_run(
+      job.progress,
+      [&nodes](const core::TaskRef&, const core::TaskState& task) {
+        nodes.insert(task.run->node);
+      });
     if (job.progress.outcome != core::Outcome::Open)
       this->failed_on.erase(job.workflow->id);
   }
@@ -604,7 +479,7 @@
     return;
   this->store.commit(
     removal,
-    COMMIT_TIMEOUT,
+    EXPIRY_TIMEOUT,
     this->guarded([this](const platform::Store::CommitResult& result) {
       if (!result)
         this->log.write(
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -6,6 +6,7 @@
 #include "core/round.h"
 #include "entry/server_table.h"
 #include "entry/work_view.h"
+#include "entry/work_writer.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/task.h"
@@ -91,10 +92,8 @@
   void remember_checkpoints(const AgentView& agent);
   std::string checkpoint_of(const std::string& task) const;
   bool commit(Round& round);
-  void send_commit();
-  void committed(const platform::Store::CommitResult& result);
-  void applied(std::uint64_t version);
-  bool applied_before(const platform::StoreError& error) const;
+  void applied(const platform::RowChange& change, std::uint64_t version);
+  void refused(bool still_owner);
   void log_round(const Round& round);
   void expire_rows();
   std::uint32_t attempts_of(const core::Workflow& workflow) const;
@@ -110,9 +109,8 @@
 
   std::uint64_t term = 0; ///< 0 while not deciding.
   bool awake = false;
-  platform::RowChange change; ///< In flight; empty if nothing is.
-  Round pending;
-  bool in_flight = false;
+  WorkWriter writer;
+  Round pending; ///< What `writer` is storing.
   core::StepMemory memory;
   core::Names names;
   core::FailureTracker failures;
@@ -120,7 +118,6 @@
   std::map<std::string, std::string> checkpoints;         ///< By task name.
   std::uint64_t orders_sequence = 0;
   kernel::Subscription tick;
-  kernel::Subscription retry;
   kernel::Subscription expiry;
 };
 
--- /dev/null
+++ b/entry/work_writer.cpp
@@ -0,0 +1,121 @@
+#include "entry/work_writer.h"
+
+#include "entry/work_rows.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 1'200 };
+constexpr kernel::Milliseconds COMMIT_RETRY{ 100 };
+
+} // namespace
+
+WorkWriter::WorkWriter(kernel::Loop& loop,
+                       kernel::TimerService& timers,
+                       platform::Store& store,
+                       WorkWriterHooks hooks)
+  : Task(loop, "work_writer")
+  , timers(timers)
+  , store(store)
+  , hooks(std::move(hooks))
+{
+}
+
+void
+WorkWriter::begin(std::uint64_t term)
+{
+  this->end();
+  this->term = term;
+}
+
+void
+WorkWriter::end()
+{
+  this->in_flight = false;
+  ++this->change_number;
+  this->retry.reset();
+}
+
+void
+WorkWriter::write(platform::RowChange change)
+{
+  this->change = std::move(change);
+  this->in_flight = true;
+  ++this->change_number;
+  this->send();
+}
+
+void
+WorkWriter::send()
+{
+  this->store.commit(
+    this->change,
+    COMMIT_TIMEOUT,
+    this->guarded([this, number = this->change_number](
+                    const platform::Store::CommitResult& result) {
+      if (number == this->change_number && this->in_flight)
+        this->answered(result);
+    }));
+}
+
+void
+WorkWriter::answered(const platform::Store::CommitResult& result)
+{
+  if (result)
+    this->finish(*result);
+  else if (result.error().kind == platform::StoreErrorKind::Conflict)
+    this->conflict(result.error());
+  else
+    this->retry = this->timers.after(COMMIT_RETRY, [this] { this->send(); });
+}
+
+void
+WorkWriter::conflict(const platform::StoreError& error)
+{
+  std::uint64_t version = 0;
+  bool owner = true;
+  for (const platform::StoredRow& row : error.current) {
+    if (row.name == owner_row())
+      owner = row.version == this->term;
+    else
+      version = std::max(version, row.version);
+  }
+  if (this->applied_before(error) && version > 0) {
+    this->finish(version);
+    return;
+  }
+  this->in_flight = false;
+  this->hooks.refused(owner);
+}
+
+/// Whether all rows have our values: an earlier call without an answer was
+/// applied.
+bool
+WorkWriter::applied_before(const platform::StoreError& error) const
+{
+  for (const platform::RowValue& write : this->change.writes) {
+    std::vector<platform::StoredRow>::const_iterator found =
+      std::find_if(error.current.begin(),
+                   error.current.end(),
+                   [&write](const platform::StoredRow& row) {
+                     return row.name == write.name;
+                   });
+    if (found == error.current.end() || found->value != write.value)
+      return false;
+  }
+  return true;
+}
+
+void
+WorkWriter::finish(std::uint64_t version)
+{
+  this->in_flight = false;
+  platform::RowChange stored = std::move(this->change);
+  this->change = {};
+  this->hooks.applied(stored, version);
+}
+
+} // namespace geraniumhinge::entry
