--- a/agent/events.h
+++ b/agent/events.h
@@ -185,6 +185,14 @@
   "A call to the agent is not one of its interface.",
   "Check who calls the agent's address."
 };
+inline constexpr EventInfo PACE_CHANGED{
+  526,
+  Severity::Info,
+  "pace_changed",
+  "Filling tasks work at another share of their pace, for the response times "
+  "of the tasks beside them.",
+  "None."
+};
 
 inline constexpr EventInfo AGENT_EVENTS[] = {
   ENTRIES_CHANGED,      NO_ENTRY,           ORPHANED,
@@ -195,7 +203,7 @@
   BACKEND_ANSWERING,    SERVER_LIFE_BEGAN,  SERVER_LISTED,
   SERVER_STATE_CHANGED, SERVER_LEFT,        SERVER_LEASE_OVER,
   FENCING_TOKEN_RAISED, RUN_START_ANSWERED, RUN_STOP_ANSWERED,
-  OWNER_CHANGED,        CALL_REJECTED,
+  OWNER_CHANGED,        CALL_REJECTED,      PACE_CHANGED,
 };
 
 } // namespace geraniumhinge::agent
--- a/agent/platform_program.cpp
+++ b/agent/platform_program.cpp
@@ -34,7 +34,7 @@
   ServerAgentOptions options;
   options.node = settings.name;
   options.max_lease = settings.max_lease;
-  options.lease = settings.max_lease - LEASE_MARGIN;
+  options.lease = settings.lease - LEASE_MARGIN;
   options.orphan = settings.orphan;
   return options;
 }
@@ -135,6 +135,7 @@
                  changed.http_listen != this->settings.http_listen ||
                  changed.store_address != this->settings.store_address ||
                  changed.max_lease != this->settings.max_lease ||
+                 changed.lease != this->settings.lease ||
                  changed.orphan != this->settings.orphan;
   this->settings.report = changed.report;
   this->report_timer =
--- a/agent/platform_settings.cpp
+++ b/agent/platform_settings.cpp
@@ -15,6 +15,7 @@
   { "/platform/store_address", SettingType::Address, "", 0, 0, "", "The platform's row store." },
   { "/platform/service", SettingType::Text, "", 0, 0, "\"\"", "Service of the backend server, for the log." },
   { "/platform/max_lease_ms", SettingType::Integer, "ms", 500, 600'000, "6000", "Longest lease that the backend server grants." },
+  { "/platform/lease_ms", SettingType::Integer, "ms", 500, 600'000, "3000", "Leases that agents ask for, at most the longest; the same for agents and entries. A shorter one finds lost servers sooner and bears shorter pauses of an agent." },
   { "/platform/orphan_ms", SettingType::Integer, "ms", 500, 600'000, "4000", "How long leases are renewed without a word from the owner." },
   { "/platform/report_ms", SettingType::Integer, "ms", 100, 60'000, "1000", "Time between two reports to the owner." },
   { "/name", SettingType::Text, "", 0, 0, "", "Name of this VM, unique in the deployment." },
@@ -61,6 +62,7 @@
   settings.store_address = reader.text(row_of("/platform/store_address"));
   settings.service = reader.text(row_of("/platform/service"));
   settings.max_lease = duration("/platform/max_lease_ms");
+  settings.lease = std::min(duration("/platform/lease_ms"), settings.max_lease);
   settings.orphan = duration("/platform/orphan_ms");
   settings.report = duration("/platform/report_ms");
   tl::expected<kernel::Severity, kernel::SettingFault> level =
--- a/agent/platform_settings.h
+++ b/agent/platform_settings.h
@@ -23,6 +23,7 @@
   std::string store_address;
   std::string service;
   kernel::Milliseconds max_lease{ 0 };
+  kernel::Milliseconds lease{ 0 };
   kernel::Milliseconds orphan{ 0 };
   kernel::Milliseconds report{ 0 };
   kernel::Severity log_level = kernel::Severity::Info;
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/lease_clock.h"
+#include "agent/pacer.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/task.h"
@@ -22,13 +23,11 @@
 struct ServerAgentOptions
 {
   std::string node;
-  kernel::Milliseconds lease{ 5'800 };
+  kernel::Milliseconds lease{ 3'000 };
   kernel::Milliseconds max_lease{ 6'000 }; ///< The server shortens longer ones.
   /// How long the lease is renewed without a word from the owner.
   kernel::Milliseconds orphan{ 4'000 };
-  kernel::Milliseconds watch{
-    900
-  }; ///< Longest wait of one look at the server.
+  kernel::Milliseconds watch{ 700 }; ///< Longest wait of one look.
 };
 
 /// Carries out the owner's orders on one backend server: starts and stops
@@ -73,10 +72,12 @@
     RunPhase phase = RunPhase::Waiting;
     v1::RunOrder order;
     bool calling = false;
-    bool attempted = false;    ///< A start was sent.
-    std::int64_t since_ms = 0; ///< Of the phase.
-    std::int64_t retry_ms = 0; ///< Not called before.
-    bool listed = false;       ///< Seen in the server's list.
+    bool attempted = false;      ///< A start was sent.
+    std::int64_t since_ms = 0;   ///< Of the phase.
+    std::int64_t retry_ms = 0;   ///< Not called before.
+    bool listed = false;         ///< Seen in the server's list.
+    std::uint32_t percent = 100; ///< Pace that it was last given.
+    bool pacing = false;         ///< A change of its pace is under way.
   };
 
   platform::WorkerTarget target() const;
@@ -98,6 +99,9 @@
   void start(const RunKey& key, RunTrack& run);
   void started(const RunKey& key, platform::StartResult result);
   void stop(const RunKey& key, RunTrack& run);
+  bool pacing() const;
+  void pace_runs();
+  void pace(const RunKey& key, RunTrack& run, std::uint32_t percent);
   void enter(const RunKey& key, RunTrack& run, RunPhase phase);
   bool wanted(const RunKey& key) const;
   bool asked_to_stop(const RunKey& key) const;
@@ -120,6 +124,9 @@
   bool answering = false; ///< The last look was answered.
   bool leaving = false;   ///< The server said that it ends.
   bool lease_over = false;
+  int refusals = 0;              ///< Looks in a row that nobody listened to.
+  std::int64_t announced_ms = 0; ///< Boot time of the last announcement.
+  Pacer pacer;
   std::uint64_t stored_ends = 0;
   v1::ServerOrders orders;
   bool have_orders = false; ///< For the current life.
--- /dev/null
+++ b/core/advice.cpp
@@ -0,0 +1,91 @@
+#include "core/advice.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::core {
+
+namespace {
+
+/// Kept of a ticket's validity for the start to reach the server.
+constexpr std::int64_t START_MARGIN_MS = 500;
+
+} // namespace
+
+void
+AdviceBook::answered(const AdviceQuestion& question,
+                     const std::vector<AdviceTicket>& good,
+                     const Pool& pool,
+                     std::int64_t asked_ms,
+                     std::int64_t validity_ms)
+{
+  std::int64_t margin_ms = std::min(START_MARGIN_MS, validity_ms / 2);
+  std::map<std::string, Answer>& known = this->answers[question.step];
+  for (const std::string& id : question.servers) {
+    std::map<std::string, PoolServer>::const_iterator server =
+      pool.servers.find(id);
+    if (server == pool.servers.end())
+      continue;
+    Answer answer;
+    answer.life = server->second.life;
+    std::vector<AdviceTicket>::const_iterator found =
+      std::find_if(good.begin(), good.end(), [&id](const AdviceTicket& ticket) {
+        return ticket.server == id;
+      });
+    if (found != good.end()) {
+      answer.good = true;
+      answer.ticket = found->ticket;
+      answer.expires_ms = asked_ms + validity_ms - margin_ms;
+    }
+    known[id] = std::move(answer);
+  }
+}
+
+const AdviceBook::Answer*
+AdviceBook::find(const StepKey& step, const PoolServer& server) const
+{
+  std::map<StepKey, std::map<std::string, Answer>>::const_iterator known =
+    this->answers.find(step);
+  if (known == this->answers.end())
+    return nullptr;
+  std::map<std::string, Answer>::const_iterator found =
+    known->second.find(server.life.id);
+  bool current =
+    found != known->second.end() && found->second.life == server.life;
+  return current ? &found->second : nullptr;
+}
+
+std::map<std::string, std::string>
+AdviceBook::tickets(const StepKey& step,
+                    const Pool& pool,
+                    std::int64_t now_ms) const
+{
+  std::map<std::string, std::string> valid;
+  for (const std::pair<const std::string, PoolServer>& item : pool.servers) {
+    const Answer* answer = this->find(step, item.second);
+    if (answer && answer->good && now_ms < answer->expires_ms)
+      valid[item.first] = answer->ticket;
+  }
+  return valid;
+}
+
+bool
+AdviceBook::worth_asking(const StepKey& step,
+                         const PoolServer& server,
+                         std::int64_t now_ms) const
+{
+  const Answer* answer = this->find(step, server);
+  return !answer || (answer->good && now_ms >= answer->expires_ms);
+}
+
+void
+AdviceBook::forget(const std::string& workflow)
+{
+  std::erase_if(
+    this->answers,
+    [&workflow](
+      const std::pair<const StepKey, std::map<std::string, Answer>>& item) {
+      return item.first.workflow == workflow;
+    });
+}
+
+} // namespace geraniumhinge::core
--- a/core/assign.cpp
+++ b/core/assign.cpp
@@ -133,7 +133,9 @@
   const Step& step = *request.step;
   return server.accepting && server.service == request.service &&
          (step.label.empty() || server.labels.contains(step.label)) &&
-         !request.avoided.contains(server.life.id);
+         !request.avoided.contains(server.life.id) &&
+         !request.held.contains(server.life.id) &&
+         (!request.allowed || request.allowed->contains(server.life.id));
 }
 
 std::vector<std::string>
--- a/core/assign.h
+++ b/core/assign.h
@@ -18,6 +18,9 @@
   /// Tasks of the step that run already, by server; for `max_per_server`.
   std::map<std::string, std::uint32_t> present;
   std::set<std::string> avoided; ///< Servers that this step should not use.
+  std::set<std::string> held;    ///< Servers kept free for other steps.
+  /// The only servers that may run it, if the queue's policy limits them.
+  std::optional<std::set<std::string>> allowed;
   /// Whether several racks, or one far from the data, are acceptable.
   bool any_rack = false;
 };
--- /dev/null
+++ b/core/objective.cpp
@@ -0,0 +1,40 @@
+#include "core/objective.h"
+
+#include <algorithm>
+
+namespace geraniumhinge::core {
+
+std::int64_t
+chain_ms(const Workflow& workflow, std::uint32_t step)
+{
+  // Steps depend on earlier ones only.
+  std::vector<std::int64_t> chains(workflow.steps.size(), 0);
+  for (std::size_t index = workflow.steps.size(); index-- > step;) {
+    chains[index] += workflow.steps[index].estimate_ms;
+    for (std::uint32_t earlier : workflow.steps[index].after)
+      chains[earlier] = std::max(chains[earlier], chains[index]);
+  }
+  return chains[step];
+}
+
+std::int64_t
+slack_ms(const Workflow& workflow,
+         const Objective& objective,
+         std::uint32_t occurrence,
+         std::uint32_t step,
+         std::int64_t unix_now_ms)
+{
+  std::int64_t longest = 0;
+  for (std::uint32_t first = 0; first < workflow.steps.size(); ++first)
+    longest = std::max(longest, chain_ms(workflow, first));
+  std::int64_t begin_ms =
+    workflow.occurrences > 0
+      ? workflow.first_due_ms + occurrence * workflow.period_ms
+      : workflow.accepted_ms;
+  std::int64_t allowed_ms =
+    static_cast<std::int64_t>(objective.factor * static_cast<double>(longest)) +
+    objective.extra_ms;
+  return begin_ms + allowed_ms - chain_ms(workflow, step) - unix_now_ms;
+}
+
+} // namespace geraniumhinge::core
--- /dev/null
+++ b/core/objective.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/workflow.h"
+
+#include <cstdint>
+
+namespace geraniumhinge::core {
+
+/// The latency objective of a queue: a factor of the longest chain of steps,
+/// and some time more.
+struct Objective
+{
+  double factor = 0; ///< 0: the queue has no objective.
+  std::int64_t extra_ms = 0;
+};
+
+/// Longest chain of estimated durations that begins with the step.
+std::int64_t
+chain_ms(const Workflow& workflow, std::uint32_t step);
+
+/// How much longer a step of an occurrence may wait and still meet the
+/// objective; negative if it is too late.
+std::int64_t
+slack_ms(const Workflow& workflow,
+         const Objective& objective,
+         std::uint32_t occurrence,
+         std::uint32_t step,
+         std::int64_t unix_now_ms);
+
+} // namespace geraniumhinge::core
--- a/core/pool.h
+++ b/core/pool.h
@@ -3,6 +3,7 @@
 #include "core/workflow.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -20,6 +21,8 @@
   std::set<std::string> labels;
   Resources room;        ///< Of the whole server.
   bool accepting = true; ///< Ready, heard of lately, and not set aside.
+  /// It is leaving and stays at least so long.
+  std::optional<std::int64_t> leaves_in_ms;
 };
 
 /// Names one step of a workflow.
@@ -45,7 +48,12 @@
   std::uint32_t priority = 0;       ///< 0 is the most urgent.
   bool guaranteed = false; ///< Runs within its organisation's guarantee.
   bool stopping = false;
-  Resources demand;                             ///< Of one task.
+  bool lasting = false;
+  bool checkpoints = false;
+  /// Tasks of the step that may be stopped before too many are away.
+  std::size_t spare_tasks = 0;
+  std::int64_t remaining_ms = 0; ///< Until the last one ends, estimated.
+  Resources demand;              ///< Of one task.
   std::map<std::string, std::uint32_t> servers; ///< Tasks on each server.
   double unsaved_core_s = 0; ///< Work that would be lost by a stop.
 };
--- a/core/preempt.cpp
+++ b/core/preempt.cpp
@@ -11,7 +11,7 @@
 {
   if (victim.stopping)
     return true;
-  if (victim.guaranteed)
+  if (victim.guaranteed || victim.spare_tasks == 0)
     return false;
   return victim.priority > request.priority ||
          (request.guaranteed && victim.priority == request.priority);
@@ -44,14 +44,12 @@
 }
 
 /// Drops victims, the dearest first, without which the request still fits.
-std::vector<const RunGroup*>
-needed(Pool pool,
-       std::vector<const RunGroup*> victims,
-       const AssignRequest& place)
+std::vector<RunGroup*>
+needed(Pool pool, std::vector<RunGroup*> victims, const AssignRequest& place)
 {
-  std::vector<const RunGroup*> kept;
+  std::vector<RunGroup*> kept;
   while (!victims.empty()) {
-    const RunGroup* victim = victims.back();
+    RunGroup* victim = victims.back();
     victims.pop_back();
     retake(pool, *victim);
     if (assign(pool, place).size() < place.tasks) {
@@ -77,23 +75,27 @@
 
 struct Choice
 {
-  std::vector<const RunGroup*> victims;
+  std::vector<RunGroup*> victims;
   double cost = 0;
 };
 
 /// Stops the cheapest victims, in one rack or anywhere, until it fits.
 std::optional<Choice>
 choose(const Pool& pool,
-       const std::vector<const RunGroup*>& cheapest_first,
+       const std::vector<RunGroup*>& cheapest_first,
        const AssignRequest& place,
        const std::string& rack)
 {
   Pool trial = pool;
-  std::vector<const RunGroup*> victims;
+  std::vector<RunGroup*> victims;
+  std::map<StepKey, std::size_t> chosen; // Tasks of lasting steps.
   bool found = false;
-  for (const RunGroup* victim : cheapest_first) {
+  for (RunGroup* victim : cheapest_first) {
     if (!rack.empty() && !touches_rack(*victim, pool, rack))
       continue;
+    if (victim->lasting && !victim->stopping &&
+        (chosen[victim->step] += victim->tasks.size()) > victim->spare_tasks)
+      continue;
     release(trial, *victim);
     victims.push_back(victim);
     found = assign(trial, place).size() >= place.tasks;
@@ -104,7 +106,7 @@
     return std::nullopt;
   Choice choice;
   choice.victims = needed(trial, std::move(victims), place);
-  for (const RunGroup* victim : choice.victims)
+  for (RunGroup* victim : choice.victims)
     choice.cost += cost(*victim);
   return choice;
 }
@@ -113,11 +115,11 @@
 
 std::optional<PreemptPlan>
 plan_preemption(const Pool& pool,
-                const std::vector<RunGroup>& running,
+                std::vector<RunGroup>& running,
                 const PreemptRequest& request)
 {
-  std::vector<const RunGroup*> candidates;
-  for (const RunGroup& victim : running) {
+  std::vector<RunGroup*> candidates;
+  for (RunGroup& victim : running) {
     if (preemptible(victim, request))
       candidates.push_back(&victim);
   }
@@ -140,10 +142,10 @@
     return std::nullopt;
   Pool after = pool;
   PreemptPlan plan;
-  for (const RunGroup* victim : best->victims) {
+  for (RunGroup* victim : best->victims) {
     release(after, *victim);
     if (!victim->stopping)
-      plan.victims.push_back(*victim);
+      plan.victims.push_back(victim);
   }
   plan.servers = assign(after, request.place);
   plan.unsaved_core_s = best->cost;
--- a/core/preempt.h
+++ b/core/preempt.h
@@ -18,7 +18,7 @@
 
 struct PreemptPlan
 {
-  std::vector<RunGroup> victims;    ///< That are not stopping already.
+  std::vector<RunGroup*> victims;   ///< That are not stopping already.
   std::vector<std::string> servers; ///< For the tasks, once the victims ended.
   double unsaved_core_s = 0;        ///< Of all victims.
 };
@@ -28,7 +28,7 @@
 /// choice makes it fit.
 std::optional<PreemptPlan>
 plan_preemption(const Pool& pool,
-                const std::vector<RunGroup>& running,
+                std::vector<RunGroup>& running,
                 const PreemptRequest& request);
 
 } // namespace geraniumhinge::core
--- a/core/quarantine.cpp
+++ b/core/quarantine.cpp
@@ -55,6 +55,17 @@
                                          : ServerTrust::Probing;
 }
 
+bool
+FailureTracker::suspected(NameId server, std::int64_t now_ms) const
+{
+  return std::any_of(
+    this->failures.begin(), this->failures.end(), [&](const Failure& failure) {
+      return failure.server == server &&
+             now_ms - failure.at_ms <= this->limits.suspicion_ms &&
+             !this->job_is_faulty(failure.job, now_ms);
+    });
+}
+
 bool
 FailureTracker::job_is_faulty(const std::string& job, std::int64_t now_ms) const
 {
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -15,6 +15,8 @@
   std::uint32_t jobs_per_server = 3;
   /// Different servers that a job must fail on before it is stopped.
   std::uint32_t servers_per_job = 3;
+  /// A failure makes its server suspect for so long, or until a success.
+  std::int64_t suspicion_ms = 30'000;
   /// Failures older than this are forgotten.
   std::int64_t memory_ms = 3'600'000;
   /// First quarantine of a server; doubles at each failed probe.
@@ -40,6 +42,9 @@
   void succeeded(NameId server, const std::string& job, std::int64_t now_ms);
 
   ServerTrust server_trust(NameId server, std::int64_t now_ms) const;
+  /// Whether the last thing known of the server is a failure, of a job that
+  /// does not fail everywhere.
+  bool suspected(NameId server, std::int64_t now_ms) const;
   /// Whether the job failed on enough servers to be given up.
   bool job_is_faulty(const std::string& job, std::int64_t now_ms) const;
   /// Drops what is older than the memory of the limits.
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -1,115 +1,115 @@
 #include "core/round.h"
 
-#include "core/preempt.h"
+#include "core/round_state.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace geraniumhinge::core {
 
 namespace {
 
-/// One accelerator's work counts as that of this many cores.
-constexpr double CORES_PER_ACCELERATOR = 8;
-constexpr double MILLICORES_PER_CORE = 1'000;
-constexpr double MS_PER_S = 1'000;
-/// Work between two checkpoints, at most.
-constexpr double CHECKPOINT_S = 2;
-/// Assumed of runs that an earlier owner placed.
-constexpr std::int64_t UNKNOWN_ELAPSED_MS = 5'000;
+/// Waited for one rack by a step whose duration is unknown.
+constexpr std::int64_t RACK_PATIENCE_MS = 4'000;
+/// Waited for one rack by a step that reclaims a guarantee.
+constexpr std::int64_t RECLAIM_RACK_PATIENCE_MS = 1'000;
+/// Servers in one question to the advice service.
+constexpr std::size_t MAX_ADVISED_SERVERS = 30;
+/// Beyond the time that the advice service takes by its terms.
+constexpr std::int64_t ADVICE_SLACK_MS = 1'000;
 
-double
-core_seconds(const Resources& demand, double seconds)
+bool
+before(const RoundJob& left, const RoundJob& right)
 {
-  double cores =
-    static_cast<double>(demand.millicores) / MILLICORES_PER_CORE +
-    static_cast<double>(demand.accelerators) * CORES_PER_ACCELERATOR;
-  return cores * seconds;
+  if (left.priority != right.priority)
+    return left.priority < right.priority;
+  if (left.guaranteed != right.guaranteed)
+    return left.guaranteed;
+  if (left.workflow->accepted_ms != right.workflow->accepted_ms)
+    return left.workflow->accepted_ms < right.workflow->accepted_ms;
+  return left.workflow->id < right.workflow->id;
 }
 
-Resources
-held_by(const Step& step)
+} // namespace
+
+Round::Round(std::vector<RoundJob>& jobs,
+             Pool& pool,
+             StepMemory& memory,
+             const RoundLimits& limits,
+             std::int64_t now_ms)
+  : jobs(jobs)
+  , pool(pool)
+  , memory(memory)
+  , limits(limits)
+  , now_ms(now_ms)
 {
-  Resources held = step.demand;
-  if (step.fills)
-    held.millicores = 0;
-  return held;
 }
 
-bool
-before(const RoundJob* left, const RoundJob* right)
+RoundResult
+Round::run()
 {
-  if (left->priority != right->priority)
-    return left->priority < right->priority;
-  if (left->guaranteed != right->guaranteed)
-    return left->guaranteed;
-  if (left->workflow->accepted_ms != right->workflow->accepted_ms)
-    return left->workflow->accepted_ms < right->workflow->accepted_ms;
-  return left->workflow->id < right->workflow->id;
+  this->find_groups();
+  this->restart_runs();
+  for (Waiting& waiting : this->waiting_steps())
+    this->place(waiting);
+  return std::move(this->result);
 }
 
-/// The state of one round: what is placed is kept up to date.
-class Round
+const Step&
+Round::step_of(const Waiting& waiting) const
 {
-public:
-  Round(std::vector<RoundJob>& jobs,
-        Pool& pool,
-        StepMemory& memory,
-        const RoundLimits& limits,
-        std::int64_t now_ms)
-    : jobs(jobs)
-    , pool(pool)
-    , memory(memory)
-    , limits(limits)
-    , now_ms(now_ms)
-  {
-  }
+  return waiting.job.workflow->steps[waiting.key.step];
+}
 
-  RoundResult run()
-  {
-    std::vector<RoundJob*> order;
-    for (RoundJob& job : this->jobs)
-      order.push_back(&job);
-    std::sort(order.begin(), order.end(), before);
-    for (RoundJob* job : order) {
-      for (const ReadyStep& ready : ready_steps(*job->workflow, job->progress))
-        this->place(*job, ready);
-    }
-    return std::move(this->result);
+/// The most urgent first; of these, steps that can meet their objective come
+/// before those that can't, and then the oldest.
+std::vector<Round::Waiting>
+Round::waiting_steps()
+{
+  std::vector<Waiting> waiting;
+  for (RoundJob& job : this->jobs) {
+    for (const ReadyStep& ready : ready_steps(*job.workflow, job.progress))
+      waiting.push_back(this->make_waiting(job, ready));
   }
+  std::vector<std::size_t> order(waiting.size());
+  for (std::size_t index = 0; index < order.size(); ++index)
+    order[index] = index;
+  std::stable_sort(order.begin(),
+                   order.end(),
+                   [&waiting](std::size_t left_index, std::size_t right_index) {
+                     const Waiting& left = waiting[left_index];
+                     const Waiting& right = waiting[right_index];
+                     bool same_rank =
+                       left.job.priority == right.job.priority &&
+                       left.job.guaranteed == right.job.guaranteed;
+                     bool left_late = left.slack_ms && *left.slack_ms < 0;
+                     bool right_late = right.slack_ms && *right.slack_ms < 0;
+                     if (same_rank && left_late != right_late)
+                       return right_late;
+                     return before(left.job, right.job);
+                   });
+  std::vector<Waiting> sorted;
+  for (std::size_t index : order)
+    sorted.push_back(std::move(waiting[index]));
+  return sorted;
+}
 
-private:
-  void place(RoundJob& job, const ReadyStep& ready);
-  AssignRequest request_of(const RoundJob& job, const ReadyStep& ready) const;
-  void commit(RoundJob& job,
-              const StepKey& key,
-              const std::vector<std::string>& servers);
-  void preempt(const RoundJob& job,
-               const StepKey& key,
-               const AssignRequest& request,
-               std::int64_t waited_ms);
-  std::vector<RunGroup> running_groups() const;
-  void add_groups(const RoundJob& job,
-                  const StepKey& key,
-                  const StepState& tasks,
-                  std::vector<RunGroup>& groups) const;
-  double unsaved(const StepKey& key,
-                 const Step& step,
-                 std::uint32_t task) const;
-  void stop(const RunGroup& group);
-
-  std::vector<RoundJob>& jobs;
-  Pool& pool;
-  StepMemory& memory;
-  const RoundLimits& limits;
-  std::int64_t now_ms;
-  RoundResult result;
-};
-
-AssignRequest
-Round::request_of(const RoundJob& job, const ReadyStep& ready) const
+Round::Waiting
+Round::make_waiting(RoundJob& job, const ReadyStep& ready)
 {
-  AssignRequest request;
-  request.step = &job.workflow->steps[ready.step];
+  StepKey key{ job.workflow->id, ready.occurrence, ready.step };
+  const Step& step = job.workflow->steps[ready.step];
+  std::int64_t ready_ms =
+    this->memory.ready_ms.try_emplace(key, this->now_ms).first->second;
+  Waiting waiting{ job, key, {}, this->now_ms - ready_ms, std::nullopt };
+  if (job.objective.factor > 0)
+    waiting.slack_ms = slack_ms(*job.workflow,
+                                job.objective,
+                                ready.occurrence,
+                                ready.step,
+                                this->now_ms + this->limits.unix_offset_ms);
+  AssignRequest& request = waiting.request;
+  request.step = &step;
   request.service = job.service;
   for (const TaskState& task :
        job.progress.open.at(ready.occurrence)[ready.step]) {
@@ -119,35 +119,97 @@
       ++request.tasks;
   }
   request.avoided = job.avoided;
-  return request;
+  request.avoided.insert(this->memory.suspects.begin(),
+                         this->memory.suspects.end());
+  if (job.advice) {
+    request.allowed.emplace();
+    for (const std::pair<const std::string, std::string>& ticket :
+         this->memory.advice.tickets(key, this->pool, this->now_ms))
+      request.allowed->insert(ticket.first);
+  }
+  // Longer than this, running far from the rack is the faster way.
+  std::int64_t patience = RACK_PATIENCE_MS;
+  if (step.estimate_ms > 0)
+    patience = static_cast<std::int64_t>((this->limits.rack_penalty - 1) *
+                                         step.estimate_ms);
+  if (job.guaranteed)
+    patience = std::min(patience, RECLAIM_RACK_PATIENCE_MS);
+  request.any_rack =
+    waiting.waited_ms > patience || !fits_one_rack(this->pool, request);
+  return waiting;
 }
 
 void
-Round::place(RoundJob& job, const ReadyStep& ready)
+Round::place(Waiting& waiting)
 {
-  StepKey key{ job.workflow->id, ready.occurrence, ready.step };
-  std::int64_t ready_ms =
-    this->memory.ready_ms.try_emplace(key, this->now_ms).first->second;
-  AssignRequest request = this->request_of(job, ready);
-  request.any_rack = this->now_ms - ready_ms > this->limits.rack_patience_ms ||
-                     !fits_one_rack(this->pool, request);
+  AssignRequest& request = waiting.request;
+  for (const Hold& hold : this->holds) {
+    if (request.step->estimate_ms == 0 ||
+        hold.in_ms < static_cast<std::int64_t>(request.step->estimate_ms))
+      request.held.insert(hold.servers.begin(), hold.servers.end());
+  }
   std::vector<std::string> servers = assign(this->pool, request);
   if (servers.empty() && !request.avoided.empty()) {
     request.avoided.clear();
     servers = assign(this->pool, request);
   }
-  if (servers.size() < request.tasks && job.priority == 0)
-    this->preempt(job, key, request, this->now_ms - ready_ms);
+  bool short_of = servers.size() < request.tasks;
+  if (short_of && waiting.job.advice)
+    this->ask(waiting);
+  if (short_of && !this->preempt(waiting))
+    this->hold(waiting);
   if (!servers.empty())
-    this->commit(job, key, servers);
+    this->commit(waiting, servers);
+}
+
+/// Asks for tickets, first of the servers that would be chosen without advice.
+void
+Round::ask(const Waiting& waiting)
+{
+  AssignRequest request = waiting.request;
+  request.allowed.reset();
+  AdviceQuestion question;
+  question.step = waiting.key;
+  std::function<void(const std::string&)> add =
+    [this, &question, &waiting](const std::string& server) {
+      std::vector<std::string>& named = question.servers;
+      bool known = std::find(named.begin(), named.end(), server) != named.end();
+      if (named.size() < MAX_ADVISED_SERVERS && !known &&
+          this->memory.advice.worth_asking(
+            waiting.key, this->pool.servers.at(server), this->now_ms))
+        named.push_back(server);
+    };
+  for (const std::string& server : assign(this->pool, request))
+    add(server);
+  std::vector<std::pair<std::int64_t, std::string>> others;
+  for (const std::pair<const std::string, PoolServer>& item :
+       this->pool.servers) {
+    if (eligible(item.second, request))
+      others.emplace_back(-this->pool.free.at(item.first).accelerators,
+                          item.first);
+  }
+  std::sort(others.begin(), others.end());
+  for (const std::pair<std::int64_t, std::string>& other : others)
+    add(other.second);
+  if (question.servers.empty())
+    return;
+  const AdviceTerms& terms = *waiting.job.advice;
+  question.timeout_ms =
+    terms.decide_ms +
+    terms.per_server_ms * static_cast<std::int64_t>(question.servers.size()) +
+    ADVICE_SLACK_MS;
+  this->result.questions.push_back(std::move(question));
 }
 
 void
-Round::commit(RoundJob& job,
-              const StepKey& key,
-              const std::vector<std::string>& servers)
+Round::commit(const Waiting& waiting, const std::vector<std::string>& servers)
 {
-  const Step& step = job.workflow->steps[key.step];
+  RoundJob& job = waiting.job;
+  const StepKey& key = waiting.key;
+  const Step& step = this->step_of(waiting);
+  std::map<std::string, std::string> tickets;
+  if (job.advice)
+    tickets = this->memory.advice.tickets(key, this->pool, this->now_ms);
   StepState& tasks = job.progress.open[key.occurrence][key.step];
   std::uint32_t gang_attempt = 0;
   for (const TaskState& task : tasks)
@@ -161,126 +223,29 @@
     task.run = Run{ task.last_attempt,
                     this->pool.servers.at(server).life,
                     this->memory.nodes[server],
-                    false };
+                    false,
+                    tickets[server] };
     this->pool.take(server, held_by(step));
     std::uint32_t index = static_cast<std::uint32_t>(&task - tasks.data());
     this->memory.placed_ms[{ key, index }] = this->now_ms;
+    this->memory.percent.erase({ key, index });
+    this->memory.stalled.erase({ key, index });
   }
   job.progress.started = true;
   job.changed = true;
-  std::int64_t waited = this->now_ms - this->memory.ready_ms[key];
   this->memory.ready_ms.erase(key);
-  this->result.placements.push_back({ key, servers, waited });
-}
-
-void
-Round::preempt(const RoundJob& job,
-               const StepKey& key,
-               const AssignRequest& request,
-               std::int64_t waited_ms)
-{
-  PreemptRequest wanted;
-  wanted.place = request;
-  wanted.priority = job.priority;
-  wanted.guaranteed = job.guaranteed;
-  std::vector<RunGroup> running = this->running_groups();
-  std::optional<PreemptPlan> plan =
-    plan_preemption(this->pool, running, wanted);
-  if (!plan) {
-    wanted.place.any_rack = true;
-    plan = plan_preemption(this->pool, running, wanted);
-  }
-  double allowed = this->limits.urgent_waste_core_s +
-                   this->limits.urgent_waste_core_s_per_s *
-                     static_cast<double>(waited_ms) / MS_PER_S;
-  if (!plan || (!job.guaranteed && plan->unsaved_core_s > allowed))
-    return;
-  for (const RunGroup& victim : plan->victims) {
-    this->result.preemptions.push_back(
-      { key, victim.step, victim.tasks.size(), victim.unsaved_core_s });
-    this->stop(victim);
-  }
-  // Keeps the room from steps that are less urgent.
-  for (const std::string& server : plan->servers)
-    this->pool.take(server, held_by(*request.step));
-}
-
-double
-Round::unsaved(const StepKey& key, const Step& step, std::uint32_t task) const
-{
-  std::map<std::pair<StepKey, std::uint32_t>, std::int64_t>::const_iterator
-    placed = this->memory.placed_ms.find({ key, task });
-  std::int64_t elapsed = placed == this->memory.placed_ms.end()
-                           ? UNKNOWN_ELAPSED_MS
-                           : this->now_ms - placed->second;
-  double seconds = static_cast<double>(elapsed) / MS_PER_S;
-  if (step.checkpoints)
-    seconds = std::min(seconds, CHECKPOINT_S);
-  return core_seconds(step.demand, seconds);
+  this->result.placements.push_back({ key, servers, waiting.waited_ms });
 }
 
-void
-Round::add_groups(const RoundJob& job,
-                  const StepKey& key,
-                  const StepState& tasks,
-                  std::vector<RunGroup>& groups) const
-{
-  const Step& step = job.workflow->steps[key.step];
-  bool together = false; // A gang's group has begun.
-  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-    const TaskState& task = tasks[index];
-    if (!task.run)
-      continue;
-    if (!together) {
-      RunGroup group;
-      group.step = key;
-      group.priority = job.priority;
-      group.guaranteed = job.guaranteed;
-      group.demand = held_by(step);
-      groups.push_back(std::move(group));
-      together = step.gang;
-    }
-    RunGroup& group = groups.back();
-    group.tasks.push_back(index);
-    ++group.servers[task.run->server.id];
-    group.stopping = group.stopping || task.run->stopping;
-    group.unsaved_core_s += this->unsaved(key, step, index);
-  }
-}
-
-std::vector<RunGroup>
-Round::running_groups() const
-{
-  std::vector<RunGroup> groups;
-  for (const RoundJob& job : this->jobs) {
-    for (const std::pair<const std::uint32_t, OccurrenceState>& item :
-         job.progress.open) {
-      for (std::uint32_t step = 0; step < item.second.size(); ++step)
-        this->add_groups(job,
-                         { job.workflow->id, item.first, step },
-                         item.second[step],
-                         groups);
-    }
-  }
-  return groups;
-}
-
-void
-Round::stop(const RunGroup& group)
+Resources
+held_by(const Step& step)
 {
-  for (RoundJob& job : this->jobs) {
-    if (job.workflow->id != group.step.workflow)
-      continue;
-    StepState& tasks =
-      job.progress.open[group.step.occurrence][group.step.step];
-    for (std::uint32_t index : group.tasks)
-      tasks[index].run->stopping = true;
-    job.changed = true;
-  }
+  Resources held = step.demand;
+  if (step.fills)
+    held.millicores = 0;
+  return held;
 }
 
-} // namespace
-
 std::int64_t
 accelerators_of(const Workflow& workflow)
 {
@@ -299,7 +264,11 @@
     if (job.priority == 0 && job.progress.outcome == Outcome::Open)
       order.push_back(&job);
   }
-  std::sort(order.begin(), order.end(), before);
+  std::sort(order.begin(),
+            order.end(),
+            [](const RoundJob* left, const RoundJob* right) {
+              return before(*left, *right);
+            });
   std::map<std::string, std::int64_t> used;
   for (RoundJob* job : order) {
     std::map<std::string, std::int64_t>::const_iterator guarantee =
--- a/core/round.h
+++ b/core/round.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include "core/advice.h"
+#include "core/directory.h"
+#include "core/objective.h"
 #include "core/pool.h"
 #include "core/workflow.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -19,29 +23,43 @@
   Progress progress; ///< A copy that the round changes.
   std::string service;
   std::uint32_t priority = 0;
+  std::uint32_t attempts = 1;         ///< Failures after which it has failed.
   std::int64_t need_accelerators = 0; ///< Most that it uses at one time.
   bool guaranteed = false;            ///< Within its organisation's guarantee.
   std::set<std::string> avoided;      ///< Servers on which it failed.
+  Objective objective;
+  std::optional<AdviceTerms> advice; ///< Its steps need tickets.
   bool changed = false;
 };
 
 struct RoundLimits
 {
-  /// A step that wants one rack takes several after waiting this long.
-  std::int64_t rack_patience_ms = 4'000;
+  /// How many times as long a step takes that misses its rack.
+  double rack_penalty = 3;
+  std::int64_t unix_offset_ms = 0; ///< Unix time less boot time.
   /// Unsaved work that the most urgent steps may throw away, beyond their
   /// organisation's guarantee: at once, and more for each second of waiting.
   double urgent_waste_core_s = 100;
   double urgent_waste_core_s_per_s = 200;
+  /// The same for a step that can still meet its objective, as a part of its
+  /// own work: for the most urgent steps, and for others.
+  double urgent_waste_share = 2.5;
+  double waste_share = 0.7;
 };
 
+/// A task of a step, by its index.
+using TaskKey = std::pair<StepKey, std::uint32_t>;
+
 /// What the owner remembers of steps from round to round.
 struct StepMemory
 {
-  /// Boot time of the placement of each task, by its index in the step.
-  std::map<std::pair<StepKey, std::uint32_t>, std::int64_t> placed_ms;
-  std::map<StepKey, std::int64_t> ready_ms; ///< Boot time.
-  std::map<std::string, std::string> nodes; ///< Agent's node of a server.
+  std::map<TaskKey, std::int64_t> placed_ms; ///< Boot time of the placement.
+  std::map<StepKey, std::int64_t> ready_ms;  ///< Boot time.
+  std::map<std::string, std::string> nodes;  ///< Agent's node of a server.
+  std::map<TaskKey, std::uint32_t> percent;  ///< Of the work, as reported.
+  std::set<TaskKey> stalled;      ///< Runs that make no progress any more.
+  std::set<std::string> suspects; ///< Servers to be avoided where possible.
+  AdviceBook advice;
 };
 
 struct StepPlacement
@@ -59,10 +77,31 @@
   double unsaved_core_s = 0;
 };
 
+/// Why runs are stopped though nothing else needs their room.
+enum class RestartReason
+{
+  ServerLeaves,
+  NoProgress,
+};
+
+inline constexpr NamedValue<RestartReason> RESTART_REASON_NAMES[] = {
+  { RestartReason::ServerLeaves, "server_leaves" },
+  { RestartReason::NoProgress, "no_progress" },
+};
+
+struct StepRestart
+{
+  StepKey step;
+  std::vector<std::uint32_t> tasks; ///< Their indices in the step.
+  RestartReason reason = RestartReason::ServerLeaves;
+};
+
 struct RoundResult
 {
   std::vector<StepPlacement> placements;
   std::vector<StepPreemption> preemptions;
+  std::vector<StepRestart> restarts;
+  std::vector<AdviceQuestion> questions; ///< The most urgent first.
 };
 
 /// Most accelerators that a workflow uses at one time.
--- /dev/null
+++ b/core/round_state.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "core/preempt.h"
+#include "core/round.h"
+
+#include <optional>
+
+namespace geraniumhinge::core {
+
+/// What runs of a step take from their server.
+Resources
+held_by(const Step& step);
+
+/// The work of some tasks for some seconds; an accelerator counts as cores.
+double
+core_seconds(const Resources& demand, double seconds);
+
+/// The state of one round: what is placed is kept up to date.
+class Round
+{
+public:
+  Round(std::vector<RoundJob>& jobs,
+        Pool& pool,
+        StepMemory& memory,
+        const RoundLimits& limits,
+        std::int64_t now_ms);
+
+  RoundResult run();
+
+private:
+  /// A step that waits, with what is asked for it.
+  struct Waiting
+  {
+    RoundJob& job;
+    StepKey key;
+    AssignRequest request;
+    std::int64_t waited_ms = 0;
+    std::optional<std::int64_t> slack_ms; ///< Nothing without an objective.
+  };
+
+  /// Servers kept for a gang that fits once others have ended.
+  struct Hold
+  {
+    std::set<std::string> servers;
+    std::int64_t in_ms = 0;
+  };
+
+  const Step& step_of(const Waiting& waiting) const;
+  std::vector<Waiting> waiting_steps();
+  Waiting make_waiting(RoundJob& job, const ReadyStep& ready);
+  void place(Waiting& waiting);
+  void ask(const Waiting& waiting);
+  void commit(const Waiting& waiting, const std::vector<std::string>& servers);
+
+  void restart_runs();
+  std::optional<RestartReason> restart_reason(const RunGroup& group) const;
+  bool may_leave(const RunGroup& group, std::int64_t leaves_in_ms) const;
+
+  bool preempt(const Waiting& waiting);
+  double waste_allowed(const Waiting& waiting) const;
+  void find_groups();
+  void add_groups(const RoundJob& job,
+                  const StepKey& key,
+                  const StepState& tasks);
+  std::size_t spare_tasks(const Step& step,
+                          const StepKey& key,
+                          const StepState& tasks) const;
+  std::int64_t elapsed_ms(const TaskKey& task) const;
+  std::int64_t remaining_ms(const TaskKey& task, const Step& step) const;
+  double unsaved(const TaskKey& task, const Step& step) const;
+  void stop(RunGroup& group);
+
+  void hold(const Waiting& waiting);
+
+  std::vector<RoundJob>& jobs;
+  Pool& pool;
+  StepMemory& memory;
+  const RoundLimits& limits;
+  std::int64_t now_ms;
+  std::vector<RunGroup> groups; ///< All that ran when the round began.
+  std::vector<Hold> holds;
+  RoundResult result;
+};
+
+} // namespace geraniumhinge::core
--- a/core/workflow.h
+++ b/core/workflow.h
@@ -67,6 +67,7 @@
   ServerLife server;
   std::string node; ///< Of the server's agent.
   bool stopping = false;
+  std::string ticket{}; ///< Of the advice service, empty for none.
 };
 
 struct TaskState
--- a/entry/cli_remote.cpp
+++ b/entry/cli_remote.cpp
@@ -75,7 +75,7 @@
 RemoteFailure
 transport_failure(const RemoteCall& call, gateway::HttpClientError error)
 {
-  if (error == gateway::HttpClientError::NotSent)
+  if (gateway::had_no_effect(error))
     return { fmt::format("no connection to {}: the request was not sent",
                          call.address),
              std::nullopt };
--- a/entry/events.h
+++ b/entry/events.h
@@ -236,6 +236,29 @@
   "None."
 };
 
+inline constexpr kernel::EventInfo STEP_RESTARTED{
+  633,
+  kernel::Severity::Info,
+  "step_restarted",
+  "Runs are stopped to start elsewhere: they make no progress, or their server "
+  "leaves before they can end.",
+  "Check the server if the reason is no_progress."
+};
+inline constexpr kernel::EventInfo ADVICE_FAILED{
+  634,
+  kernel::Severity::Warning,
+  "advice_failed",
+  "The advice service did not answer a question; it is asked again.",
+  "Check the advice service if this persists; its queues wait for it."
+};
+inline constexpr kernel::EventInfo ADVICE_GIVEN{
+  635,
+  kernel::Severity::Info,
+  "advice_given",
+  "The advice service named the servers that may run a step.",
+  "None."
+};
+
 inline constexpr EventInfo ENTRY_EVENTS[] = {
   ENTRY_READY,
   ENTRY_DRAINING,
@@ -270,6 +293,9 @@
   EXPIRY_FAILED,
   CALL_ANSWERED,
   CONFIGURATION_IN_FORCE,
+  STEP_RESTARTED,
+  ADVICE_FAILED,
+  ADVICE_GIVEN,
 };
 
 } // namespace geraniumhinge::entry
--- a/entry/orders.cpp
+++ b/entry/orders.cpp
@@ -18,6 +18,8 @@
                                                     : step.demand.millicores);
   order.mutable_demand()->set_memory_mb(step.demand.memory_mb);
   order.mutable_demand()->set_accelerators(step.demand.accelerators);
+  order.set_fills(step.fills);
+  order.set_latency_target_ms(step.latency_target_ms);
   return order;
 }
 
@@ -30,6 +32,7 @@
 {
   const core::Step& step = item.workflow->steps[ref.step];
   order.set_payload(item.workflow->payload);
+  order.set_ticket(task.run->ticket);
   const core::TaskState& counted =
     step.gang ? item.progress.open.at(ref.occurrence)[ref.step].front() : task;
   if (step.checkpoints)
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -22,6 +22,7 @@
 constexpr int HTTP_METHOD_NOT_ALLOWED = 405;
 constexpr int STORE_CONNECTIONS = 12;
 constexpr int RELAY_CONNECTIONS = 8;
+constexpr int ADVICE_CONNECTIONS = 1;
 constexpr std::size_t MAX_BODY_BYTES = 1UL * 1'024 * 1'024;
 constexpr std::size_t MAX_PAGE_BODY_BYTES = 4'096;
 constexpr char READY_PATH[] = "/geraniumhinge/ready";
@@ -57,10 +58,20 @@
 {
   LeaseBounds bounds;
   bounds.orphan_ms = settings.orphan.count();
-  bounds.max_lease_ms = settings.max_lease.count();
+  bounds.max_lease_ms = settings.lease.count();
   return bounds;
 }
 
+WorkSchedulerLimits
+scheduler_limits(const PlatformSettings& settings)
+{
+  WorkSchedulerLimits limits;
+  limits.early_ms = settings.early.count();
+  limits.retention_ms = settings.retention.count();
+  limits.rack_penalty = settings.rack_penalty;
+  return limits;
+}
+
 } // namespace
 
 PlatformProgram::PlatformProgram(kernel::Loop& loop,
@@ -73,7 +84,9 @@
   , settings(settings)
   , store_client(loop, timers, STORE_CONNECTIONS)
   , relay_client(loop, timers, RELAY_CONNECTIONS)
+  , advice_client(loop, timers, ADVICE_CONNECTIONS)
   , store(loop, log, this->metrics, this->store_client, settings.store_address)
+  , advice(this->advice_client, settings.advice_address)
   , node(loop,
          timers,
          log,
@@ -110,8 +123,18 @@
               this->store,
               this->view,
               this->servers,
-              { settings.early.count(), settings.retention.count() },
+              scheduler_limits(settings),
               this->scheduler_hooks())
+  , adviser(loop,
+            timers,
+            log,
+            this->metrics,
+            this->advice,
+            [this](const core::AdviceQuestion& question,
+                   const std::vector<core::AdviceTicket>& good,
+                   std::int64_t asked_ms) {
+              this->scheduler.advised(question, good, asked_ms);
+            })
   , ownership(loop,
               timers,
               log,
@@ -178,6 +201,10 @@
     this->node.send(address, std::move(envelope));
   };
   hooks.overruled = [this] { this->ownership.overruled(); };
+  hooks.ask_advice =
+    [this](const std::vector<core::AdviceQuestion>& questions) {
+      this->adviser.ask(questions);
+    };
   hooks.reread = [this] {
     this->scheduler.end();
     this->read_work(this->ownership.term());
@@ -244,11 +271,12 @@
                  changed.relay_listen != this->settings.relay_listen ||
                  changed.peer_listen != this->settings.peer_listen ||
                  changed.store_address != this->settings.store_address ||
+                 changed.advice_address != this->settings.advice_address ||
+                 changed.lease != this->settings.lease ||
                  changed.max_lease != this->settings.max_lease ||
                  changed.orphan != this->settings.orphan;
   this->settings.config_age = changed.config_age;
-  this->scheduler.set_limits(
-    { changed.early.count(), changed.retention.count() });
+  this->scheduler.set_limits(scheduler_limits(changed));
   this->log.write(kernel::SETTINGS_RELOADED, { { "restart", restart } });
 }
 
--- a/entry/platform_program.h
+++ b/entry/platform_program.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/directory.h"
+#include "entry/adviser.h"
 #include "entry/caller_api.h"
 #include "entry/ownership.h"
 #include "entry/platform_settings.h"
@@ -70,7 +71,9 @@
   kernel::Metrics metrics;
   gateway::HttpClient store_client;
   gateway::HttpClient relay_client;
+  gateway::HttpClient advice_client;
   platform::Store store;
+  platform::AdviceClient advice;
   peer::PeerNode node;
   core::Directory directory;
   WorkView view;
@@ -78,6 +81,7 @@
   platform::Follower config_follower;
   platform::Follower work_follower;
   WorkScheduler scheduler;
+  Adviser adviser;
   Ownership ownership;
   Relay relay;
   CallerApi calls;
--- a/entry/platform_settings.h
+++ b/entry/platform_settings.h
@@ -22,11 +22,14 @@
   std::string relay_listen;
   std::string peer_listen;
   std::string store_address;
+  std::string advice_address; ///< Empty: the deployment has no such service.
   kernel::Milliseconds max_lease{ 0 };
+  kernel::Milliseconds lease{ 0 };
   kernel::Milliseconds orphan{ 0 };
   kernel::Milliseconds early{ 0 };
   kernel::Milliseconds retention{ 0 };
   kernel::Milliseconds config_age{ 0 };
+  double rack_penalty = 1; ///< Times as long away from one rack.
   kernel::Severity log_level = kernel::Severity::Info;
 };
 
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -1,5 +1,7 @@
 #include "entry/server_table.h"
 
+#include <algorithm>
+
 namespace geraniumhinge::entry {
 
 namespace {
@@ -102,6 +104,24 @@
   return now_ms - word_ms > this->bounds.expiry_ms();
 }
 
+bool
+ServerTable::silent(const std::string& node, std::int64_t now_ms) const
+{
+  std::map<std::string, AgentView>::const_iterator found =
+    this->agents.find(node);
+  return found != this->agents.end() && found->second.heard_ms != 0 &&
+         now_ms - found->second.heard_ms >= SILENCE_LIMIT_MS;
+}
+
+std::optional<std::int64_t>
+ServerTable::leaves_in_ms(const AgentView& agent, std::int64_t now_ms) const
+{
+  if (!agent.report.leaving())
+    return std::nullopt;
+  std::int64_t since_ms = now_ms - agent.heard_ms;
+  return std::max<std::int64_t>(agent.report.stays_ms() - since_ms, 0);
+}
+
 bool
 ServerTable::accepting(const AgentView& agent, std::int64_t now_ms) const
 {
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -65,6 +65,13 @@
                  const std::string& node,
                  std::int64_t now_ms) const;
 
+  /// Whether the agent has not been heard of for two reports.
+  bool silent(const std::string& node, std::int64_t now_ms) const;
+
+  /// How long a leaving server stays at least; nothing if it is not leaving.
+  std::optional<std::int64_t> leaves_in_ms(const AgentView& agent,
+                                           std::int64_t now_ms) const;
+
   /// Whether new work may be placed on the agent's server.
   bool accepting(const AgentView& agent, std::int64_t now_ms) const;
 
--- a/entry/work_rows.cpp
+++ b/entry/work_rows.cpp
@@ -83,6 +83,7 @@
   row.mutable_run_server()->set_born_ms(task.run->server.born_ms);
   row.mutable_run_server()->set_node(task.run->node);
   row.set_run_stopping(task.run->stopping);
+  row.set_run_ticket(task.run->ticket);
 }
 
 core::TaskState
@@ -98,7 +99,8 @@
     task.run = core::Run{ row.run_attempt(),
                           { row.run_server().id(), row.run_server().born_ms() },
                           row.run_server().node(),
-                          row.run_stopping() };
+                          row.run_stopping(),
+                          row.run_ticket() };
   return task;
 }
 
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -19,25 +19,6 @@
 constexpr std::size_t MAX_WORKFLOWS_PER_COMMIT = 45;
 constexpr std::size_t MAX_REMOVALS_PER_COMMIT = 24;
 
-core::QuarantineLimits
-quarantine_limits()
-{
-  core::QuarantineLimits limits;
-  limits.jobs_per_server = 2;
-  limits.memory_ms = 15'000;
-  limits.first_quarantine_ms = 6'000;
-  limits.longest_quarantine_ms = 24'000;
-  return limits;
-}
-
-core::EndKind
-end_kind(std::uint32_t number)
-{
-  return number < std::size(core::END_KIND_NAMES)
-           ? static_cast<core::EndKind>(number)
-           : core::EndKind::Stopped;
-}
-
 } // namespace
 
 WorkScheduler::WorkScheduler(kernel::Loop& loop,
@@ -65,7 +46,7 @@
               this->applied(change, version);
             },
              [this](bool still_owner) { this->refused(still_owner); } })
-  , failures(quarantine_limits())
+  , tracker(log, servers)
 {
 }
 
@@ -75,7 +56,7 @@
   this->term = term;
   this->writer.begin(term);
   this->memory = {};
-  this->checkpoints.clear();
+  this->tracker.reset();
   this->orders_sequence = 0;
   this->tick = this->timers.every(TICK, [this] { this->wake(); });
   this->expiry =
@@ -107,20 +88,11 @@
 void
 WorkScheduler::reported(AgentView& agent)
 {
-  this->remember_checkpoints(agent);
+  this->tracker.reported(agent, kernel::boot_ms());
   this->order(agent);
   this->wake();
 }
 
-void
-WorkScheduler::remember_checkpoints(const AgentView& agent)
-{
-  for (const v1::RunReport& run : agent.report.running()) {
-    if (!run.checkpoint().empty())
-      this->checkpoints[run.task()] = run.checkpoint();
-  }
-}
-
 void
 WorkScheduler::order(AgentView& agent)
 {
@@ -141,14 +113,6 @@
   return std::max(queue ? queue->attempts : workflow.attempts, 1U);
 }
 
-std::string
-WorkScheduler::checkpoint_of(const std::string& task) const
-{
-  std::map<std::string, std::string>::const_iterator found =
-    this->checkpoints.find(task);
-  return found == this->checkpoints.end() ? std::string() : found->second;
-}
-
 WorkScheduler::Round
 WorkScheduler::make_round(std::int64_t now_ms)
 {
@@ -168,114 +132,23 @@
     // What was accepted runs also when its queue is no longer configured.
     job.service = queue ? queue->service : item.workflow->service;
     job.priority = queue ? queue->priority : item.workflow->priority;
+    job.attempts = this->attempts_of(*item.workflow);
+    if (queue) {
+      job.objective = { queue->objective_factor, queue->objective_ms };
+      job.advice = queue->advice;
+    }
     job.need_accelerators = core::accelerators_of(*item.workflow);
-    std::map<std::string, std::set<std::string>>::const_iterator failed =
-      this->failed_on.find(entry.first);
-    if (failed != this->failed_on.end())
-      job.avoided = failed->second;
+    job.avoided = this->tracker.failed_on(entry.first);
     round.jobs.push_back(std::move(job));
   }
-  this->note_ends(round);
+  round.stored_ends = this->tracker.note_ends(round.jobs, now_ms);
   for (core::RoundJob& job : round.jobs) {
-    this->note_lost(job, now_ms);
+    this->tracker.note_lost(job, now_ms);
     this->note_caller(job);
   }
   return round;
 }
 
-void
-WorkScheduler::note_ends(Round& round)
-{
-  for (const std::pair<const std::string, AgentView>& entry :
-       this->servers.all()) {
-    std::uint64_t& stored = round.stored_ends[entry.first];
-    for (const v1::EndReport& end : entry.second.report.ended()) {
-      this->note_end(round, entry.second, end);
-      stored = std::max<std::uint64_t>(stored, end.number());
-    }
-  }
-}
-
-void
-WorkScheduler::note_end(Round& round,
-                        const AgentView& agent,
-                        const v1::EndReport& end)
-{
-  std::optional<std::pair<std::string, core::TaskRef>> name =
-    core::parse_task_name(end.task());
-  if (!name)
-    return;
-  std::vector<core::RoundJob>::iterator job = std::find_if(
-    round.jobs.begin(), round.jobs.end(), [&name](const core::RoundJob& item) {
-      return item.workflow->id == name->first;
-    });
-  if (job == round.jobs.end())
-    return;
-  const core::TaskState* task = core::find_task(job->progress, name->second);
-  bool current = task && task->run && task->run->attempt == end.attempt() &&
-                 task->run->server == life_of(agent.report.life());
-  if (!current)
-    return;
-  core::EndKind kind = end_kind(end.kind());
-  std::string checkpoint = end.checkpoint();
-  if (checkpoint.empty())
-    checkpoint = this->checkpoint_of(end.task());
-  core::apply_end(*job->workflow,
-                  job->progress,
-                  name->second,
-                  end.attempt(),
-                  kind,
-                  checkpoint,
-                  this->attempts_of(*job->workflow));
-  job->changed = true;
-  this->log.write(RUN_ENDED,
-                  { { "task", end.task() },
-                    { "attempt", end.attempt() },
-                    { "server", agent.report.life().id() },
-                    { "kind", name_of(core::END_KIND_NAMES, kind) },
-                    { "number", end.number() },
-                    { "report", agent.report.sequence() } });
-  std::int64_t now = kernel::boot_ms();
-  core::NameId server = this->names.id(agent.report.life().id());
-  if (kind == core::EndKind::Failed) {
-    this->failures.failed(server, job->workflow->id, now);
-    this->failed_on[job->workflow->id].insert(agent.report.life().id());
-  } else if (kind == core::EndKind::Done) {
-    this->failures.succeeded(server, job->workflow->id, now);
-  }
-}
-
-void
-WorkScheduler::note_lost(core::RoundJob& job, std::int64_t now_ms)
-{
-  std::vector<std::pair<core::TaskRef, core::Run>> lost;
-  core::for_each_run(
-    job.progress, [&](const core::TaskRef& ref, const core::TaskState& task) {
-      if (this->servers.life_over(task.run->server, task.run->node, now_ms))
-        lost.emplace_back(ref, *task.run);
-    });
-  for (const std::pair<core::TaskRef, core::Run>& item : lost) {
-    std::string name = core::task_name(job.workflow->id, item.first);
-    core::apply_end(*job.workflow,
-                    job.progress,
-                    item.first,
-                    item.second.attempt,
-                    core::EndKind::Lost,
-                    this->checkpoint_of(name),
-                    this->attempts_of(*job.workflow));
-    job.changed = true;
-    const AgentView* agent = this->servers.find(item.second.node);
-    std::int64_t age =
-      agent && agent->heard_ms != 0 ? now_ms - agent->heard_ms : -1;
-    this->log.write(RUN_LOST,
-                    { { "task", name },
-                      { "attempt", item.second.attempt },
-                      { "server", item.second.server.id },
-                      { "node", item.second.node },
-                      { "heard_ms_ago", age } });
-  }
-}
-
 void
 WorkScheduler::note_caller(core::RoundJob& job)
 {
@@ -301,10 +174,9 @@
     if (agent.report.life().id().empty())
       continue;
     core::PoolServer server = pool_server(agent.report);
-    server.accepting =
-      this->servers.accepting(agent, now_ms) &&
-      this->failures.server_trust(this->names.id(server.life.id), now_ms) !=
-        core::ServerTrust::Quarantined;
+    server.accepting = this->servers.accepting(agent, now_ms) &&
+                       this->tracker.trusted(server.life.id, now_ms);
+    server.leaves_in_ms = this->servers.leaves_in_ms(agent, now_ms);
     this->memory.nodes[server.life.id] = entry.first;
     pool.free[server.life.id] = server.room;
     pool.servers[server.life.id] = std::move(server);
@@ -326,7 +198,12 @@
        this->hooks.directory().organisations)
     guarantees[organisation.name] = organisation.guaranteed_accelerators;
   core::mark_guaranteed(round.jobs, guarantees);
-  round.result = core::run_round(round.jobs, pool, this->memory, {}, now);
+  this->tracker.inform(round.jobs, this->memory, now);
+  core::RoundLimits limits;
+  limits.rack_penalty = this->limits.rack_penalty;
+  limits.unix_offset_ms = kernel::unix_ms() - now;
+  round.result = core::run_round(round.jobs, pool, this->memory, limits, now);
+  this->hooks.ask_advice(round.result.questions);
   if (this->commit(round))
     return;
   // Nothing to store: ends that change nothing need not be kept.
@@ -406,8 +283,10 @@
       [&nodes](const core::TaskRef&, const core::TaskState& task) {
         nodes.insert(task.run->node);
       });
-    if (job.progress.outcome != core::Outcome::Open)
-      this->failed_on.erase(job.workflow->id);
+    if (job.progress.outcome == core::Outcome::Open)
+      continue;
+    this->tracker.forget(*job.workflow);
+    this->memory.advice.forget(job.workflow->id);
   }
   this->pending = {};
   for (const std::string& node : nodes) {
@@ -445,6 +324,20 @@
                       { "tasks", preemption.tasks },
                       { "unsaved_core_s", preemption.unsaved_core_s } });
   }
+  for (const core::StepRestart& restart : round.result.restarts) {
+    this->tracker.restarted(restart);
+    this->metrics
+      .counter(fmt::format("entry_steps_restarted_total{{reason=\"{}\"}}",
+                           name_of(core::RESTART_REASON_NAMES, restart.reason)))
+      .add();
+    this->log.write(
+      STEP_RESTARTED,
+      { { "job", restart.step.workflow },
+        { "occurrence", restart.step.occurrence },
+        { "step", restart.step.step },
+        { "tasks", restart.tasks.size() },
+        { "reason", name_of(core::RESTART_REASON_NAMES, restart.reason) } });
+  }
   for (const core::RoundJob& job : round.jobs) {
     if (job.changed && job.progress.outcome != core::Outcome::Open)
       this->log.write(
@@ -455,6 +348,25 @@
   }
 }
 
+void
+WorkScheduler::advised(const core::AdviceQuestion& question,
+                       const std::vector<core::AdviceTicket>& good,
+                       std::int64_t asked_ms)
+{
+  const WorkItem* item = this->view.find(question.step.workflow);
+  const core::Queue* queue =
+    item ? core::find_queue(this->hooks.directory(), item->workflow->queue)
+         : nullptr;
+  if (this->term == 0 || !queue || !queue->advice)
+    return;
+  this->memory.advice.answered(question,
+                               good,
+                               this->make_pool(kernel::boot_ms()),
+                               asked_ms,
+                               queue->advice->validity_ms);
+  this->wake();
+}
+
 void
 WorkScheduler::expire_rows()
 {
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "core/directory.h"
-#include "core/names.h"
-#include "core/quarantine.h"
 #include "core/round.h"
+#include "entry/run_tracker.h"
 #include "entry/server_table.h"
 #include "entry/work_view.h"
 #include "entry/work_writer.h"
@@ -33,12 +32,16 @@
   std::function<void()> overruled;
   /// The rows are no longer as they were read.
   std::function<void()> reread;
+  /// What to ask of the advice service now, the most urgent first.
+  std::function<void(const std::vector<core::AdviceQuestion>&)> ask_advice;
 };
 
 struct WorkSchedulerLimits
 {
   std::int64_t early_ms = 0;     ///< A timed occurrence may start so early.
   std::int64_t retention_ms = 0; ///< Ended workflows are kept this long.
+  /// How many times as long a step takes that misses its rack.
+  double rack_penalty = 1;
 };
 
 /// The owner's decisions: notes the ends of runs, places ready steps, stops
@@ -71,6 +74,11 @@
   /// An agent reported: notes its ends and sends it its orders.
   void reported(AgentView& agent);
 
+  /// The advice service answered a question that was asked at `asked_ms`.
+  void advised(const core::AdviceQuestion& question,
+               const std::vector<core::AdviceTicket>& good,
+               std::int64_t asked_ms);
+
   /// Sends an agent all that shall run on its server.
   void order(AgentView& agent);
 
@@ -84,13 +92,8 @@
 
   void decide();
   Round make_round(std::int64_t now_ms);
-  void note_ends(Round& round);
-  void note_end(Round& round, const AgentView& agent, const v1::EndReport& end);
-  void note_lost(core::RoundJob& job, std::int64_t now_ms);
   void note_caller(core::RoundJob& job);
   core::Pool make_pool(std::int64_t now_ms);
-  void remember_checkpoints(const AgentView& agent);
-  std::string checkpoint_of(const std::string& task) const;
   bool commit(Round& round);
   void applied(const platform::RowChange& change, std::uint64_t version);
   void refused(bool still_owner);
@@ -112,10 +115,7 @@
   WorkWriter writer;
   Round pending; ///< What `writer` is storing.
   core::StepMemory memory;
-  core::Names names;
-  core::FailureTracker failures;
-  std::map<std::string, std::set<std::string>> failed_on; ///< By workflow.
-  std::map<std::string, std::string> checkpoints;         ///< By task name.
+  RunTracker tracker;
   std::uint64_t orders_sequence = 0;
   kernel::Subscription tick;
   kernel::Subscription expiry;
--- a/gateway/http_client.cpp
+++ b/gateway/http_client.cpp
@@ -1,6 +1,7 @@
 #include "gateway/http_client.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <curl/curl.h>
 #include <ev.h>
 #include <mutex>
@@ -146,6 +147,7 @@
 
   void act(curl_socket_t fd, int ready);
   std::vector<std::pair<Callback, Result>> take_finished();
+  static HttpClientError connect_error(CURL* easy);
   std::pair<Callback, Result> finish(CURL* easy, CURLcode code);
   void remove(CURL* easy);
 };
@@ -216,6 +218,15 @@
   return finished;
 }
 
+HttpClientError
+HttpClient::State::connect_error(CURL* easy)
+{
+  long error = 0;
+  curl_easy_getinfo(easy, CURLINFO_OS_ERRNO, &error);
+  return error == ECONNREFUSED ? HttpClientError::Refused
+                               : HttpClientError::NotSent;
+}
+
 std::pair<HttpClient::Callback, HttpClient::Result>
 HttpClient::State::finish(CURL* easy, CURLcode code)
 {
@@ -229,7 +240,7 @@
     result = std::move(transfer.answer);
   } else {
     result = tl::unexpected(transfer.sent ? HttpClientError::NoAnswer
-                                          : HttpClientError::NotSent);
+                                          : connect_error(easy));
   }
   this->remove(easy);
   return { std::move(callback), std::move(result) };
--- a/gateway/http_client.h
+++ b/gateway/http_client.h
@@ -16,10 +16,18 @@
 /// What is known of a call that has no whole answer.
 enum class HttpClientError
 {
+  Refused,  ///< Nobody listens at the address: the request had no effect.
   NotSent,  ///< No connection was made: the request certainly had no effect.
   NoAnswer, ///< Sent, but the answer is missing or cut short: effect unknown.
 };
 
+/// Whether the request certainly had no effect.
+inline bool
+had_no_effect(HttpClientError error)
+{
+  return error != HttpClientError::NoAnswer;
+}
+
 struct HttpCall
 {
   std::string method = "POST";
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -256,3 +256,53 @@
   wanted.set_stored_ends(1);
   obey(wanted, [this] { return server.seen_ends == 1U; });
 }
+
+// Guards against waiting for the lease of a server that has certainly ended:
+// nobody listens at its address any more.
+BOOST_FIXTURE_TEST_CASE(refused_connections_end_a_life, Fixture)
+{
+  announce();
+  v1::ServerOrders wanted = orders();
+  add(wanted.mutable_runs(), TASK, 1);
+  obey(wanted, [this] { return server.running.size() == 1; });
+  server.shut();
+  std::int64_t begin = kernel::boot_ms();
+  obey(wanted, [this] { return agent->report().lease_over(); });
+  // Its lease of 900 ms was renewed until the end.
+  BOOST_TEST(kernel::boot_ms() - begin < 800);
+}
+
+// Guards against filling tasks that disturb a serving task for good, and
+// against a pace that an adopted run keeps from an earlier agent.
+BOOST_FIXTURE_TEST_CASE(filling_runs_are_paced, Fixture)
+{
+  announce();
+  v1::ServerOrders wanted = orders();
+  add(wanted.mutable_runs(), TASK, 1);
+  wanted.mutable_runs(0)->set_latency_target_ms(100);
+  add(wanted.mutable_runs(), OTHER_TASK, 1);
+  wanted.mutable_runs(1)->set_fills(true);
+  server.loads[TASK] = 180;
+  obey(wanted, [this] { return server.paces[OTHER_TASK] == 40; });
+  server.loads[TASK] = 20;
+  agent.reset();
+  run_until([rounds = 0]() mutable { return ++rounds > 5; });
+  agent = make_agent();
+  announce();
+  obey(wanted, [this] { return server.paces[OTHER_TASK] == 100; });
+  BOOST_TEST(!server.paces.contains(TASK));
+}
+
+// Guards against leaving servers whose remaining time the owner does not know.
+BOOST_FIXTURE_TEST_CASE(leaving_server_reports_how_long_it_stays, Fixture)
+{
+  announce();
+  run_until([this] { return listed(); });
+  BOOST_TEST(!agent->report().leaving());
+  server.stays_ms = 2'000;
+  announce("draining");
+  v1::ServerReport report = agent->report();
+  BOOST_TEST(report.leaving());
+  BOOST_TEST(report.stays_ms() > 1'000);
+  BOOST_TEST(report.stays_ms() <= 2'000);
+}
--- /dev/null
+++ b/tests/core/progress_watch_test.cpp
@@ -0,0 +1,78 @@
+#define BOOST_TEST_MODULE progress_watch
+#include "core/progress_watch.h"
+
+#include <boost/test/unit_test.hpp>
+
+using geraniumhinge::core::ProgressWatch;
+
+namespace {
+
+constexpr char TASK[] = "5c0e7a21d94b36f8.0.0.1";
+constexpr std::int64_t ESTIMATE_MS = 4'000;
+
+/// Reports a percentage each 500 ms.
+struct Fixture
+{
+  ProgressWatch watch;
+  std::int64_t now_ms = 10'000;
+
+  void report(std::uint32_t percent, int times = 1)
+  {
+    for (int index = 0; index < times; ++index) {
+      now_ms += 500;
+      watch.reported(TASK, 1, percent, now_ms);
+    }
+  }
+};
+
+} // namespace
+
+// Guards against runs that stand still and are not noticed, and against runs
+// that move and are taken as standing.
+BOOST_FIXTURE_TEST_CASE(run_that_stands_still_is_told, Fixture)
+{
+  for (std::uint32_t percent : { 5U, 10U, 15U, 20U })
+    report(percent);
+  BOOST_TEST(!watch.standing_still(TASK, 1));
+  report(20, 5);
+  BOOST_TEST(watch.standing_still(TASK, 1));
+  BOOST_TEST(!watch.stalled(TASK, 1, ESTIMATE_MS));
+  report(20, 2);
+  BOOST_TEST(watch.stalled(TASK, 1, ESTIMATE_MS));
+  BOOST_TEST(!watch.stalled(TASK, 2, ESTIMATE_MS));
+  report(21);
+  BOOST_TEST(!watch.standing_still(TASK, 1));
+}
+
+// Guards against long tasks, which gain a percent only now and then, that are
+// taken as standing still.
+BOOST_FIXTURE_TEST_CASE(slow_progress_is_no_stall, Fixture)
+{
+  for (std::uint32_t percent = 1; percent < 5; ++percent)
+    report(percent, 8);
+  report(5, 12);
+  BOOST_TEST(!watch.standing_still(TASK, 1));
+  BOOST_TEST(!watch.stalled(TASK, 1, ESTIMATE_MS));
+}
+
+// Guards against runs that are given up because nobody reported on them.
+BOOST_FIXTURE_TEST_CASE(silence_is_no_stall, Fixture)
+{
+  for (std::uint32_t percent : { 5U, 10U, 15U })
+    report(percent);
+  now_ms += 60'000;
+  report(15);
+  BOOST_TEST(!watch.stalled(TASK, 1, ESTIMATE_MS));
+}
+
+// Guards against a task that stalls everywhere and is restarted for ever.
+BOOST_FIXTURE_TEST_CASE(restarts_are_limited, Fixture)
+{
+  report(5);
+  report(10);
+  report(10, 10);
+  BOOST_TEST(watch.stalled(TASK, 1, ESTIMATE_MS));
+  watch.restarted(TASK);
+  watch.restarted(TASK);
+  BOOST_TEST(!watch.stalled(TASK, 1, ESTIMATE_MS));
+}
--- a/tests/core/round_test.cpp
+++ b/tests/core/round_test.cpp
@@ -252,17 +252,18 @@
   dear.demand = SERVER_ROOM;
   dear.servers = { { "s0", 1 } };
   dear.unsaved_core_s = 100;
+  dear.spare_tasks = 1;
   RunGroup cheap = dear;
   cheap.step = { "cheap", 0, 0 };
   cheap.servers = { { "s1", 1 } };
   cheap.unsaved_core_s = 1;
   PreemptRequest request;
   request.place = request_for(step);
-  std::optional<PreemptPlan> plan =
-    plan_preemption(pool, { dear, cheap }, request);
+  std::vector<RunGroup> running{ dear, cheap };
+  std::optional<PreemptPlan> plan = plan_preemption(pool, running, request);
   BOOST_REQUIRE(plan.has_value());
   BOOST_REQUIRE(plan->victims.size() == 1U);
-  BOOST_TEST(plan->victims.front().step.workflow == "cheap");
+  BOOST_TEST(plan->victims.front()->step.workflow == "cheap");
 }
 
 // Guards against tasks that are stopped though their server is not needed.
@@ -296,3 +297,199 @@
     BOOST_TEST(task.run->attempt == 5U);
   }
 }
+
+// Guards against a large gang that smaller and later steps starve: servers
+// that end soon are kept for it, and used meanwhile only by what ends sooner.
+BOOST_AUTO_TEST_CASE(servers_are_held_for_a_gang_that_waits)
+{
+  Pool pool = make_pool(2, 2);
+  Jobs jobs;
+  StepMemory memory;
+  Step running_step = make_step(1, { 1'000, 1'024, 8 });
+  running_step.estimate_ms = 10'000;
+  jobs.add("runs", "y", 1, running_step);
+  Pool first = pool;
+  play(jobs, first, memory, {});
+  Step gang = make_step(2, { 1'000, 1'024, 8 }, true);
+  gang.estimate_ms = 10'000;
+  jobs.add("gang", "y", 1, gang);
+  Step longer = make_step(1, { 1'000, 1'024, 8 });
+  longer.estimate_ms = 30'000;
+  jobs.add("longer", "y", 1, longer);
+  Pool second = pool;
+  play(jobs, second, memory, {});
+  BOOST_TEST(running(jobs.jobs[2]) == 0U);
+  Step shorter = longer;
+  shorter.estimate_ms = 2'000;
+  jobs.add("shorter", "y", 1, shorter);
+  Pool third = pool;
+  play(jobs, third, memory, {});
+  BOOST_TEST(running(jobs.jobs[2]) == 0U);
+  BOOST_TEST(running(jobs.jobs[3]) == 1U);
+}
+
+// Guards against an urgent step that misses its objective because others' work
+// may not be lost for it, and against loss beyond its own worth.
+BOOST_AUTO_TEST_CASE(urgent_step_may_waste_work_in_proportion_to_its_own)
+{
+  for (std::int64_t estimate_ms : { 10'000, 100 }) {
+    Pool pool = make_pool(1, 1);
+    Jobs jobs;
+    StepMemory memory;
+    // An earlier owner placed it: 5 s of 72 cores are not saved.
+    jobs.add("other", "y", 1, make_step(1, { 8'000, 1'024, 8 }));
+    Pool first = pool;
+    play(jobs, first, memory, {});
+    memory.placed_ms.clear();
+    Step step = make_step(1, { 8'000, 1'024, 8 });
+    step.estimate_ms = static_cast<std::uint32_t>(estimate_ms);
+    RoundJob& urgent = jobs.add("urgent", "x", 0, step);
+    urgent.objective = { 1, NOW_MS + 1'000 };
+    Pool second = pool;
+    play(jobs, second, memory, {});
+    BOOST_TEST(stopping(jobs.jobs[0]) == (estimate_ms == 10'000));
+  }
+}
+
+// Guards against stops that leave more tasks of a lasting step away than its
+// owner allows.
+BOOST_AUTO_TEST_CASE(lasting_step_keeps_enough_tasks_at_work)
+{
+  Pool pool = make_pool(4, 4);
+  Jobs jobs;
+  StepMemory memory;
+  Step lasting = make_step(4, { 1'000, 1'024, 8 });
+  lasting.lasting = true;
+  lasting.max_away = 1;
+  jobs.add("lasting", "y", 1, lasting);
+  Pool first = pool;
+  play(jobs, first, memory, {});
+  jobs.add("urgent", "x", 0, make_step(2, { 1'000, 1'024, 8 }, true));
+  // None is known to be at work yet: none may be stopped.
+  Pool second = pool;
+  play(jobs, second, memory, { { "x", 16 } });
+  BOOST_TEST(running(jobs.jobs[0]) == 4U);
+  for (std::uint32_t index = 0; index < 4; ++index)
+    memory.percent[{ { "lasting", 0, 0 }, index }] = 100;
+  // A gang of two needs two of them: still none.
+  Pool third = pool;
+  play(jobs, third, memory, { { "x", 16 } });
+  BOOST_TEST(running(jobs.jobs[0]) == 4U);
+  jobs.add("small", "x", 0, make_step(1, { 1'000, 1'024, 8 }));
+  Pool fourth = pool;
+  play(jobs, fourth, memory, { { "x", 8 } });
+  BOOST_TEST(running(jobs.jobs[0]) == 3U);
+}
+
+// Guards against work that ends with a leaving server though it could have
+// been saved or begun elsewhere, and against stops of work that can end there.
+BOOST_AUTO_TEST_CASE(work_moves_off_a_server_that_leaves_too_soon)
+{
+  struct Case
+  {
+    bool checkpoints;
+    std::int64_t leaves_in_ms;
+    bool moves;
+  };
+  for (const Case& item : { Case{ true, 2'000, true },
+                            Case{ true, 9'000, false },
+                            Case{ false, 2'000, true },
+                            Case{ false, 4'000, false } }) {
+    Pool pool = make_pool(1, 1);
+    Jobs jobs;
+    StepMemory memory;
+    Step step = make_step(1, { 1'000, 1'024, 1 });
+    step.estimate_ms = 5'000;
+    step.checkpoints = item.checkpoints;
+    jobs.add("job", "x", 1, step);
+    Pool first = pool;
+    play(jobs, first, memory, {});
+    Pool second = pool;
+    second.servers["s0"].accepting = false;
+    second.servers["s0"].leaves_in_ms = item.leaves_in_ms;
+    RoundResult result = play(jobs, second, memory, {});
+    BOOST_TEST(stopping(jobs.jobs[0]) == item.moves);
+    BOOST_TEST(result.restarts.size() == (item.moves ? 1U : 0U));
+  }
+}
+
+// Guards against runs that stand still and are waited for, and against new
+// work on a server where runs stand still while others are free.
+BOOST_AUTO_TEST_CASE(stalled_runs_start_elsewhere)
+{
+  Pool pool = make_pool(2, 2);
+  Jobs jobs;
+  StepMemory memory;
+  jobs.add("job", "x", 1, make_step(1, { 1'000, 1'024, 1 }));
+  Pool first = pool;
+  play(jobs, first, memory, {});
+  std::string server = jobs.jobs[0].progress.open[0][0][0].run->server.id;
+  memory.stalled.insert({ { "job", 0, 0 }, 0 });
+  memory.suspects.insert(server);
+  jobs.add("next", "x", 1, make_step(1, { 1'000, 1'024, 1 }));
+  Pool second = pool;
+  play(jobs, second, memory, {});
+  BOOST_TEST(stopping(jobs.jobs[0]));
+  BOOST_TEST(jobs.jobs[1].progress.open[0][0][0].run->server.id != server);
+}
+
+// Guards against starts without a ticket in a queue that needs advice.
+BOOST_AUTO_TEST_CASE(advised_step_runs_only_where_it_has_a_ticket)
+{
+  Pool pool = make_pool(3, 3);
+  Jobs jobs;
+  StepMemory memory;
+  RoundJob& job = jobs.add("job", "x", 1, make_step(2, { 1'000, 1'024, 8 }));
+  job.advice = AdviceTerms{ 100, 10, 5'000 };
+  Pool first = pool;
+  RoundResult result = play(jobs, first, memory, {});
+  BOOST_TEST(running(jobs.jobs[0]) == 0U);
+  BOOST_REQUIRE(result.questions.size() == 1U);
+  BOOST_TEST(result.questions.front().servers.size() == 3U);
+  memory.advice.answered(
+    result.questions.front(), { { "s1", "ticket-1" } }, pool, NOW_MS, 5'000);
+  Pool second = pool;
+  result = play(jobs, second, memory, {});
+  BOOST_TEST(running(jobs.jobs[0]) == 1U);
+  BOOST_TEST(result.questions.empty());
+  const TaskState& task = jobs.jobs[0].progress.open[0][0][0];
+  BOOST_TEST(task.run->server.id == "s1");
+  BOOST_TEST(task.run->ticket == "ticket-1");
+}
+
+// Guards against tickets that are used when they have expired or belong to an
+// earlier life of a server.
+BOOST_AUTO_TEST_CASE(tickets_expire_and_belong_to_a_life)
+{
+  Pool pool = make_pool(2, 2);
+  StepKey step{ "job", 0, 0 };
+  AdviceBook book;
+  book.answered(
+    { step, { "s0", "s1" }, 0 }, { { "s0", "ticket" } }, pool, NOW_MS, 5'000);
+  BOOST_TEST(book.tickets(step, pool, NOW_MS + 4'000).size() == 1U);
+  BOOST_TEST(book.tickets(step, pool, NOW_MS + 4'600).empty());
+  BOOST_TEST(book.worth_asking(step, pool.servers["s0"], NOW_MS + 4'600));
+  BOOST_TEST(!book.worth_asking(step, pool.servers["s1"], NOW_MS + 4'600));
+  pool.servers["s0"].life.born_ms = 2;
+  pool.servers["s1"].life.born_ms = 2;
+  BOOST_TEST(book.tickets(step, pool, NOW_MS).empty());
+  BOOST_TEST(book.worth_asking(step, pool.servers["s1"], NOW_MS));
+}
+
+// Guards against a chain of steps whose objective ignores the steps to come.
+BOOST_AUTO_TEST_CASE(slack_counts_the_longest_chain)
+{
+  Workflow workflow;
+  for (std::uint32_t estimate_ms : { 1'000, 2'000, 500 }) {
+    Step step;
+    step.estimate_ms = estimate_ms;
+    workflow.steps.push_back(step);
+  }
+  workflow.steps[1].after = { 0 };
+  workflow.accepted_ms = 10'000;
+  BOOST_TEST(chain_ms(workflow, 0) == 3'000);
+  BOOST_TEST(chain_ms(workflow, 2) == 500);
+  Objective objective{ 1.5, 250 };
+  BOOST_TEST(slack_ms(workflow, objective, 0, 0, 10'000) == 1'750);
+  BOOST_TEST(slack_ms(workflow, objective, 0, 1, 12'000) == 750);
+}
--- /dev/null
+++ b/tests/entry/run_tracker_test.cpp
@@ -0,0 +1,125 @@
+#define BOOST_TEST_MODULE run_tracker
+#include "entry/run_tracker.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace geraniumhinge;
+
+namespace {
+
+constexpr std::int64_t NOW_MS = 100'000;
+constexpr char JOB[] = "5c0e7a21d94b36f8";
+
+/// A gang with one member on each of some servers, all of them reporting.
+struct Fixture
+{
+  kernel::Log log{ "test", kernel::Severity::Error };
+  entry::ServerTable servers{ entry::LeaseBounds{} };
+  entry::RunTracker tracker{ log, servers };
+  core::Workflow workflow;
+  std::vector<core::RoundJob> jobs;
+  std::uint64_t sequence = 0;
+
+  explicit Fixture(std::uint32_t members = 3)
+  {
+    core::Step step;
+    step.tasks = members;
+    step.gang = true;
+    workflow.id = JOB;
+    workflow.steps = { step };
+    core::RoundJob job;
+    job.workflow = &workflow;
+    core::open_due(workflow, job.progress, 0, 0);
+    for (std::uint32_t index = 0; index < members; ++index)
+      job.progress.open[0][0][index].run =
+        core::Run{ 1, life(index), node(index), false, "" };
+    jobs.push_back(job);
+    for (std::uint32_t index = 0; index < members; ++index)
+      report(index, NOW_MS - 1'000, std::nullopt);
+  }
+
+  static core::ServerLife life(std::uint32_t index)
+  {
+    return { "i-" + std::to_string(index), 1 };
+  }
+  static std::string node(std::uint32_t index)
+  {
+    return "node-" + std::to_string(index);
+  }
+
+  void report(std::uint32_t index,
+              std::int64_t now_ms,
+              std::optional<core::EndKind> end)
+  {
+    v1::Envelope envelope;
+    envelope.set_sender(node(index));
+    envelope.set_sender_incarnation(1);
+    v1::ServerReport& report = *envelope.mutable_server_report();
+    report.set_sequence(++sequence);
+    report.mutable_life()->set_id(life(index).id);
+    report.mutable_life()->set_born_ms(1);
+    report.set_listed(true);
+    report.set_answering(true);
+    if (end) {
+      v1::EndReport& told = *report.add_ended();
+      told.set_number(1);
+      told.set_task(core::task_name(JOB, { 0, 0, index }));
+      told.set_attempt(1);
+      told.set_kind(static_cast<std::uint32_t>(*end));
+    }
+    BOOST_REQUIRE(servers.take(envelope, now_ms) != nullptr);
+  }
+
+  std::size_t runs() const
+  {
+    std::size_t count = 0;
+    core::for_each_run(
+      jobs[0].progress,
+      [&count](const core::TaskRef&, const core::TaskState&) { ++count; });
+    return count;
+  }
+
+  void note(std::int64_t now_ms)
+  {
+    tracker.note_ends(jobs, now_ms);
+    tracker.note_lost(jobs[0], now_ms);
+  }
+};
+
+} // namespace
+
+// Guards against a gang that waits for the lease of a vanished server although
+// the ends of all others tell that the member there has ended.
+BOOST_FIXTURE_TEST_CASE(last_member_of_a_broken_gang_has_ended, Fixture)
+{
+  report(0, NOW_MS, core::EndKind::Broken);
+  report(1, NOW_MS, core::EndKind::Broken);
+  note(NOW_MS);
+  // Its agent was heard of a second ago and may still tell.
+  BOOST_TEST(runs() == 1U);
+  note(NOW_MS + 2'000);
+  BOOST_TEST(runs() == 0U);
+}
+
+// Guards against a member that is taken as ended although it may run on: the
+// gang broke for another reason, or two members are unaccounted for.
+BOOST_FIXTURE_TEST_CASE(other_members_may_run_on, Fixture)
+{
+  report(0, NOW_MS, core::EndKind::Broken);
+  note(NOW_MS + 3'000);
+  BOOST_TEST(runs() == 2U);
+  report(1, NOW_MS + 3'000, core::EndKind::Failed);
+  note(NOW_MS + 3'000);
+  BOOST_TEST(runs() == 1U);
+}
+
+// Guards against leases that are never taken as expired, and too early.
+BOOST_FIXTURE_TEST_CASE(silent_server_is_lost_after_its_lease, Fixture)
+{
+  std::int64_t heard_ms = NOW_MS - 1'000;
+  std::int64_t expiry_ms = entry::LeaseBounds{}.expiry_ms();
+  note(heard_ms + expiry_ms);
+  BOOST_TEST(runs() == 3U);
+  note(heard_ms + expiry_ms + 1);
+  BOOST_TEST(runs() == 0U);
+}
--- a/tests/gateway/http_test.cpp
+++ b/tests/gateway/http_test.cpp
@@ -265,7 +265,7 @@
   run_until([&] { return !received.empty(); });
   bool drained = false;
   server->drain([&] { drained = true; });
-  BOOST_TEST((result_of(call_of("y")).error() == HttpClientError::NotSent));
+  BOOST_TEST((result_of(call_of("y")).error() == HttpClientError::Refused));
   BOOST_TEST(!drained);
   received[0].second(HttpResponse{});
   run_until([&] { return drained && result.has_value(); });
@@ -321,7 +321,7 @@
   int closed_port = closed.listen_any();
   closed.shut();
   BOOST_TEST(
-    (result_of(call_of("x", closed_port)).error() == HttpClientError::NotSent));
+    (result_of(call_of("x", closed_port)).error() == HttpClientError::Refused));
 
   RawPeer cut(loop, { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf" });
   BOOST_TEST(
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE wire
+#include "platform/advice.h"
 #include "platform/backend_worker.h"
 #include "platform/caller.h"
 #include "platform/operator_config.h"
@@ -202,3 +203,18 @@
   for (const char* text : { "", "[]", "{}", R"({"version":"7"})" })
     BOOST_TEST(!decode_directory(text).has_value());
 }
+
+// Guards against tickets of an answer that can't be read.
+BOOST_AUTO_TEST_CASE(advice_is_read)
+{
+  std::optional<std::vector<core::AdviceTicket>> good =
+    decode_advice(R"({"good":[["i-1","t-1"],["i-2","t-2"]]})");
+  BOOST_REQUIRE(good.has_value());
+  BOOST_REQUIRE(good->size() == 2U);
+  BOOST_TEST(good->back().server == "i-2");
+  BOOST_TEST(good->back().ticket == "t-2");
+  BOOST_TEST(decode_advice(R"({"good":[]})")->empty());
+  for (const char* body :
+       { "", "[]", "{}", R"({"good":{}})", R"({"good":[["i-1"]]})" })
+    BOOST_TEST(!decode_advice(body).has_value());
+}
--- a/tests/platform/worker_standin.h
+++ b/tests/platform/worker_standin.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -36,23 +37,25 @@
                 kernel::TimerService& timers,
                 const std::string& address = "127.0.0.1:0")
     : timers(timers)
-    , server(loop,
-             timers,
-             address,
-             1UL * 1'024 * 1'024,
-             [this](const gateway::HttpRequest& request,
-                    gateway::HttpServer::Respond respond) {
-               this->handle(request, std::move(respond));
-             })
+    , server(std::make_unique<gateway::HttpServer>(
+        loop,
+        timers,
+        address,
+        1UL * 1'024 * 1'024,
+        [this](const gateway::HttpRequest& request,
+               gateway::HttpServer::Respond respond) {
+          this->handle(request, std::move(respond));
+        }))
   {
-    this->listening = this->server.listen().has_value();
+    this->listening = this->server->listen().has_value();
+    this->port = this->server->port();
     this->lease_watch =
       timers.every(kernel::Milliseconds(10), [this] { this->expire(); });
   }
 
   std::string address() const
   {
-    return "127.0.0.1:" + std::to_string(this->server.port());
+    return "127.0.0.1:" + std::to_string(this->port);
   }
 
   std::int64_t clock_ms() const { return kernel::boot_ms() - this->zero_ms; }
@@ -81,9 +84,17 @@
     ++this->born_ms;
   }
 
+  /// Ends as a crashed process does: nobody listens any more.
+  void shut()
+  {
+    this->waiting.clear();
+    this->server.reset();
+  }
+
   Json announcement(const std::string& state, std::uint64_t sequence) const
   {
-    return { { "service", "planner" },
+    return { { "remaining_ms", this->stays_ms },
+             { "service", "planner" },
              { "address", this->address() },
              { "zone", "zone-1" },
              { "version", "v1" },
@@ -103,6 +114,9 @@
   int lost_starts = 0;    ///< So many starts are done and not answered.
   int unheard_starts = 0; ///< So many starts are neither done nor answered.
   std::string rack = "r1-1";
+  std::int64_t stays_ms = 0;           ///< Said while draining.
+  std::map<std::string, double> loads; ///< Fifth figure of running tasks.
+  std::map<std::string, int> paces;    ///< Last pace that was ordered.
   std::int64_t born_ms = 1'000;
   std::uint64_t fencing_token = 0;
   std::map<Run, std::string> running; ///< With the payload.
@@ -164,6 +178,8 @@
       this->start(body, respond);
     else if (request.path == "/geraniumhinge/run-stop")
       this->stop(body, respond);
+    else if (request.path == "/geraniumhinge/pace")
+      this->pace(body, respond);
     else if (request.path == "/geraniumhinge/hold")
       this->hold(body, std::move(respond));
     else
@@ -220,6 +236,19 @@
     this->accept(respond);
   }
 
+  void pace(const Json& body, const gateway::HttpServer::Respond& respond)
+  {
+    this->paces[body.at("task").get<std::string>()] = body.at("percent");
+    this->accept(respond);
+  }
+
+  double load_of(const std::string& task) const
+  {
+    std::map<std::string, double>::const_iterator found =
+      this->loads.find(task);
+    return found == this->loads.end() ? 0 : found->second;
+  }
+
   void hold(const Json& body, gateway::HttpServer::Respond respond)
   {
     this->seen_ends =
@@ -249,8 +278,11 @@
                  { "running_tasks", Json::array() },
                  { "ended", Json::array() } };
     for (const std::pair<const Run, std::string>& item : this->running)
-      answer["running_tasks"].push_back(
-        { item.first.first, item.first.second, "", 10 });
+      answer["running_tasks"].push_back({ item.first.first,
+                                          item.first.second,
+                                          "",
+                                          10,
+                                          this->load_of(item.first.first) });
     for (const End& item : this->ended)
       answer["ended"].push_back({ item.number,
                                   item.run.first,
@@ -261,7 +293,8 @@
   }
 
   kernel::TimerService& timers;
-  gateway::HttpServer server;
+  std::unique_ptr<gateway::HttpServer> server;
+  int port = 0;
   std::map<std::string, std::uint32_t> highest; ///< Stopped or ended attempts.
   std::list<Waiting> waiting;
   std::vector<gateway::HttpServer::Respond> unanswered;
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -59,6 +59,7 @@
   std::vector<std::unique_ptr<entry::PlatformProgram>> entries;
   std::vector<entry::PlatformSettings> entry_settings;
   std::vector<std::uint64_t> announced;
+  std::string advice_address;
   kernel::Subscription beats;
 
   Fixture()
@@ -80,7 +81,9 @@
     settings.relay_listen = free_address();
     settings.peer_listen = free_address();
     settings.store_address = store.address();
+    settings.advice_address = advice_address;
     settings.max_lease = kernel::Milliseconds(2'000);
+    settings.lease = kernel::Milliseconds(2'000);
     settings.orphan = kernel::Milliseconds(1'500);
     settings.early = kernel::Milliseconds(250);
     settings.retention = kernel::Milliseconds(60'000);
@@ -103,6 +106,7 @@
     settings.http_listen = free_address();
     settings.store_address = store.address();
     settings.max_lease = kernel::Milliseconds(2'000);
+    settings.lease = kernel::Milliseconds(2'000);
     settings.orphan = kernel::Milliseconds(1'500);
     settings.report = kernel::Milliseconds(200);
     agent_settings.push_back(settings);
@@ -407,3 +411,71 @@
   wait_state(JOB, "completed");
   BOOST_TEST(workers[0]->starts.size() == 2U);
 }
+
+// Guards against jobs of a queue with advice that never start, or start on a
+// server that the advice rules out.
+BOOST_FIXTURE_TEST_CASE(advised_job_starts_with_its_ticket, Fixture)
+{
+  int refusals = 1;
+  std::vector<std::string> asked;
+  gateway::HttpServer advice(
+    loop,
+    timers,
+    "127.0.0.1:0",
+    65'536,
+    [&](const gateway::HttpRequest& request,
+        const gateway::HttpServer::Respond& respond) {
+      nlohmann::json body = nlohmann::json::parse(request.body);
+      asked.push_back(body.at("step_id").get<std::string>());
+      if (refusals-- > 0)
+        respond({ 429, "application/json", "{}", {} });
+      else
+        respond({ 200, "application/json", R"({"good":[["i-1","t-1"]]})", {} });
+    });
+  BOOST_REQUIRE(advice.listen().has_value());
+  advice_address = "127.0.0.1:" + std::to_string(advice.port());
+  store.put({ "op", "", "config" },
+            R"({"version":4,"routes":[{"name":"r","host":"127.0.0.1",
+                "path_prefix":"/lohu930/","service":"planner","attempts":2,
+                "recommendation":{"decide_ms":10,"per_worker_ms":1,
+                "validity_ms":4000}}],
+                "tenants":[{"name":"porto",
+                "api_keys":["d4a3hwrr6x73d3zji9n7"]}]})");
+  add_entry();
+  add_agent();
+  add_agent();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("POST", path, submission(1, 1, false)).status == 200);
+  run_until([this] { return running() == 1; });
+  BOOST_TEST(workers[0]->starts.empty());
+  BOOST_REQUIRE(workers[1]->start_bodies.size() == 1U);
+  BOOST_TEST(workers[1]->start_bodies[0].value("ticket", "") == "t-1");
+  BOOST_TEST(asked.back() == std::string(JOB) + ".0.0");
+}
+
+// Guards against saved work that is lost with a server which said beforehand
+// that it would leave.
+BOOST_FIXTURE_TEST_CASE(saved_work_moves_off_a_leaving_server, Fixture)
+{
+  add_entry();
+  add_agent();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("POST",
+                  path,
+                  R"({"task_spec":"text","phases":[{"count":1,"cpu":1000,
+                      "mem_mb":1024,"estimate_ms":60000,"checkpoints":true}]})")
+               .status == 200);
+  run_until([this] { return running() == 1; });
+  add_agent();
+  beats.reset();
+  kernel::Subscription draining =
+    timers.every(kernel::Milliseconds(100), [this] {
+      announce(0, "draining");
+      announce(1);
+    });
+  run_until([this] { return workers[1]->running.size() == 1; });
+  BOOST_TEST(workers[0]->running.empty());
+  BOOST_TEST(workers[1]->starts.front().second == 2U);
+}
