--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -12,6 +12,7 @@
 /// Beyond the wait that a look asks for.
 constexpr kernel::Milliseconds LOOK_SLACK{ 300 };
 constexpr kernel::Milliseconds LOOK_RETRY{ 200 };
+constexpr kernel::Milliseconds UNSTORED_PAUSE{ 100 };
 constexpr kernel::Milliseconds TICK{ 100 };
 /// Looks at a server whose filling tasks may disturb others.
 constexpr kernel::Milliseconds PACING_WATCH{ 250 };
@@ -174,7 +175,12 @@
                     answer->born_ms != this->server->life.born_ms;
   if (answer && !other_life) {
     this->take_lists(sent_ms, std::move(*answer));
-    this->post([this] { this->look(); });
+    // With ends that are not stored yet, the server answers at once.
+    if (this->lists.ended.empty())
+      this->post([this] { this->look(); });
+    else
+      this->look_retry =
+        this->timers.after(UNSTORED_PAUSE, [this] { this->look(); });
     return;
   }
   this->look_failed(other_life ? platform::WorkerError::OtherLife
--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -70,7 +70,10 @@
     this->orders.clear_stops();
     return;
   }
+  bool stored = orders.stored_ends() > this->stored_ends;
   this->stored_ends = std::max(this->stored_ends, orders.stored_ends());
+  if (stored)
+    this->look();
   this->reconcile();
 }
 
--- a/core/objective.cpp
+++ b/core/objective.cpp
@@ -17,6 +17,17 @@
   return chains[step];
 }
 
+std::int64_t
+allowed_ms(const Workflow& workflow, const Objective& objective)
+{
+  std::int64_t longest = 0;
+  for (std::uint32_t first = 0; first < workflow.steps.size(); ++first)
+    longest = std::max(longest, chain_ms(workflow, first));
+  return static_cast<std::int64_t>(objective.factor *
+                                   static_cast<double>(longest)) +
+         objective.extra_ms;
+}
+
 std::int64_t
 slack_ms(const Workflow& workflow,
          const Objective& objective,
@@ -24,17 +35,12 @@
          std::uint32_t step,
          std::int64_t unix_now_ms)
 {
-  std::int64_t longest = 0;
-  for (std::uint32_t first = 0; first < workflow.steps.size(); ++first)
-    longest = std::max(longest, chain_ms(workflow, first));
   std::int64_t begin_ms =
     workflow.occurrences > 0
       ? workflow.first_due_ms + occurrence * workflow.period_ms
       : workflow.accepted_ms;
-  std::int64_t allowed_ms =
-    static_cast<std::int64_t>(objective.factor * static_cast<double>(longest)) +
-    objective.extra_ms;
-  return begin_ms + allowed_ms - chain_ms(workflow, step) - unix_now_ms;
+  return begin_ms + allowed_ms(workflow, objective) - chain_ms(workflow, step) -
+         unix_now_ms;
 }
 
 } // namespace geraniumhinge::core
--- a/core/objective.h
+++ b/core/objective.h
@@ -18,6 +18,10 @@
 std::int64_t
 chain_ms(const Workflow& workflow, std::uint32_t step);
 
+/// The time that the objective allows one run of all steps.
+std::int64_t
+allowed_ms(const Workflow& workflow, const Objective& objective);
+
 /// How much longer a step of an occurrence may wait and still meet the
 /// objective; negative if it is too late.
 std::int64_t
--- a/core/pool.h
+++ b/core/pool.h
@@ -55,7 +55,9 @@
   std::int64_t remaining_ms = 0; ///< Until the last one ends, estimated.
   Resources demand;              ///< Of one task.
   std::map<std::string, std::uint32_t> servers; ///< Tasks on each server.
-  double unsaved_core_s = 0; ///< Work that would be lost by a stop.
+  /// What a stop would cost: unsaved work, room that is idle until the runs
+  /// have ended, and what it is worth that the step is not late.
+  double loss_core_s = 0;
 };
 
 /// Servers with what they hold. Built anew for each round of decisions.
--- a/core/preempt.cpp
+++ b/core/preempt.cpp
@@ -20,7 +20,7 @@
 double
 cost(const RunGroup& victim)
 {
-  return victim.stopping ? 0 : victim.unsaved_core_s;
+  return victim.stopping ? 0 : victim.loss_core_s;
 }
 
 void
@@ -148,7 +148,7 @@
       plan.victims.push_back(victim);
   }
   plan.servers = assign(after, request.place);
-  plan.unsaved_core_s = best->cost;
+  plan.loss_core_s = best->cost;
   return plan;
 }
 
--- a/core/preempt.h
+++ b/core/preempt.h
@@ -20,12 +20,12 @@
 {
   std::vector<RunGroup*> victims;   ///< That are not stopping already.
   std::vector<std::string> servers; ///< For the tasks, once the victims ended.
-  double unsaved_core_s = 0;        ///< Of all victims.
+  double loss_core_s = 0;           ///< Of all victims.
 };
 
-/// Chooses the runs to stop so that the request fits, with little unsaved work
-/// lost. Room of runs that are stopping already is used first. Nothing if no
-/// choice makes it fit.
+/// Chooses the runs to stop so that the request fits, with a small loss. Room
+/// of runs that are stopping already is used first. Nothing if no choice makes
+/// it fit.
 std::optional<PreemptPlan>
 plan_preemption(const Pool& pool,
                 std::vector<RunGroup>& running,
--- a/core/round.h
+++ b/core/round.h
@@ -6,6 +6,7 @@
 #include "core/pool.h"
 #include "core/workflow.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -37,14 +38,14 @@
   /// How many times as long a step takes that misses its rack.
   double rack_penalty = 3;
   std::int64_t unix_offset_ms = 0; ///< Unix time less boot time.
+  std::int64_t stop_ms = 0;        ///< Until the room of a stopped run is free.
   /// Unsaved work that the most urgent steps may throw away, beyond their
   /// organisation's guarantee: at once, and more for each second of waiting.
   double urgent_waste_core_s = 100;
   double urgent_waste_core_s_per_s = 200;
-  /// The same for a step that can still meet its objective, as a part of its
-  /// own work: for the most urgent steps, and for others.
-  double urgent_waste_share = 2.5;
-  double waste_share = 0.7;
+  /// What it is worth that a step meets its objective, as a part of its own
+  /// work, by priority; the last one stands for all others.
+  std::array<double, 3> in_time_worth{ 2.5, 1, 0.2 };
 };
 
 /// A task of a step, by its index.
@@ -74,7 +75,7 @@
   StepKey step;
   StepKey victim;
   std::size_t tasks = 0; ///< Of the victim.
-  double unsaved_core_s = 0;
+  double loss_core_s = 0;
 };
 
 /// Why runs are stopped though nothing else needs their room.
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -67,7 +67,9 @@
                           const StepState& tasks) const;
   std::int64_t elapsed_ms(const TaskKey& task) const;
   std::int64_t remaining_ms(const TaskKey& task, const Step& step) const;
-  double unsaved(const TaskKey& task, const Step& step) const;
+  double in_time_worth(const RoundJob& job, const Step& step) const;
+  bool stop_makes_late(const RoundJob& job, const TaskKey& task) const;
+  double loss(const RoundJob& job, const TaskKey& task) const;
   void stop(RunGroup& group);
 
   void hold(const Waiting& waiting);
--- a/core/round_stop.cpp
+++ b/core/round_stop.cpp
@@ -23,6 +23,8 @@
 /// Servers often stay longer than they promise. Without a checkpoint, work is
 /// given up only if it needs more than this beyond the promise.
 constexpr std::int64_t STAY_LONGER_MS = 2'000;
+/// Until a stopped step runs again, after it has ended.
+constexpr std::int64_t REQUEUE_MS = 1'000;
 
 } // namespace
 
@@ -56,13 +58,48 @@
   return std::max<std::int64_t>(estimate - this->elapsed_ms(task), 0);
 }
 
+/// What it is worth that a task of the step is done in time.
 double
-Round::unsaved(const TaskKey& task, const Step& step) const
+Round::in_time_worth(const RoundJob& job, const Step& step) const
 {
+  std::size_t row =
+    std::min<std::size_t>(job.priority, this->limits.in_time_worth.size() - 1);
+  return this->limits.in_time_worth[row] *
+         core_seconds(step.demand, step.estimate_ms / MS_PER_S);
+}
+
+/// Whether the task would end in time, but not if it were stopped now.
+bool
+Round::stop_makes_late(const RoundJob& job, const TaskKey& task) const
+{
+  if (job.objective.factor <= 0)
+    return false;
+  const StepKey& key = task.first;
+  const Step& step = job.workflow->steps[key.step];
+  std::int64_t begin_slack =
+    slack_ms(*job.workflow,
+             job.objective,
+             key.occurrence,
+             key.step,
+             this->now_ms + this->limits.unix_offset_ms);
+  std::int64_t done_ms = step.estimate_ms - this->remaining_ms(task, step);
+  std::int64_t saved_ms = step.checkpoints ? done_ms : 0;
+  std::int64_t away_ms = this->limits.stop_ms + REQUEUE_MS;
+  return begin_slack + done_ms >= 0 && begin_slack + saved_ms < away_ms;
+}
+
+double
+Round::loss(const RoundJob& job, const TaskKey& task) const
+{
+  const Step& step = job.workflow->steps[task.first.step];
   double seconds = static_cast<double>(this->elapsed_ms(task)) / MS_PER_S;
   if (step.checkpoints)
     seconds = std::min(seconds, CHECKPOINT_S);
-  return core_seconds(step.demand, seconds);
+  seconds += static_cast<double>(this->limits.stop_ms) / MS_PER_S;
+  double lost = core_seconds(step.demand, seconds);
+  if (this->stop_makes_late(job, task))
+    lost += this->in_time_worth(job, step);
+  return lost;
 }
 
 void
@@ -106,7 +143,7 @@
     group.tasks.push_back(index);
     ++group.servers[task.run->server.id];
     group.stopping = group.stopping || task.run->stopping;
-    group.unsaved_core_s += this->unsaved(named, step);
+    group.loss_core_s += this->loss(job, named);
     group.remaining_ms =
       std::max(group.remaining_ms, this->remaining_ms(named, step));
   }
@@ -176,22 +213,23 @@
   return group.remaining_ms > stays_ms;
 }
 
-/// Unsaved work that may be thrown away for the step.
+/// The loss that others may bear for the step.
 double
 Round::waste_allowed(const Waiting& waiting) const
 {
   const Step& step = this->step_of(waiting);
-  double own = core_seconds(step.demand, step.estimate_ms / MS_PER_S) *
-               static_cast<double>(waiting.request.tasks);
-  bool in_time = waiting.slack_ms && *waiting.slack_ms >= 0 &&
+  double worth = this->in_time_worth(waiting.job, step) *
+                 static_cast<double>(waiting.request.tasks);
+  bool in_time = waiting.slack_ms &&
+                 *waiting.slack_ms >= this->limits.stop_ms &&
                  *waiting.slack_ms < LITTLE_SLACK_MS;
   if (waiting.job.priority > 0)
-    return in_time ? this->limits.waste_share * own : 0;
+    return in_time ? worth : 0;
   double allowed = this->limits.urgent_waste_core_s +
                    this->limits.urgent_waste_core_s_per_s *
                      static_cast<double>(waiting.waited_ms) / MS_PER_S;
   if (in_time)
-    allowed = std::max(allowed, this->limits.urgent_waste_share * own);
+    allowed = std::max(allowed, worth);
   return allowed;
 }
 
@@ -213,13 +251,11 @@
     wanted.place.any_rack = true;
     plan = plan_preemption(this->pool, this->groups, wanted);
   }
-  if (!plan || (!waiting.job.guaranteed && plan->unsaved_core_s > allowed))
+  if (!plan || (!waiting.job.guaranteed && plan->loss_core_s > allowed))
     return false;
   for (RunGroup* victim : plan->victims) {
-    this->result.preemptions.push_back({ waiting.key,
-                                         victim->step,
-                                         victim->tasks.size(),
-                                         victim->unsaved_core_s });
+    this->result.preemptions.push_back(
+      { waiting.key, victim->step, victim->tasks.size(), victim->loss_core_s });
     this->stop(*victim);
   }
   // Keeps the room from steps that are less urgent.
--- a/entry/adviser.cpp
+++ b/entry/adviser.cpp
@@ -56,7 +56,7 @@
                   const platform::AdviceClient::Result& result)
 {
   std::int64_t took = kernel::boot_ms() - asked_ms;
-  this->metrics.summary("entry_advice_ms").observe(static_cast<double>(took));
+  this->metrics.histogram("entry_advice_ms").observe(static_cast<double>(took));
   if (!result) {
     this->metrics.counter("entry_advice_failed_total").add();
     this->log.write(
--- a/entry/caller_api.cpp
+++ b/entry/caller_api.cpp
@@ -14,15 +14,25 @@
 using platform::CallerResult;
 using platform::CallerState;
 
-constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 1'200 };
+/// Of the first, second and later tries of a change. The first ones are short,
+/// since the same change may be sent again at any time.
+constexpr kernel::Milliseconds COMMIT_TIMEOUTS[] = {
+  kernel::Milliseconds(500),
+  kernel::Milliseconds(800),
+  kernel::Milliseconds(1'200),
+};
 constexpr kernel::Milliseconds READ_TIMEOUT{ 1'200 };
 constexpr kernel::Milliseconds RETRY_PAUSE{ 60 };
 /// A request that nobody could store is tried again for so long before it is
 /// refused. Longer than this, callers leave before they are told.
 constexpr std::int64_t STORE_RETRY_LIMIT_MS = 200;
 constexpr kernel::Milliseconds STORE_RETRY_PAUSE{ 100 };
-/// Kept of a caller's deadline for the answer to arrive.
+/// Kept of a caller's deadline for the answer to arrive: this part of it, and
+/// at most so long.
+constexpr std::int64_t ANSWER_MARGIN_PART = 6;
 constexpr std::int64_t ANSWER_MARGIN_MS = 300;
+/// With less time left, a change is not sent for the first time.
+constexpr std::int64_t LEAST_TRY_MS = 50;
 
 bool
 same_submission(const core::Workflow& left, const core::Workflow& right)
@@ -48,6 +58,7 @@
   core::Workflow workflow; ///< To submit.
   platform::RowChange change;
   bool uncertain = false; ///< A call to the store got no answer.
+  std::size_t tries = 0;  ///< Of the change.
   std::int64_t received_ms = 0;
 };
 
@@ -78,6 +89,9 @@
   call->request = std::move(request);
   call->respond = std::move(respond);
   call->received_ms = kernel::boot_ms();
+  // For the log, also of requests that are refused before they are looked at.
+  const std::string& path = call->request.path;
+  call->id = path.substr(path.rfind('/') + 1);
   this->begin(call);
 }
 
@@ -186,12 +200,38 @@
   this->try_submit(call);
 }
 
+/// Time that is left until the answer must be on its way.
+std::int64_t
+CallerApi::left_ms(const CallPointer& call)
+{
+  std::int64_t deadline = call->request.deadline.count();
+  std::int64_t margin =
+    std::min(ANSWER_MARGIN_MS, deadline / ANSWER_MARGIN_PART);
+  return call->received_ms + deadline - margin - kernel::boot_ms();
+}
+
+kernel::Milliseconds
+CallerApi::next_timeout(const CallPointer& call)
+{
+  std::size_t last = std::size(COMMIT_TIMEOUTS) - 1;
+  kernel::Milliseconds timeout = COMMIT_TIMEOUTS[std::min(call->tries, last)];
+  ++call->tries;
+  std::int64_t left = std::max<std::int64_t>(left_ms(call), 1);
+  return std::min(timeout, kernel::Milliseconds(left));
+}
+
 void
 CallerApi::try_submit(const CallPointer& call)
 {
+  // Sent now, it could be carried out after the caller was refused.
+  bool hopeless = this->store.stuck() || left_ms(call) < LEAST_TRY_MS;
+  if (hopeless && !call->uncertain) {
+    this->pass_on(call, CallerResult::NotDone);
+    return;
+  }
   this->store.commit(
     call->change,
-    COMMIT_TIMEOUT,
+    next_timeout(call),
     this->guarded([this, call](const platform::Store::CommitResult& result) {
       this->submitted(call, result);
     }));
@@ -227,17 +267,28 @@
       }
       break;
     default:
-      call->uncertain = true;
-      break;
+      this->unanswered(call, [this, call] { this->try_submit(call); });
+      return;
   }
   this->retry(call, [this, call] { this->try_submit(call); });
 }
 
+/// A change got no answer. The same change by another entry settles it: only
+/// one of them is applied.
+void
+CallerApi::unanswered(const CallPointer& call, std::function<void()> again)
+{
+  call->uncertain = true;
+  if (call->request.relayed)
+    this->retry(call, std::move(again));
+  else
+    this->pass_on(call, CallerResult::Uncertain);
+}
+
 void
 CallerApi::retry(const CallPointer& call, std::function<void()> again)
 {
-  std::int64_t deadline = call->received_ms + call->request.deadline.count();
-  if (kernel::boot_ms() + RETRY_PAUSE.count() + ANSWER_MARGIN_MS > deadline) {
+  if (left_ms(call) < RETRY_PAUSE.count()) {
     this->answer(call, CallerResult::Uncertain);
     return;
   }
@@ -293,7 +344,7 @@
   change.writes.push_back({ row, call->organisation });
   this->store.commit(
     change,
-    COMMIT_TIMEOUT,
+    next_timeout(call),
     this->guarded([this, call, row, workflow_version](
                     const platform::Store::CommitResult& result) {
       if (result) {
@@ -313,8 +364,10 @@
           }
           break;
         default:
-          call->uncertain = true;
-          break;
+          this->unanswered(call, [this, call, workflow_version] {
+            this->try_cancel(call, workflow_version);
+          });
+          return;
       }
       this->retry(call, [this, call, workflow_version] {
         this->try_cancel(call, workflow_version);
@@ -370,35 +423,55 @@
 void
 CallerApi::pass_on(const CallPointer& call, CallerResult otherwise)
 {
-  if (call->request.relayed) {
+  // Another entry could do it, and its answer would come too late.
+  bool too_late = left_ms(call) < LEAST_TRY_MS && !call->uncertain;
+  if (call->request.relayed || too_late) {
     this->answer(call, otherwise);
     return;
   }
   this->metrics.counter("entry_relayed_total").add();
-  this->relay.pass(
-    call->request,
-    this->guarded(
-      [this, call, otherwise](const platform::CallerAnswer& answer) {
-        if (answer.result != CallerResult::NotDone) {
-          this->answer(call, answer);
-          return;
-        }
-        const WorkItem* known = this->view.find(
-          call->request.path.substr(call->request.path.rfind('/') + 1));
-        bool get = call->request.operation == CallerOperation::GetState;
-        std::int64_t waited = kernel::boot_ms() - call->received_ms;
-        if (!get && waited < STORE_RETRY_LIMIT_MS) {
-          this->after(STORE_RETRY_PAUSE, [this, call] { this->begin(call); });
-          return;
-        }
-        bool show = get && known;
-        if (show)
-          this->answer(call,
-                       platform::CallerAnswer{
-                         CallerResult::State, this->state_of(*known), 0 });
-        else
-          this->answer(call, otherwise);
-      }));
+  platform::CallerRequest passed = call->request;
+  passed.deadline =
+    kernel::Milliseconds(std::max<std::int64_t>(left_ms(call), 1));
+  this->relay.pass(passed,
+                   this->guarded([this, call, otherwise](
+                                   const platform::CallerAnswer& answer) {
+                     this->passed_on(call, otherwise, answer);
+                   }));
+}
+
+void
+CallerApi::passed_on(const CallPointer& call,
+                     CallerResult otherwise,
+                     const platform::CallerAnswer& answer)
+{
+  bool get = call->request.operation == CallerOperation::GetState;
+  if (answer.result == CallerResult::Uncertain && !get) {
+    // The row will tell, once the store can be asked.
+    call->uncertain = true;
+    this->retry(call, [this, call] { this->begin(call); });
+    return;
+  }
+  if (answer.result != CallerResult::NotDone) {
+    this->answer(call, answer);
+    return;
+  }
+  if (call->uncertain) {
+    this->retry(call, [this, call] { this->begin(call); });
+    return;
+  }
+  std::int64_t waited = kernel::boot_ms() - call->received_ms;
+  if (!get && waited < STORE_RETRY_LIMIT_MS) {
+    this->after(STORE_RETRY_PAUSE, [this, call] { this->begin(call); });
+    return;
+  }
+  const WorkItem* known = this->view.find(call->id);
+  if (get && known)
+    this->answer(
+      call,
+      platform::CallerAnswer{ CallerResult::State, this->state_of(*known), 0 });
+  else
+    this->answer(call, otherwise);
 }
 
 void
@@ -420,6 +493,9 @@
     .counter(fmt::format(
       "entry_calls_total{{operation=\"{}\",result=\"{}\"}}", operation, result))
     .add();
+  this->metrics
+    .histogram(fmt::format("entry_call_ms{{operation=\"{}\"}}", operation))
+    .observe(static_cast<double>(took));
   // Shown states are too many for the log; the counter has them.
   bool shown = answer.result == CallerResult::State ||
                answer.result == CallerResult::Waiting;
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -56,7 +56,13 @@
   void show(const CallPointer& call);
   void look_up(const CallPointer& call,
                std::function<void(platform::Store::ReadResult)> found);
+  void unanswered(const CallPointer& call, std::function<void()> again);
+  void passed_on(const CallPointer& call,
+                 platform::CallerResult otherwise,
+                 const platform::CallerAnswer& answer);
   void pass_on(const CallPointer& call, platform::CallerResult otherwise);
+  static std::int64_t left_ms(const CallPointer& call);
+  static kernel::Milliseconds next_timeout(const CallPointer& call);
   void retry(const CallPointer& call, std::function<void()> again);
   void after(kernel::Milliseconds delay, std::function<void()> action);
   void answer(const CallPointer& call, platform::CallerResult result);
--- a/entry/cli.cpp
+++ b/entry/cli.cpp
@@ -1,7 +1,9 @@
 #include "entry/cli.h"
 
 #include "entry/cli_status.h"
+#include "entry/explain.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
@@ -29,6 +31,7 @@
   check    Validate a settings file.
   call     Call a method of the scheduler and print its answer as JSON.
   status   Show entries, cells, backend servers and organisations.
+  explain  Tell what became of a job, from the logs of all processes.
   version  Print the version.
 
 `geraniumhinge COMMAND --help` shows the options of a command.
@@ -54,6 +57,16 @@
   echo '{"id": "j1"}' | geraniumhinge call GetJob -
 )";
 
+constexpr char EXPLAIN_EXAMPLES[] = R"(
+Lines of other programs are passed over; a time or name that a collector puts
+before a line does no harm. /dev/stdin reads from a pipe. The exit code is 1 if
+no line names the job.
+
+Examples:
+  geraniumhinge explain 5c0e7a21d94b36f8 entry-1.log entry-2.log agent-*.log
+  zcat logs/*.gz | geraniumhinge explain 5c0e7a21d94b36f8 /dev/stdin
+)";
+
 constexpr char STATUS_EXAMPLES[] = R"(
 Examples:
   geraniumhinge status --address 10.0.0.5:8080 --token-file operator.token
@@ -338,6 +351,53 @@
   return EXIT_CODE_SUCCESS;
 }
 
+void
+read_log_lines(std::istream& in, std::vector<LogLine>& lines)
+{
+  for (std::string text; std::getline(in, text);) {
+    std::optional<LogLine> line = parse_log_line(text);
+    if (line)
+      lines.push_back(std::move(*line));
+  }
+}
+
+int
+run_explain(const Context& context)
+{
+  cxxopts::Options options("geraniumhinge explain",
+                           "Tells what became of a job, from the logs of all "
+                           "processes.\n");
+  options.positional_help("JOB FILE...");
+  options.add_options()("job", "Identifier", cxxopts::value<std::string>())(
+    "files", "Logs", cxxopts::value<std::vector<std::string>>())(
+    "h,help", "Show this help");
+  options.parse_positional({ "job", "files" });
+  Usage<cxxopts::ParseResult> arguments = parse(options, context);
+  if (!arguments)
+    return report(context.streams, arguments.error());
+  if (arguments->count("help") > 0) {
+    fmt::print(context.streams.out, "{}{}", options.help(), EXPLAIN_EXAMPLES);
+    return EXIT_CODE_SUCCESS;
+  }
+  if (arguments->count("job") == 0 || arguments->count("files") == 0)
+    return report(context.streams, { "JOB and at least one FILE are needed" });
+  std::vector<LogLine> lines;
+  for (const std::string& path :
+       (*arguments)["files"].as<std::vector<std::string>>()) {
+    std::ifstream file(path);
+    if (!file)
+      return report(context.streams, { "cannot read " + path });
+    read_log_lines(file, lines);
+  }
+  std::string job = (*arguments)["job"].as<std::string>();
+  bool found =
+    std::any_of(lines.begin(), lines.end(), [&job](const LogLine& line) {
+      return concerns(line, job);
+    });
+  fmt::print(context.streams.out, "{}", explain(job, std::move(lines)));
+  return found ? EXIT_CODE_SUCCESS : EXIT_CODE_FAILURE;
+}
+
 /// Runs `serve` and `check`, which take a settings file.
 int
 run_with_settings(const Context& context,
@@ -388,6 +448,8 @@
     return run_call(context);
   if (command == "status")
     return run_status(context);
+  if (command == "explain")
+    return run_explain(context);
   bool help = command == "--help" || command == "-h" || command == "help";
   if (!help && command != "version" && command != "--version")
     return report(streams, { "unknown command " + command });
--- /dev/null
+++ b/entry/explain.cpp
@@ -0,0 +1,100 @@
+#include "entry/explain.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <regex>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+/// `<time> <severity> <number> <name> node=<node> <fields>`
+const std::regex&
+line_pattern()
+{
+  static const std::regex pattern(
+    R"((\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z) (\w+) \d+ (\w+) node=(\S+)(.*))");
+  return pattern;
+}
+
+std::string
+field(const LogLine& line, const std::string& name)
+{
+  std::size_t at = line.fields.find(' ' + name + '=');
+  if (at == std::string::npos)
+    return {};
+  at += name.size() + 2;
+  return line.fields.substr(at, line.fields.find(' ', at) - at);
+}
+
+std::string
+summary(const std::string& job, const std::vector<LogLine>& lines)
+{
+  std::string submitted = "no submission found";
+  std::string outcome = "no outcome found";
+  std::size_t starts = 0;
+  std::size_t lost = 0;
+  std::size_t stopped = 0;
+  for (const LogLine& line : lines) {
+    if (line.event == "call_answered" && field(line, "operation") == "submit")
+      submitted =
+        fmt::format("submission {} at {}", field(line, "result"), line.time);
+    else if (line.event == "workflow_ended")
+      outcome = fmt::format("{} at {}", field(line, "outcome"), line.time);
+    else if (line.event == "step_placed")
+      ++starts;
+    else if (line.event == "run_lost")
+      ++lost;
+    else if (line.event == "step_preempted" && field(line, "victim") == job)
+      ++stopped;
+  }
+  return fmt::format("{}: {}; {}; placed {} times, {} runs lost, preempted {} "
+                     "times\n",
+                     job,
+                     submitted,
+                     outcome,
+                     starts,
+                     lost,
+                     stopped);
+}
+
+} // namespace
+
+std::optional<LogLine>
+parse_log_line(std::string_view text)
+{
+  std::match_results<std::string_view::const_iterator> match;
+  if (!std::regex_search(text.begin(), text.end(), match, line_pattern()))
+    return std::nullopt;
+  return LogLine{ match[1].str(),
+                  match[2].str(),
+                  match[3].str(),
+                  match[4].str(),
+                  match[5].str() };
+}
+
+bool
+concerns(const LogLine& line, const std::string& job)
+{
+  std::string task = field(line, "task");
+  return field(line, "job") == job || field(line, "victim") == job ||
+         task.starts_with(job + '.');
+}
+
+std::string
+explain(const std::string& job, std::vector<LogLine> lines)
+{
+  std::erase_if(lines,
+                [&job](const LogLine& line) { return !concerns(line, job); });
+  std::stable_sort(
+    lines.begin(), lines.end(), [](const LogLine& left, const LogLine& right) {
+      return left.time < right.time;
+    });
+  std::string text;
+  for (const LogLine& line : lines)
+    text += fmt::format(
+      "{} {} {}{}\n", line.time, line.node, line.event, line.fields);
+  return text + summary(job, lines);
+}
+
+} // namespace geraniumhinge::entry
--- a/entry/ownership.cpp
+++ b/entry/ownership.cpp
@@ -11,11 +11,11 @@
 namespace {
 
 constexpr kernel::Milliseconds CHECK_PERIOD{ 100 };
-constexpr kernel::Milliseconds PULSE_PERIOD{ 600 };
+constexpr kernel::Milliseconds PULSE_PERIOD{ 400 };
 constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 1'200 };
 constexpr kernel::Milliseconds OWNER_WAIT{ 1'000 };
 /// Three pulses missed.
-constexpr std::int64_t SILENCE_LIMIT_MS = 1'900;
+constexpr std::int64_t SILENCE_LIMIT_MS = 1'300;
 /// Entries lose patience at different times.
 constexpr std::uint64_t PATIENCE_SPREAD_MS = 400;
 
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -29,6 +29,8 @@
 /// Two waits must pass within the accepted age of the configuration.
 constexpr kernel::Milliseconds CONFIG_WAIT{ 700 };
 constexpr kernel::Milliseconds WORK_WAIT{ 700 };
+/// Entries that place nothing take changes of the work in batches.
+constexpr kernel::Milliseconds GATHER_PAUSE{ 120 };
 constexpr kernel::Milliseconds READ_TIMEOUT{ 1'000 };
 constexpr kernel::Milliseconds READ_RETRY{ 100 };
 /// The platform notices an unready entry after two looks, a second apart.
@@ -68,6 +70,7 @@
   WorkSchedulerLimits limits;
   limits.early_ms = settings.early.count();
   limits.retention_ms = settings.retention.count();
+  limits.stop_ms = settings.stop_grace.count();
   limits.rack_penalty = settings.rack_penalty;
   return limits;
 }
@@ -115,6 +118,10 @@
                     [this](const platform::RowPage& page) {
                       this->view.apply(page);
                       this->scheduler.wake();
+                    },
+                    [this] {
+                      return this->ownership.owns() ? kernel::Milliseconds(0)
+                                                    : GATHER_PAUSE;
                     } })
   , scheduler(loop,
               timers,
--- a/entry/platform_settings.cpp
+++ b/entry/platform_settings.cpp
@@ -18,6 +18,7 @@
   { "/platform/lease_ms", SettingType::Integer, "ms", 500, 600'000, "3000", "Leases that agents ask for, at most the longest; the same for agents and entries. A shorter one finds lost servers sooner and bears shorter pauses of an agent." },
   { "/platform/orphan_ms", SettingType::Integer, "ms", 500, 600'000, "4000", "How long agents renew leases without a word from the owner; as in the agents' settings." },
   { "/platform/advice_address", SettingType::Text, "", 0, 0, "\"\"", "The platform's advice service, for queues that need it; empty if there is none." },
+  { "/platform/stop_grace_ms", SettingType::Integer, "ms", 0, 600'000, "0", "Longest time that a stopped task takes to end." },
   { "/platform/rack_penalty", SettingType::Number, "", 1, 100, "3", "How many times as long a task takes away from its rack." },
   { "/platform/early_ms", SettingType::Integer, "ms", 0, 60'000, "0", "How long before its time an occurrence may start." },
   { "/platform/retention_s", SettingType::Integer, "s", 1, 604'800, "150", "How long ended workflows are kept." },
@@ -67,6 +68,7 @@
   settings.peer_listen = reader.text(row_of("/peer/listen"));
   settings.store_address = reader.text(row_of("/platform/store_address"));
   settings.advice_address = reader.text(row_of("/platform/advice_address"));
+  settings.stop_grace = duration("/platform/stop_grace_ms");
   settings.rack_penalty = reader.number(row_of("/platform/rack_penalty"));
   settings.max_lease = duration("/platform/max_lease_ms");
   settings.lease = std::min(duration("/platform/lease_ms"), settings.max_lease);
--- a/entry/platform_settings.h
+++ b/entry/platform_settings.h
@@ -29,6 +29,7 @@
   kernel::Milliseconds early{ 0 };
   kernel::Milliseconds retention{ 0 };
   kernel::Milliseconds config_age{ 0 };
+  kernel::Milliseconds stop_grace{ 0 };
   double rack_penalty = 1; ///< Times as long away from one rack.
   kernel::Severity log_level = kernel::Severity::Info;
 };
--- a/entry/relay.cpp
+++ b/entry/relay.cpp
@@ -19,6 +19,8 @@
 constexpr kernel::Milliseconds ANSWER_TIMEOUT{ 1'200 };
 /// An entry that did not answer is not asked again for this long.
 constexpr std::int64_t AVOID_MS = 3'000;
+/// The same for an entry that refused: in an outage of the store, all do.
+constexpr std::int64_t AVOID_REFUSING_MS = 300;
 
 platform::FollowOptions
 entry_options()
@@ -104,9 +106,9 @@
     addresses.push_back(item.second);
   std::int64_t now = kernel::boot_ms();
   std::erase_if(addresses, [this, now](const std::string& address) {
-    std::map<std::string, std::int64_t>::const_iterator failed =
-      this->failed_ms.find(address);
-    return failed != this->failed_ms.end() && now - failed->second < AVOID_MS;
+    std::map<std::string, std::int64_t>::const_iterator avoided =
+      this->avoided_until_ms.find(address);
+    return avoided != this->avoided_until_ms.end() && now < avoided->second;
   });
   this->ask(request, std::move(addresses), std::move(done));
 }
@@ -130,11 +132,13 @@
   call.body = request.body;
   call.connect_timeout = CONNECT_TIMEOUT;
   call.timeout = std::min(ANSWER_TIMEOUT, request.deadline);
+  bool whole_wait = call.timeout == ANSWER_TIMEOUT;
   this->client.call(
     std::move(call),
     this->guarded([this,
                    request,
                    address,
+                   whole_wait,
                    addresses = std::move(addresses),
                    done = std::move(done)](
                     gateway::HttpClient::Result result) mutable {
@@ -143,8 +147,13 @@
         answer = platform::decode_caller_answer(result->status, result->body);
       else if (result.error() == gateway::HttpClientError::NoAnswer)
         answer.result = platform::CallerResult::Uncertain;
-      if (!result)
-        this->failed_ms[address] = kernel::boot_ms();
+      // A short wait tells nothing of the other entry.
+      bool silent =
+        !result && (whole_wait || gateway::had_no_effect(result.error()));
+      if (silent)
+        this->avoided_until_ms[address] = kernel::boot_ms() + AVOID_MS;
+      else if (result && answer.result == platform::CallerResult::NotDone)
+        this->avoided_until_ms[address] = kernel::boot_ms() + AVOID_REFUSING_MS;
       bool harmless = request.operation == platform::CallerOperation::GetState;
       if (answer.result == platform::CallerResult::NotDone ||
           (!result && harmless))
--- a/entry/relay.h
+++ b/entry/relay.h
@@ -50,8 +50,9 @@
   std::string entry;
   std::string own_address;
   platform::Follower follower;
-  std::map<std::string, std::string> others;     ///< Addresses by entry.
-  std::map<std::string, std::int64_t> failed_ms; ///< Boot time, by address.
+  std::map<std::string, std::string> others; ///< Addresses by entry.
+  std::map<std::string, std::int64_t>
+    avoided_until_ms; ///< Boot time, by address.
   kernel::Subscription register_timer;
 };
 
--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -36,8 +36,11 @@
 
 } // namespace
 
-RunTracker::RunTracker(const kernel::Log& log, ServerTable& servers)
+RunTracker::RunTracker(const kernel::Log& log,
+                       kernel::Metrics& metrics,
+                       ServerTable& servers)
   : log(log)
+  , metrics(metrics)
   , servers(servers)
   , failures(quarantine_limits())
 {
@@ -119,6 +122,7 @@
                   job.attempts);
   job.changed = true;
   this->note_gang_end(job, ref, end.attempt(), kind);
+  this->count_end(kind);
   this->log.write(RUN_ENDED,
                   { { "task", end.task() },
                     { "attempt", end.attempt() },
@@ -137,6 +141,15 @@
   }
 }
 
+void
+RunTracker::count_end(core::EndKind kind)
+{
+  this->metrics
+    .counter(fmt::format("entry_runs_ended_total{{kind=\"{}\"}}",
+                         name_of(core::END_KIND_NAMES, kind)))
+    .add();
+}
+
 void
 RunTracker::note_gang_end(const core::RoundJob& job,
                           const core::TaskRef& task,
@@ -203,6 +216,7 @@
                     job.attempts);
     this->note_gang_end(
       job, item.first, item.second.attempt, core::EndKind::Lost);
+    this->count_end(core::EndKind::Lost);
     job.changed = true;
     const AgentView* agent = this->servers.find(item.second.node);
     std::int64_t age =
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -6,6 +6,7 @@
 #include "core/round.h"
 #include "entry/server_table.h"
 #include "kernel/log.h"
+#include "kernel/metrics.h"
 
 #include <cstdint>
 #include <map>
@@ -20,7 +21,9 @@
 class RunTracker
 {
 public:
-  RunTracker(const kernel::Log& log, ServerTable& servers);
+  RunTracker(const kernel::Log& log,
+             kernel::Metrics& metrics,
+             ServerTable& servers);
 
   /// Forgets progress and checkpoints, when ownership begins.
   void reset();
@@ -65,6 +68,7 @@
                 const AgentView& agent,
                 const v1::EndReport& end,
                 std::int64_t now_ms);
+  void count_end(core::EndKind kind);
   void note_gang_end(const core::RoundJob& job,
                      const core::TaskRef& task,
                      std::uint32_t attempt,
@@ -79,6 +83,7 @@
   std::string checkpoint_of(const std::string& task) const;
 
   const kernel::Log& log;
+  kernel::Metrics& metrics;
   ServerTable& servers;
   core::Names names;
   core::FailureTracker failures;
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -46,7 +46,7 @@
               this->applied(change, version);
             },
              [this](bool still_owner) { this->refused(still_owner); } })
-  , tracker(log, servers)
+  , tracker(log, metrics, servers)
 {
 }
 
@@ -198,9 +198,11 @@
        this->hooks.directory().organisations)
     guarantees[organisation.name] = organisation.guaranteed_accelerators;
   core::mark_guaranteed(round.jobs, guarantees);
+  this->measure(round, guarantees);
   this->tracker.inform(round.jobs, this->memory, now);
   core::RoundLimits limits;
   limits.rack_penalty = this->limits.rack_penalty;
+  limits.stop_ms = this->limits.stop_ms;
   limits.unix_offset_ms = kernel::unix_ms() - now;
   round.result = core::run_round(round.jobs, pool, this->memory, limits, now);
   this->hooks.ask_advice(round.result.questions);
@@ -217,6 +219,29 @@
   }
 }
 
+/// Guarantees owed and claimed, and workflows that have not started.
+void
+WorkScheduler::measure(const Round& round,
+                       const std::map<std::string, std::int64_t>& guarantees)
+{
+  std::map<std::string, std::int64_t> claimed;
+  std::size_t waiting = 0;
+  for (const core::RoundJob& job : round.jobs) {
+    if (job.guaranteed)
+      claimed[job.workflow->organisation] += job.need_accelerators;
+    waiting += job.progress.started ? 0 : 1;
+  }
+  for (const std::pair<const std::string, std::int64_t>& owed : guarantees) {
+    std::string label = fmt::format("{{organisation=\"{}\"}}", owed.first);
+    this->metrics.gauge("entry_guaranteed_accelerators" + label)
+      .set(static_cast<double>(owed.second));
+    this->metrics.gauge("entry_guarantee_claimed_accelerators" + label)
+      .set(static_cast<double>(claimed[owed.first]));
+  }
+  this->metrics.gauge("entry_workflows_waiting")
+    .set(static_cast<double>(waiting));
+}
+
 bool
 WorkScheduler::commit(Round& round)
 {
@@ -304,7 +329,7 @@
     std::string servers;
     for (const std::string& server : placement.servers)
       servers += (servers.empty() ? "" : ",") + server;
-    this->metrics.summary("entry_step_wait_ms")
+    this->metrics.histogram("entry_step_wait_ms")
       .observe(static_cast<double>(placement.waited_ms));
     this->log.write(STEP_PLACED,
                     { { "job", placement.step.workflow },
@@ -322,7 +347,7 @@
                       { "victim", preemption.victim.workflow },
                       { "victim_step", preemption.victim.step },
                       { "tasks", preemption.tasks },
-                      { "unsaved_core_s", preemption.unsaved_core_s } });
+                      { "loss_core_s", preemption.loss_core_s } });
   }
   for (const core::StepRestart& restart : round.result.restarts) {
     this->tracker.restarted(restart);
@@ -344,7 +369,8 @@
         WORKFLOW_ENDED,
         { { "job", job.workflow->id },
           { "outcome", name_of(core::OUTCOME_NAMES, job.progress.outcome) },
-          { "age_ms", kernel::unix_ms() - job.workflow->accepted_ms } });
+          { "age_ms", kernel::unix_ms() - job.workflow->accepted_ms },
+          { "allowed_ms", core::allowed_ms(*job.workflow, job.objective) } });
   }
 }
 
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -40,6 +40,7 @@
 {
   std::int64_t early_ms = 0;     ///< A timed occurrence may start so early.
   std::int64_t retention_ms = 0; ///< Ended workflows are kept this long.
+  std::int64_t stop_ms = 0;      ///< Until a stopped run has ended, at most.
   /// How many times as long a step takes that misses its rack.
   double rack_penalty = 1;
 };
@@ -94,6 +95,8 @@
   Round make_round(std::int64_t now_ms);
   void note_caller(core::RoundJob& job);
   core::Pool make_pool(std::int64_t now_ms);
+  void measure(const Round& round,
+               const std::map<std::string, std::int64_t>& guarantees);
   bool commit(Round& round);
   void applied(const platform::RowChange& change, std::uint64_t version);
   void refused(bool still_owner);
--- a/entry/work_writer.cpp
+++ b/entry/work_writer.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/// Of the first try, and of the others, in case that the store is slow.
+constexpr kernel::Milliseconds FIRST_TIMEOUT{ 600 };
 constexpr kernel::Milliseconds COMMIT_TIMEOUT{ 1'200 };
 constexpr kernel::Milliseconds COMMIT_RETRY{ 100 };
 
@@ -44,6 +46,7 @@
 {
   this->change = std::move(change);
   this->in_flight = true;
+  this->tries = 0;
   ++this->change_number;
   this->send();
 }
@@ -53,7 +56,7 @@
 {
   this->store.commit(
     this->change,
-    COMMIT_TIMEOUT,
+    this->tries++ == 0 ? FIRST_TIMEOUT : COMMIT_TIMEOUT,
     this->guarded([this, number = this->change_number](
                     const platform::Store::CommitResult& result) {
       if (number == this->change_number && this->in_flight)
--- a/entry/work_writer.h
+++ b/entry/work_writer.h
@@ -52,6 +52,7 @@
   std::uint64_t change_number = 0; ///< Tells answers of earlier changes apart.
   platform::RowChange change;
   bool in_flight = false;
+  int tries = 0;
   kernel::Subscription retry;
 };
 
--- a/kernel/events.h
+++ b/kernel/events.h
@@ -39,9 +39,18 @@
   "Correct the setting named by the JSON pointer."
 };
 
+inline constexpr EventInfo LOG_LINES_LEFT_OUT{
+  105,
+  Severity::Warning,
+  "log_lines_left_out",
+  "Lines of an event were left out: too many in a short time, or nobody read "
+  "them.",
+  "Use the counters; check the reader of the log if it happens at low load."
+};
+
 inline constexpr EventInfo KERNEL_EVENTS[] = {
   PROCESS_STARTED,   PROCESS_STOPPED,  SETTINGS_INVALID,
-  SETTINGS_RELOADED, SETTINGS_REFUSED,
+  SETTINGS_RELOADED, SETTINGS_REFUSED, LOG_LINES_LEFT_OUT,
 };
 
 } // namespace geraniumhinge::kernel
--- a/kernel/log.h
+++ b/kernel/log.h
@@ -2,10 +2,13 @@
 
 #include "kernel/event.h"
 
+#include <cstdint>
 #include <fmt/format.h>
 #include <initializer_list>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <unistd.h>
 #include <utility>
 
 namespace geraniumhinge::kernel {
@@ -29,20 +32,32 @@
   }
 };
 
-/// Writes events to standard output, one line each:
+/// Writes events to a descriptor, one line each:
 /// `<time> <severity> <number> <name> node=<node> key=value ...`.
 /// Values with spaces, quotes, equal signs or control characters are quoted.
+/// Lines of an event beyond its rate, and lines that nobody reads, are left out
+/// and counted by a later line; writing never blocks.
 class Log
 {
 public:
-  Log(std::string node, Severity threshold);
+  Log(std::string node, Severity threshold, int descriptor = STDOUT_FILENO);
+  ~Log();
+  Log(const Log&) = delete;
+  Log& operator=(const Log&) = delete;
 
   void write(const EventInfo& event,
              std::initializer_list<Field> fields = {}) const;
 
 private:
+  struct Limits;
+
+  void report_left_out(std::int64_t now_ms) const;
+  bool put(const EventInfo& event, std::initializer_list<Field> fields) const;
+
   std::string node;
   Severity threshold;
+  int descriptor;
+  std::unique_ptr<Limits> limits;
 };
 
 /// Formats one log line without its line end.
--- a/kernel/metrics.cpp
+++ b/kernel/metrics.cpp
@@ -10,7 +10,10 @@
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/make_histogram.hpp>
 #include <fmt/format.h>
+#include <limits>
 
 namespace geraniumhinge::kernel {
 
@@ -18,6 +21,10 @@
 
 namespace {
 
+/// Upper bounds of the buckets of durations.
+constexpr std::array<double, 13> BOUNDS_MS = {
+  0, 5, 10, 25, 50, 100, 250, 500, 1'000, 2'500, 5'000, 10'000, 30'000
+};
 constexpr std::array<double, 3> QUANTILES = { 0.5, 0.9, 0.99 };
 
 template<typename Metric>
@@ -51,6 +58,32 @@
   last = base;
 }
 
+/// `name` may carry labels, which stand before that of the bucket.
+void
+append_histogram(std::string& text,
+                 const std::string& name,
+                 const Histogram& histogram)
+{
+  std::string base = base_name(name);
+  std::string labels = name.substr(base.size());
+  std::string inner =
+    labels.empty() ? "" : labels.substr(1, labels.size() - 2) + ',';
+  std::uint64_t total = 0;
+  for (const Histogram::Bucket& bucket : histogram.buckets()) {
+    total += bucket.count;
+    std::string bound =
+      bucket.up_to_ms == std::numeric_limits<double>::infinity()
+        ? "+Inf"
+        : fmt::format("{}", bucket.up_to_ms);
+    text += fmt::format(
+      "geraniumhinge_{}_bucket{{{}le=\"{}\"}} {}\n", base, inner, bound, total);
+  }
+  text +=
+    fmt::format("geraniumhinge_{}_sum{} {}\n", base, labels, histogram.sum());
+  text += fmt::format(
+    "geraniumhinge_{}_count{} {}\n", base, labels, histogram.count());
+}
+
 } // namespace
 
 struct Summary::Samples
@@ -105,6 +138,57 @@
                        acc::quantile_probability = probability);
 }
 
+struct Histogram::Samples
+{
+  boost::histogram::histogram<
+    std::tuple<boost::histogram::axis::variable<double>>>
+    counts = boost::histogram::make_histogram(
+      boost::histogram::axis::variable<double>(BOUNDS_MS.begin(),
+                                               BOUNDS_MS.end()));
+  acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>> set;
+};
+
+Histogram::Histogram()
+  : samples(std::make_unique<Samples>())
+{
+}
+
+Histogram::~Histogram() = default;
+
+void
+Histogram::observe(double value_ms)
+{
+  this->samples->counts(value_ms);
+  this->samples->set(value_ms);
+}
+
+std::vector<Histogram::Bucket>
+Histogram::buckets() const
+{
+  std::vector<Bucket> buckets;
+  int bins = static_cast<int>(BOUNDS_MS.size()) - 1;
+  for (int bin = 0; bin <= bins; ++bin) {
+    Bucket bucket;
+    bucket.up_to_ms = bin < bins ? BOUNDS_MS[static_cast<std::size_t>(bin) + 1]
+                                 : std::numeric_limits<double>::infinity();
+    bucket.count = static_cast<std::uint64_t>(this->samples->counts.at(bin));
+    buckets.push_back(bucket);
+  }
+  return buckets;
+}
+
+std::uint64_t
+Histogram::count() const
+{
+  return acc::count(this->samples->set);
+}
+
+double
+Histogram::sum() const
+{
+  return acc::sum(this->samples->set);
+}
+
 Counter&
 Metrics::counter(const std::string& name)
 {
@@ -123,6 +207,12 @@
   return find_or_add(this->summaries, name);
 }
 
+Histogram&
+Metrics::histogram(const std::string& name)
+{
+  return find_or_add(this->histograms, name);
+}
+
 std::string
 Metrics::text() const
 {
@@ -146,6 +236,11 @@
     text += fmt::format("geraniumhinge_{}_sum {}\n", name, summary->sum());
     text += fmt::format("geraniumhinge_{}_count {}\n", name, summary->count());
   }
+  for (const std::pair<const std::string, std::unique_ptr<Histogram>>& item :
+       this->histograms) {
+    append_type(text, last, item.first, "histogram");
+    append_histogram(text, item.first, *item.second);
+  }
   return text;
 }
 
--- a/kernel/metrics.h
+++ b/kernel/metrics.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace geraniumhinge::kernel {
 
@@ -49,6 +50,32 @@
   std::unique_ptr<Samples> samples;
 };
 
+/// A distribution of durations in milliseconds, counted in fixed buckets, which
+/// can be added up over processes.
+class Histogram
+{
+public:
+  Histogram();
+  ~Histogram();
+  Histogram(const Histogram&) = delete;
+  Histogram& operator=(const Histogram&) = delete;
+
+  void observe(double value_ms);
+
+  struct Bucket
+  {
+    double up_to_ms = 0; ///< Infinite for the last one.
+    std::uint64_t count = 0;
+  };
+  std::vector<Bucket> buckets() const;
+  std::uint64_t count() const;
+  double sum() const;
+
+private:
+  struct Samples;
+  std::unique_ptr<Samples> samples;
+};
+
 /// All metrics of a process by name. References stay valid for its life.
 class Metrics
 {
@@ -57,6 +84,7 @@
   Counter& counter(const std::string& name);
   Gauge& gauge(const std::string& name);
   Summary& summary(const std::string& name);
+  Histogram& histogram(const std::string& name);
 
   /// The Prometheus text exposition format, version 0.0.4.
   std::string text() const;
@@ -65,6 +93,7 @@
   std::map<std::string, std::unique_ptr<Counter>> counters;
   std::map<std::string, std::unique_ptr<Gauge>> gauges;
   std::map<std::string, std::unique_ptr<Summary>> summaries;
+  std::map<std::string, std::unique_ptr<Histogram>> histograms;
 };
 
 } // namespace geraniumhinge::kernel
--- a/tests/core/round_test.cpp
+++ b/tests/core/round_test.cpp
@@ -251,12 +251,12 @@
   dear.priority = 1;
   dear.demand = SERVER_ROOM;
   dear.servers = { { "s0", 1 } };
-  dear.unsaved_core_s = 100;
+  dear.loss_core_s = 100;
   dear.spare_tasks = 1;
   RunGroup cheap = dear;
   cheap.step = { "cheap", 0, 0 };
   cheap.servers = { { "s1", 1 } };
-  cheap.unsaved_core_s = 1;
+  cheap.loss_core_s = 1;
   PreemptRequest request;
   request.place = request_for(step);
   std::vector<RunGroup> running{ dear, cheap };
--- a/tests/entry/cli_test.cpp
+++ b/tests/entry/cli_test.cpp
@@ -205,3 +205,15 @@
   Result json = run("status --json" + entry.option);
   BOOST_TEST(nlohmann::json::parse(json.out)["configurationVersion"] == "7");
 }
+
+// Guards against an explanation without arguments, of an unreadable file, or of
+// a job that no line names, that looks like a success.
+BOOST_AUTO_TEST_CASE(explain_tells_bad_arguments_and_unknown_jobs)
+{
+  BOOST_TEST(run("explain").code == EXIT_CODE_USAGE);
+  BOOST_TEST(run("explain 5c0e7a21d94b36f8").code == EXIT_CODE_USAGE);
+  BOOST_TEST(run("explain 5c0e7a21d94b36f8 /nowhere/log").code ==
+             EXIT_CODE_USAGE);
+  BOOST_TEST(run("explain 5c0e7a21d94b36f8 /dev/null").code ==
+             EXIT_CODE_FAILURE);
+}
--- /dev/null
+++ b/tests/entry/explain_test.cpp
@@ -0,0 +1,68 @@
+#define BOOST_TEST_MODULE explain
+#include "entry/explain.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace geraniumhinge::entry;
+
+namespace {
+
+constexpr char JOB[] = "5c0e7a21d94b36f8";
+
+std::vector<LogLine>
+parse(const std::vector<std::string>& texts)
+{
+  std::vector<LogLine> lines;
+  for (const std::string& text : texts) {
+    std::optional<LogLine> line = parse_log_line(text);
+    if (line)
+      lines.push_back(*line);
+  }
+  return lines;
+}
+
+} // namespace
+
+// Guards against lines of a request that are missed because a collector has
+// put something before them, or because they name it in another way.
+BOOST_AUTO_TEST_CASE(lines_of_a_job_are_found_and_sorted)
+{
+  std::string story = explain(
+    JOB,
+    parse({
+      "  3.1 side-2 2026-04-01T13:27:20.539Z info 522 run_start_answered "
+      "node=side-2 task=5c0e7a21d94b36f8.0.0.1 attempt=1 result=started",
+      "2026-04-01T13:27:20.501Z info 631 call_answered node=edge-1 "
+      "job=5c0e7a21d94b36f8 operation=submit result=accepted took_ms=13",
+      "not a line of ours",
+      "2026-04-01T13:27:20.777Z info 631 call_answered node=edge-1 "
+      "job=ffffffffffffffff operation=submit result=not_done",
+      "2026-04-01T13:27:21.000Z info 629 step_preempted node=edge-2 "
+      "job=ffffffffffffffff victim=5c0e7a21d94b36f8 victim_step=0 tasks=1",
+      "2026-04-01T13:27:29.000Z info 627 workflow_ended node=edge-2 "
+      "job=5c0e7a21d94b36f8 outcome=completed age_ms=8499",
+    }));
+  std::size_t submit = story.find("call_answered job=5c0e7a21d94b36f8");
+  std::size_t start = story.find("run_start_answered");
+  std::size_t victim = story.find("victim=5c0e7a21d94b36f8");
+  BOOST_TEST(submit < start);
+  BOOST_TEST(start < victim);
+  BOOST_TEST(victim != std::string::npos);
+  BOOST_TEST(story.find("not_done") == std::string::npos);
+  BOOST_TEST(story.find("submission accepted at 2026-04-01T13:27:20.501Z; "
+                        "completed at 2026-04-01T13:27:29.000Z; placed 0 "
+                        "times, 0 runs lost, preempted 1 times") !=
+             std::string::npos);
+}
+
+// Guards against tasks of a job whose identifier begins like another one.
+BOOST_AUTO_TEST_CASE(other_jobs_are_left_out)
+{
+  std::optional<LogLine> line =
+    parse_log_line("2026-04-01T13:27:20.539Z info 625 run_ended node=edge-1 "
+                   "task=5c0e7a21d94b36f8.0.0.1 attempt=1 kind=done");
+  BOOST_REQUIRE(line.has_value());
+  BOOST_TEST(concerns(*line, JOB));
+  BOOST_TEST(!concerns(*line, "5c0e7a21d94b36f"));
+  BOOST_TEST(line->node == "edge-1");
+}
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -15,7 +15,8 @@
 {
   kernel::Log log{ "test", kernel::Severity::Error };
   entry::ServerTable servers{ entry::LeaseBounds{} };
-  entry::RunTracker tracker{ log, servers };
+  kernel::Metrics metrics;
+  entry::RunTracker tracker{ log, metrics, servers };
   core::Workflow workflow;
   std::vector<core::RoundJob> jobs;
   std::uint64_t sequence = 0;
--- a/tests/kernel/metrics_test.cpp
+++ b/tests/kernel/metrics_test.cpp
@@ -39,3 +39,22 @@
   BOOST_TEST(summary.quantile(0.99) == 9'900,
              boost::test_tools::tolerance(0.05));
 }
+
+// Guards against buckets that can't be added up over processes, and against
+// labels that get lost.
+BOOST_AUTO_TEST_CASE(histograms_count_cumulatively)
+{
+  Metrics metrics;
+  Histogram& histogram = metrics.histogram("call_ms{kind=\"read\"}");
+  for (double value : { 0.5, 7.0, 7.5, 90'000.0 })
+    histogram.observe(value);
+  std::string text = metrics.text();
+  for (const char* line :
+       { "# TYPE geraniumhinge_call_ms histogram\n",
+         "geraniumhinge_call_ms_bucket{kind=\"read\",le=\"5\"} 1\n",
+         "geraniumhinge_call_ms_bucket{kind=\"read\",le=\"10\"} 3\n",
+         "geraniumhinge_call_ms_bucket{kind=\"read\",le=\"30000\"} 3\n",
+         "geraniumhinge_call_ms_bucket{kind=\"read\",le=\"+Inf\"} 4\n",
+         "geraniumhinge_call_ms_count{kind=\"read\"} 4\n" })
+    BOOST_TEST(text.find(line) != std::string::npos);
+}
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -60,6 +60,7 @@
   std::vector<entry::PlatformSettings> entry_settings;
   std::vector<std::uint64_t> announced;
   std::string advice_address;
+  std::string store_address; ///< Of the next entries; empty: the store's own.
   kernel::Subscription beats;
 
   Fixture()
@@ -80,7 +81,8 @@
     settings.ready_listen = free_address();
     settings.relay_listen = free_address();
     settings.peer_listen = free_address();
-    settings.store_address = store.address();
+    settings.store_address =
+      store_address.empty() ? store.address() : store_address;
     settings.advice_address = advice_address;
     settings.max_lease = kernel::Milliseconds(2'000);
     settings.lease = kernel::Milliseconds(2'000);
@@ -131,13 +133,14 @@
                            const std::string& path,
                            const std::string& body = "",
                            std::size_t entry = 0,
-                           const std::string& token = TOKEN)
+                           const std::string& token = TOKEN,
+                           int deadline_ms = 3'000)
   {
     gateway::HttpCall request;
     request.method = method;
     request.url = "http://" + entry_settings[entry].caller_listen + path;
     request.headers["Authorization"] = "Bearer " + token;
-    request.headers["Deadline-Ms"] = "3000";
+    request.headers["Deadline-Ms"] = std::to_string(deadline_ms);
     request.body = body;
     request.timeout = kernel::Milliseconds(5'000);
     std::optional<gateway::HttpClient::Result> result;
@@ -187,6 +190,57 @@
   }
 };
 
+/// A way to the store that can be cut so that nothing is answered any more.
+struct StorePath
+{
+  gateway::HttpClient& client;
+  std::string target;
+  bool cut = false;
+  std::vector<gateway::HttpServer::Respond> unanswered;
+  gateway::HttpServer server;
+
+  StorePath(Fixture& fixture)
+    : client(fixture.client)
+    , target(fixture.store.address())
+    , server(fixture.loop,
+             fixture.timers,
+             "127.0.0.1:0",
+             1'000'000,
+             [this](const gateway::HttpRequest& request,
+                    gateway::HttpServer::Respond respond) {
+               this->pass(request, std::move(respond));
+             })
+  {
+    BOOST_REQUIRE(server.listen().has_value());
+  }
+
+  void pass(const gateway::HttpRequest& request,
+            gateway::HttpServer::Respond respond)
+  {
+    if (cut) {
+      unanswered.push_back(std::move(respond));
+      return;
+    }
+    gateway::HttpCall call;
+    call.method = request.method;
+    call.url = "http://" + target + request.path;
+    char separator = '?';
+    for (const std::pair<const std::string, std::string>& item :
+         request.query) {
+      call.url += separator + item.first + '=' + item.second;
+      separator = '&';
+    }
+    call.body = request.body;
+    client.call(
+      std::move(call),
+      [respond =
+         std::move(respond)](const gateway::HttpClient::Result& answer) {
+        if (answer)
+          respond({ answer->status, "application/json", answer->body, {} });
+      });
+  }
+};
+
 } // namespace
 
 // Guards against a path that does not serve a job from its submission to its
@@ -479,3 +533,56 @@
   BOOST_TEST(workers[0]->running.empty());
   BOOST_TEST(workers[1]->starts.front().second == 2U);
 }
+
+// Guards against entries that refuse callers for the length of a wait for
+// changes after the store is back.
+BOOST_FIXTURE_TEST_CASE(callers_are_served_soon_after_an_outage, Fixture)
+{
+  add_entry();
+  wait_ready();
+  run_until([this] { return entries[0]->fresh(); });
+  store.refusing = true;
+  run_until([this] { return !entries[0]->fresh(); });
+  store.refusing = false;
+  std::int64_t begin = kernel::boot_ms();
+  run_until([this] { return entries[0]->fresh(); });
+  // Retries are 150 ms apart, a wait takes 700 ms.
+  BOOST_TEST(kernel::boot_ms() - begin < 400);
+}
+
+// Guards against a caller who gets no true answer in time because the entry
+// that took the request has just lost its way to the store.
+BOOST_FIXTURE_TEST_CASE(silence_of_the_store_is_settled_by_another_entry,
+                        Fixture)
+{
+  StorePath way(*this);
+  store_address = "127.0.0.1:" + std::to_string(way.server.port());
+  add_entry();
+  store_address.clear();
+  add_entry();
+  add_agent();
+  wait_ready(0);
+  wait_ready(1);
+  run_until([this] { return entries[0]->fresh() && entries[1]->fresh(); });
+  // The entries know each other by rows of the store.
+  run_until([rounds = 0]() mutable { return ++rounds > 50; });
+  way.cut = true;
+  std::string path = std::string(PREFIX) + JOB;
+  std::int64_t begin = kernel::boot_ms();
+  BOOST_TEST(call("POST", path, submission(1, 1, false)).status == 200);
+  BOOST_TEST(kernel::boot_ms() - begin < 1'500);
+  run_until([this] { return running() == 1; });
+  BOOST_TEST(workers[0]->starts.size() == 1U);
+}
+
+// Guards against a refusal of a caller's last try, which has little time, by an
+// entry that reaches the store.
+BOOST_FIXTURE_TEST_CASE(short_deadline_is_served, Fixture)
+{
+  add_entry();
+  wait_ready();
+  run_until([this] { return entries[0]->fresh(); });
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(
+    call("POST", path, submission(1, 1, false), 0, TOKEN, 250).status == 200);
+}
