Acknowledge only listed ends of the current life, and start each attempt with its payload

Ruled out: the owner's rows, which were right in each case. Of what the soak told, these were faults of the stand-ins: a restart kept the highest seen end and waiting calls, an ended attempt could start again, members of a gang ended alone and without the others being present. The check of noted ends compared with the highest number; it now takes each end as it is acknowledged, which is stricter. Change: taken ends name their life; a reported run is told by task and attempt; only ends of the last answered look are acknowledged; an answer of another life ends the known one at once. The soak's proxies delay, reset and cut one way; servers crash and start again; sizes can be set. Shown by: entry.orders_test and agent.server_agent_test, which failed before the change, entry.run_tracker_test.

--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -53,7 +53,7 @@
 bool
 ServerAgent::usable() const
 {
-  return this->server && this->listed;
+  return this->server && this->listed && !this->replaced;
 }
 
 bool
@@ -126,6 +126,7 @@
   this->looking = false;
   this->answering = false;
   this->leaving = false;
+  this->replaced = false;
   this->lease_over = false;
   this->stored_ends = 0;
   this->have_orders = false;
@@ -136,7 +137,7 @@
 void
 ServerAgent::look()
 {
-  if (!this->server || this->looking)
+  if (!this->server || this->looking || this->replaced)
     return;
   this->looking = true;
   std::int64_t now = kernel::boot_ms();
@@ -144,7 +145,7 @@
   if (this->may_grant())
     order.lease_until_ms =
       this->lease_clock.grant(now, this->options.lease.count());
-  order.seen_ends = this->stored_ends;
+  order.seen_ends = this->seen_ends();
   // The first look of a life and a look for a stopped run do not wait.
   bool hurry = !this->listed;
   for (const std::pair<const RunKey, RunTrack>& item : this->runs)
@@ -164,6 +165,21 @@
       }));
 }
 
+/// The newest listed end that is stored. Only these are acknowledged: a server
+/// may have started again unnoticed, and then counts from the beginning.
+std::uint64_t
+ServerAgent::seen_ends() const
+{
+  std::uint64_t seen = 0;
+  if (!this->answering)
+    return seen;
+  for (const platform::EndedTask& end : this->lists.ended) {
+    if (end.number <= this->stored_ends)
+      seen = std::max(seen, end.number);
+  }
+  return seen;
+}
+
 void
 ServerAgent::looked(
   std::int64_t sent_ms,
@@ -246,7 +262,14 @@
   bool first = std::exchange(this->answering, false);
   this->refusals =
     error == platform::WorkerError::Gone ? this->refusals + 1 : 0;
-  bool over = this->leaving || this->refusals >= GONE_AFTER_REFUSALS ||
+  // Another life answers at the address: nothing of this one runs any more, and
+  // what is known of it must not reach the other.
+  if (error == platform::WorkerError::OtherLife) {
+    this->replaced = true;
+    this->lists = {};
+  }
+  bool over = this->leaving || this->replaced ||
+              this->refusals >= GONE_AFTER_REFUSALS ||
               this->lease_clock.expired(kernel::boot_ms());
   if (over == this->lease_over) {
     if (first)
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -86,6 +86,7 @@
   bool may_grant() const;
   void begin_life(const platform::Announcement& announcement);
   void look();
+  std::uint64_t seen_ends() const;
   void looked(std::int64_t sent_ms,
               tl::expected<platform::WorkerLists, platform::WorkerError> lists);
   void take_lists(std::int64_t sent_ms, platform::WorkerLists lists);
@@ -123,6 +124,7 @@
   bool looking = false;
   bool answering = false; ///< The last look was answered.
   bool leaving = false;   ///< The server said that it ends.
+  bool replaced = false;  ///< Another life answered at its address.
   bool lease_over = false;
   int refusals = 0;              ///< Looks in a row that nobody listened to.
   std::int64_t announced_ms = 0; ///< Boot time of the last announcement.
--- a/entry/orders.cpp
+++ b/entry/orders.cpp
@@ -1,6 +1,7 @@
 #include "entry/orders.h"
 
 #include <set>
+#include <utility>
 
 namespace geraniumhinge::entry {
 
@@ -54,9 +55,9 @@
   core::ServerLife life = life_of(agent.report.life());
   if (life.id.empty())
     return orders;
-  std::set<std::string> reported;
+  std::set<std::pair<std::string, std::uint32_t>> reported;
   for (const v1::RunReport& run : agent.report.running())
-    reported.insert(run.task());
+    reported.emplace(run.task(), run.attempt());
   for (const std::pair<const std::string, WorkItem>& entry : view.items()) {
     const WorkItem& item = entry.second;
     if (!item.workflow)
@@ -73,7 +74,7 @@
           *orders.add_stops() = std::move(order);
           return;
         }
-        if (!reported.contains(name))
+        if (!reported.contains({ name, task.run->attempt }))
           add_start(order, item, ref, task);
         *orders.add_runs() = std::move(order);
       });
--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -74,18 +74,19 @@
   return found == this->checkpoints.end() ? std::string() : found->second;
 }
 
-std::map<std::string, std::uint64_t>
+std::map<std::string, TakenEnds>
 RunTracker::note_ends(std::vector<core::RoundJob>& jobs, std::int64_t now_ms)
 {
   std::map<std::string, core::RoundJob*> by_id;
   for (core::RoundJob& job : jobs)
     by_id[job.workflow->id] = &job;
-  std::map<std::string, std::uint64_t> taken_in;
+  std::map<std::string, TakenEnds> taken_in;
   for (const std::pair<const std::string, AgentView>& entry :
        this->servers.all()) {
-    std::uint64_t& highest = taken_in[entry.first];
+    TakenEnds& taken = taken_in[entry.first];
+    taken.life = life_of(entry.second.report.life());
     for (const v1::EndReport& end : entry.second.report.ended()) {
-      highest = std::max<std::uint64_t>(highest, end.number());
+      taken.number = std::max<std::uint64_t>(taken.number, end.number());
       std::optional<std::pair<std::string, core::TaskRef>> name =
         core::parse_task_name(end.task());
       std::map<std::string, core::RoundJob*>::iterator job =
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -16,6 +16,14 @@
 
 namespace geraniumhinge::entry {
 
+/// Ends of one life of a server that were taken in, up to a number. The next
+/// life counts from the beginning.
+struct TakenEnds
+{
+  core::ServerLife life;
+  std::uint64_t number = 0;
+};
+
 /// What the owner learns of runs: their progress and checkpoints, how they
 /// ended, and which servers to mistrust.
 class RunTracker
@@ -31,11 +39,10 @@
   /// Takes progress and checkpoints from a report.
   void reported(const AgentView& agent, std::int64_t now_ms);
 
-  /// Applies the ends that agents have reported. Returns, by node, up to which
-  /// number ends are taken in.
-  std::map<std::string, std::uint64_t> note_ends(
-    std::vector<core::RoundJob>& jobs,
-    std::int64_t now_ms);
+  /// Applies the ends that agents have reported. Returns, by node, what was
+  /// taken in.
+  std::map<std::string, TakenEnds> note_ends(std::vector<core::RoundJob>& jobs,
+                                             std::int64_t now_ms);
 
   /// Applies the ends of runs that are over for certain though nobody says so.
   void note_lost(core::RoundJob& job, std::int64_t now_ms);
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -141,7 +141,7 @@
     job.avoided = this->tracker.failed_on(entry.first);
     round.jobs.push_back(std::move(job));
   }
-  round.stored_ends = this->tracker.note_ends(round.jobs, now_ms);
+  round.taken_ends = this->tracker.note_ends(round.jobs, now_ms);
   for (core::RoundJob& job : round.jobs) {
     this->tracker.note_lost(job, now_ms);
     this->note_caller(job);
@@ -209,14 +209,25 @@
   if (this->commit(round))
     return;
   // Nothing to store: ends that change nothing need not be kept.
-  for (const std::pair<const std::string, std::uint64_t>& item :
-       round.stored_ends) {
+  for (const std::string& node : this->note_stored(round.taken_ends))
+    this->order(*this->servers.find(node));
+}
+
+/// Notes that ends are stored. Returns the nodes whose agents must be told.
+std::set<std::string>
+WorkScheduler::note_stored(const std::map<std::string, TakenEnds>& taken_ends)
+{
+  std::set<std::string> nodes;
+  for (const std::pair<const std::string, TakenEnds>& item : taken_ends) {
     AgentView* agent = this->servers.find(item.first);
-    if (agent && item.second > agent->stored_ends) {
-      agent->stored_ends = item.second;
-      this->order(*agent);
-    }
+    // A server that has started again meanwhile counts from the beginning.
+    if (!agent || life_of(agent->report.life()) != item.second.life ||
+        item.second.number <= agent->stored_ends)
+      continue;
+    agent->stored_ends = item.second.number;
+    nodes.insert(item.first);
   }
+  return nodes;
 }
 
 /// Guarantees owed and claimed, and workflows that have not started.
@@ -267,7 +278,7 @@
     return false;
   // Ends of workflows that were left out are noted in a later round.
   if (left_out > 0)
-    round.stored_ends.clear();
+    round.taken_ends.clear();
   this->pending = std::move(round);
   this->writer.write(std::move(change));
   return true;
@@ -292,14 +303,7 @@
     this->view.apply(
       platform::StoredRow{ write.name, write.value, version, false });
   this->log_round(this->pending);
-  for (const std::pair<const std::string, std::uint64_t>& item :
-       this->pending.stored_ends) {
-    AgentView* agent = this->servers.find(item.first);
-    if (agent && item.second > agent->stored_ends) {
-      agent->stored_ends = item.second;
-      nodes.insert(item.first);
-    }
-  }
+  nodes.merge(this->note_stored(this->pending.taken_ends));
   for (const core::RoundJob& job : this->pending.jobs) {
     if (!job.changed)
       continue;
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -87,7 +87,7 @@
   struct Round
   {
     std::vector<core::RoundJob> jobs;
-    std::map<std::string, std::uint64_t> stored_ends; ///< By node.
+    std::map<std::string, TakenEnds> taken_ends; ///< By node.
     core::RoundResult result;
   };
 
@@ -102,6 +102,8 @@
   void refused(bool still_owner);
   void log_round(const Round& round);
   void expire_rows();
+  std::set<std::string> note_stored(
+    const std::map<std::string, TakenEnds>& taken_ends);
   std::uint32_t attempts_of(const core::Workflow& workflow) const;
 
   kernel::TimerService& timers;
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -306,3 +306,23 @@
   BOOST_TEST(report.stays_ms() > 1'000);
   BOOST_TEST(report.stays_ms() <= 2'000);
 }
+
+// Guards against ends of a new life that are acknowledged unseen, with the
+// numbers of the life before: a server that has started again under its
+// identifier counts from the beginning, and nobody has told the agent yet.
+BOOST_FIXTURE_TEST_CASE(only_listed_ends_are_acknowledged, Fixture)
+{
+  announce();
+  v1::ServerOrders wanted = orders();
+  add(wanted.mutable_runs(), TASK, 1);
+  obey(wanted, [this] { return server.running.size() == 1; });
+  server.finish({ TASK, 1 }, "done");
+  wanted.clear_runs();
+  wanted.set_stored_ends(7);
+  obey(wanted, [this] { return server.seen_ends >= 1U; });
+  server.restart();
+  server.ended.push_back({ 1, { OTHER_TASK, 1 }, "done", "" });
+  std::int64_t begin = kernel::boot_ms(); // Several looks take this time.
+  obey(wanted, [begin] { return kernel::boot_ms() - begin > 800; });
+  BOOST_TEST(server.ended.size() == 1U);
+}
--- /dev/null
+++ b/tests/entry/orders_test.cpp
@@ -0,0 +1,78 @@
+#define BOOST_TEST_MODULE orders
+#include "entry/orders.h"
+
+#include "entry/work_rows.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace geraniumhinge;
+
+namespace {
+
+constexpr char JOB[] = "5c0e7a21d94b36f8";
+
+/// A job of one task, whose second attempt is placed on server i-1.
+struct Fixture
+{
+  entry::WorkView view;
+  entry::AgentView agent;
+
+  Fixture()
+  {
+    core::Workflow workflow;
+    workflow.id = JOB;
+    workflow.payload = "text";
+    workflow.steps = { core::Step{} };
+    workflow.steps.front().checkpoints = true;
+    core::Progress progress;
+    core::open_due(workflow, progress, 0, 0);
+    core::TaskState& task = progress.open[0][0][0];
+    task.checkpoint = "saved";
+    task.run = core::Run{ 2, { "i-1", 1 }, "node-1", false, "" };
+    put(entry::WorkRowKind::Workflow, entry::encode_workflow(workflow), 1);
+    put(entry::WorkRowKind::Progress, entry::encode_progress(progress), 2);
+    agent.report.mutable_life()->set_id("i-1");
+    agent.report.mutable_life()->set_born_ms(1);
+  }
+
+  void put(entry::WorkRowKind kind,
+           const std::string& value,
+           std::uint64_t version)
+  {
+    view.apply(
+      platform::StoredRow{ entry::work_row(kind, JOB), value, version, false });
+  }
+
+  void report(std::uint32_t attempt)
+  {
+    v1::RunReport& run = *agent.report.add_running();
+    run.set_task(std::string(JOB) + ".0.0.0");
+    run.set_attempt(attempt);
+  }
+
+  v1::RunOrder order()
+  {
+    v1::ServerOrders orders = entry::make_orders(view, agent, { 5, 1 });
+    BOOST_REQUIRE(orders.runs_size() == 1);
+    return orders.runs(0);
+  }
+};
+
+} // namespace
+
+// Guards against a run that starts without its payload and checkpoint because
+// the agent still reports an earlier attempt of the task.
+BOOST_FIXTURE_TEST_CASE(earlier_attempt_is_not_the_run, Fixture)
+{
+  report(1);
+  BOOST_TEST(order().payload() == "text");
+  BOOST_TEST(order().checkpoint() == "saved");
+}
+
+// Guards against payloads that are sent again and again.
+BOOST_FIXTURE_TEST_CASE(reported_run_needs_no_payload, Fixture)
+{
+  report(2);
+  BOOST_TEST(order().attempt() == 2U);
+  BOOST_TEST(order().payload().empty());
+}
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -124,3 +124,15 @@
   note(heard_ms + expiry_ms + 1);
   BOOST_TEST(runs() == 0U);
 }
+
+// Guards against ends of a new life of a server that count as stored because
+// of the numbers of its earlier life.
+BOOST_FIXTURE_TEST_CASE(taken_ends_name_their_life, Fixture)
+{
+  report(0, NOW_MS, core::EndKind::Done);
+  std::map<std::string, entry::TakenEnds> taken =
+    tracker.note_ends(jobs, NOW_MS);
+  BOOST_TEST((taken.at(node(0)).life == life(0)));
+  BOOST_TEST(taken.at(node(0)).number == 1U);
+  BOOST_TEST(taken.at(node(1)).number == 0U);
+}
--- a/tests/platform/worker_standin.h
+++ b/tests/platform/worker_standin.h
@@ -68,9 +68,13 @@
     this->end(run, how);
   }
 
-  /// Starts again under the same identifier: knows nothing of before.
+  /// Crashes and starts again under the same identifier: its connections
+  /// break, and it knows nothing of before.
   void restart()
   {
+    for (Waiting& item : this->waiting)
+      item.respond({ gateway::CLOSE_CONNECTION, "", "", {} });
+    this->waiting.clear();
     for (const std::pair<const Run, std::string>& item : this->running)
       this->on_end(item.first, "gone");
     this->running.clear();
@@ -78,6 +82,7 @@
     this->starts.clear();
     this->highest.clear();
     this->next_end = 1;
+    this->seen_ends = 0;
     this->fencing_token = 0;
     this->until_ms = 0;
     this->zero_ms = kernel::boot_ms();
@@ -128,6 +133,8 @@
   std::function<void(const Run&)> on_start = [](const Run&) {};
   std::function<void(const Run&, const std::string&)> on_end =
     [](const Run&, const std::string&) {};
+  /// Told of each end that the agent has acknowledged.
+  std::function<void(const End&)> on_seen = [](const End&) {};
   int stale_orders = 0; ///< Calls with a token lower than one seen before.
 
 private:
@@ -140,6 +147,7 @@
   void end(const Run& run, const std::string& how)
   {
     this->running.erase(run);
+    this->highest[run.first] = std::max(this->highest[run.first], run.second);
     this->on_end(run, how);
     this->ended.push_back({ this->next_end++, run, how, "" });
     for (Waiting& item : this->waiting)
@@ -251,10 +259,12 @@
 
   void hold(const Json& body, gateway::HttpServer::Respond respond)
   {
-    this->seen_ends =
-      std::max(this->seen_ends, body.value("last_seen", std::uint64_t{ 0 }));
-    std::erase_if(this->ended, [this](const End& item) {
-      return item.number <= this->seen_ends;
+    std::uint64_t seen = body.value("last_seen", std::uint64_t{ 0 });
+    this->seen_ends = std::max(this->seen_ends, seen);
+    std::erase_if(this->ended, [this, seen](const End& item) {
+      if (item.number <= seen)
+        this->on_seen(item);
+      return item.number <= seen;
     });
     std::int64_t wait_ms = body.value("wait_ms", std::int64_t{ 0 });
     if (!this->ended.empty() || wait_ms == 0) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -22,8 +22,9 @@
 
 namespace {
 
-constexpr int ENTRIES = 3;
-constexpr int SERVERS = 5;
+constexpr int DEFAULT_ENTRIES = 3;
+constexpr int DEFAULT_SERVERS = 5;
+constexpr int MAX_PROCESSES = 300;
 constexpr std::size_t SERVER_ROOM = 8; ///< Tasks; each takes an accelerator.
 constexpr int FAULT_MS = 12'000;       ///< Faults begin in this time.
 constexpr int SETTLE_MS = 60'000; ///< Accepted jobs must end within this time.
@@ -31,26 +32,37 @@
 constexpr int SUBMIT_MS = 150;
 constexpr int FAULT_PERIOD_MS = 700;
 constexpr int MAX_OUTAGE_MS = 3'000;
+constexpr int MAX_DELAY_MS = 400; ///< Of each piece of data, by a proxy.
 constexpr int MAX_RUN_MS = 900;
+constexpr int GANG_LOOK_MS = 50;
 constexpr char TOKEN[] = "key";
 constexpr char PREFIX[] = "/queue/";
 /// Payload by which the stand-ins know tasks that end together.
-constexpr char GANG[] = "gang";
+constexpr char GANG[] = "gang"; ///< Followed by the number of tasks.
+/// Only the first step of a job is a gang.
+constexpr char FIRST_STEP[] = ".0.0.";
+
+struct SoakSize
+{
+  int entries = DEFAULT_ENTRIES;
+  int servers = DEFAULT_SERVERS;
+};
 
 class Soak
 {
 public:
-  Soak(std::uint64_t seed, std::string folder)
+  Soak(std::uint64_t seed, const SoakSize& size, std::string folder)
     : random(seed)
+    , size(size)
     , folder(std::move(folder))
     , store(loop, timers)
     , store_relay(this->store.address())
     , client(loop, timers, 32)
   {
     this->store.put({ "op", "", "config" }, configuration());
-    for (int index = 0; index < ENTRIES; ++index)
+    for (int index = 0; index < size.entries; ++index)
       this->add_entry(index);
-    for (int index = 0; index < SERVERS; ++index)
+    for (int index = 0; index < size.servers; ++index)
       this->add_server(index);
   }
 
@@ -101,7 +113,6 @@
     std::uint64_t sequence = 0;
     kernel::Subscription heal;
     std::vector<kernel::Subscription> ends;
-    std::set<std::uint64_t> noted;
   };
 
   static std::string configuration()
@@ -162,7 +173,11 @@
     };
     added.worker->on_end = [this](const WorkerStandin::Run& run,
                                   const std::string& how) {
-      this->promises.ended(run, how);
+      this->run_ended(run, how);
+    };
+    added.worker->on_seen = [this](const WorkerStandin::End& end) {
+      if (end.how == "done")
+        this->promises.noted(end.run);
     };
     launch(fmt::format("agent-{}", index),
            "geraniumhinge-agent",
@@ -188,6 +203,47 @@
       [this, &server, run, fails] { this->finish(server, run, fails); }));
   }
 
+  /// A member that ends, however it does, ends its whole gang.
+  void run_ended(const WorkerStandin::Run& run, const std::string& how)
+  {
+    this->promises.ended(run, how);
+    if (how != "done")
+      this->later.push_back(
+        this->timers.after(kernel::Milliseconds(1),
+                           [this, run] { this->end_gang(run, "broken"); }));
+  }
+
+  /// Whether all members run; the payload names how many there are.
+  bool gang_present(const WorkerStandin::Run& run, const std::string& payload)
+  {
+    std::string step = run.first.substr(0, run.first.rfind('.') + 1);
+    std::size_t present = 0;
+    for (const Server& server : this->servers) {
+      for (const std::pair<const WorkerStandin::Run, std::string>& item :
+           server.worker->running)
+        present += item.first.second == run.second &&
+                       item.first.first.rfind(step, 0) == 0
+                     ? 1
+                     : 0;
+    }
+    return present == std::stoul(payload.substr(sizeof GANG - 1));
+  }
+
+  void end_gang(const WorkerStandin::Run& run, const std::string& how)
+  {
+    std::string step = run.first.substr(0, run.first.rfind('.') + 1);
+    for (Server& server : this->servers) {
+      std::map<WorkerStandin::Run, std::string> now = server.worker->running;
+      for (const std::pair<const WorkerStandin::Run, std::string>& item : now) {
+        bool member = item.second.starts_with(GANG) &&
+                      item.first.second == run.second &&
+                      item.first.first.rfind(step, 0) == 0;
+        if (member)
+          server.worker->finish(item.first, how);
+      }
+    }
+  }
+
   /// The members of a gang end together.
   void finish(Server& server, const WorkerStandin::Run& run, bool fails)
   {
@@ -195,18 +251,17 @@
       server.worker->running.find(run);
     if (found == server.worker->running.end())
       return;
-    bool gang = found->second == GANG;
-    server.worker->finish(run, fails ? "failed" : "done");
-    std::string step = run.first.substr(0, run.first.rfind('.') + 1);
-    for (Server& other : this->servers) {
-      std::map<WorkerStandin::Run, std::string> now = other.worker->running;
-      for (const std::pair<const WorkerStandin::Run, std::string>& item : now) {
-        bool member = gang && item.first.second == run.second &&
-                      item.first.first.rfind(step, 0) == 0;
-        if (member)
-          other.worker->finish(item.first, fails ? "broken" : "done");
-      }
+    bool gang = found->second.starts_with(GANG) &&
+                run.first.find(FIRST_STEP) != std::string::npos;
+    if (gang && !this->gang_present(run, found->second)) {
+      server.ends.push_back(this->timers.after(
+        kernel::Milliseconds(GANG_LOOK_MS),
+        [this, &server, run, fails] { this->finish(server, run, fails); }));
+      return;
     }
+    server.worker->finish(run, fails ? "failed" : "done");
+    if (gang)
+      this->end_gang(run, fails ? "broken" : "done");
   }
 
   void announce_all()
@@ -234,7 +289,8 @@
   {
     gateway::HttpCall call;
     call.method = method;
-    std::size_t entry = static_cast<std::size_t>(this->number(0, ENTRIES - 1));
+    std::size_t entry =
+      static_cast<std::size_t>(this->number(0, this->size.entries - 1));
     call.url = "http://" + this->callers[entry] + PREFIX + job;
     call.headers = { { "Authorization", std::string("Bearer ") + TOKEN },
                      { "Deadline-Ms", "3000" } };
@@ -254,12 +310,13 @@
   {
     std::string job = fmt::format("{:016x}", ++this->jobs);
     bool gang = this->number(0, 1) == 0;
+    int tasks = this->number(1, 4);
     std::string body = fmt::format(
       R"({{"task_spec":"{}","phases":[{{"count":{},"cpu":100,"mem_mb":10,
           "gpu":1,"gang":{}}},{{"count":1,"cpu":100,"mem_mb":10,"gpu":1,
           "depends_on":[0]}}]}})",
-      gang ? GANG : "single",
-      this->number(1, 4),
+      gang ? GANG + std::to_string(tasks) : "single",
+      tasks,
       gang);
     bool cancel = this->number(0, 9) == 0;
     this->hand_in(job, body, cancel, 4);
@@ -291,7 +348,6 @@
 
   void ask_all()
   {
-    this->note_ends();
     for (const std::string& job : this->promises.open())
       this->request(
         "GET", job, "", [this, job](int status, const std::string& body) {
@@ -305,26 +361,16 @@
       this->loop.stop();
   }
 
-  void note_ends()
-  {
-    for (Server& server : this->servers) {
-      for (const WorkerStandin::End& end : server.worker->ended) {
-        if (end.number <= server.worker->seen_ends && end.how == "done")
-          this->promises.noted(end.run);
-      }
-    }
-  }
-
   /// One fault; several overlap.
   void inject()
   {
     ++this->injected;
     kernel::Milliseconds length(this->number(200, MAX_OUTAGE_MS));
-    std::size_t program =
-      static_cast<std::size_t>(this->number(0, ENTRIES + SERVERS - 1));
-    Server& server =
-      this->servers[static_cast<std::size_t>(this->number(0, SERVERS - 1))];
-    switch (this->number(0, 9)) {
+    std::size_t program = static_cast<std::size_t>(
+      this->number(0, this->size.entries + this->size.servers - 1));
+    Server& server = this->servers[static_cast<std::size_t>(
+      this->number(0, this->size.servers - 1))];
+    switch (this->number(0, 15)) {
       case 0:
         this->restart(this->programs[program], SIGKILL);
         return;
@@ -355,8 +401,33 @@
         return;
       case 8:
         server.relay->cut();
-        server.heal =
-          this->timers.after(length, [&server] { server.relay->heal(); });
+        this->heal_after(server, length);
+        return;
+      case 9:
+        server.relay->cut_towards_target();
+        this->heal_after(server, length);
+        return;
+      case 10:
+        server.relay->delay(this->number(50, MAX_DELAY_MS));
+        this->heal_after(server, length);
+        return;
+      case 11:
+        server.relay->reset_existing();
+        this->store_relay.reset_existing();
+        return;
+      case 12:
+        this->store_relay.delay(this->number(20, MAX_DELAY_MS));
+        this->store_path_heal =
+          this->timers.after(length, [this] { this->store_relay.heal(); });
+        return;
+      case 13:
+        this->store_relay.cut();
+        this->store_path_heal =
+          this->timers.after(length, [this] { this->store_relay.heal(); });
+        return;
+      case 14:
+        // The server crashes and starts again under its identifier.
+        server.worker->restart();
         return;
       default:
         server.worker->lost_starts = this->number(1, 3);
@@ -365,6 +436,12 @@
     }
   }
 
+  void heal_after(Server& server, kernel::Milliseconds length)
+  {
+    server.heal =
+      this->timers.after(length, [&server] { server.relay->heal(); });
+  }
+
   void restart(Program& program, int signal)
   {
     program.process->send(signal);
@@ -386,6 +463,7 @@
   kernel::Loop loop;
   kernel::TimerService timers{ loop };
   std::mt19937_64 random;
+  SoakSize size;
   std::string folder;
   RowStoreStandin store;
   Relay store_relay;
@@ -399,17 +477,19 @@
   kernel::Subscription beat;
   kernel::Subscription submit;
   kernel::Subscription fault;
+  std::vector<kernel::Subscription> later;
   kernel::Subscription store_heal;
+  kernel::Subscription store_path_heal;
   kernel::Subscription late;
 };
 
 /// Plays a seed in a folder of its own; keeps its logs if a promise is broken.
 bool
-play_seed(std::uint64_t seed, const std::string& folder)
+play_seed(std::uint64_t seed, const SoakSize& size, const std::string& folder)
 {
   std::string own = fmt::format("{}/seed-{}", folder, seed);
   std::filesystem::create_directories(own);
-  Soak soak(seed, own);
+  Soak soak(seed, size, own);
   std::vector<std::string> broken = soak.play();
   fmt::print("seed {}: {} jobs, {} faults, {} broken\n",
              seed,
@@ -433,6 +513,12 @@
   options.add_options()("seed", "first seed", cxxopts::value<std::uint64_t>())(
     "seeds", "number of seeds", cxxopts::value<int>()->default_value("1"))(
     "minutes", "play new seeds for so long", cxxopts::value<int>())(
+    "entries",
+    "entries to run",
+    cxxopts::value<int>()->default_value(std::to_string(DEFAULT_ENTRIES)))(
+    "servers",
+    "agents to run, each with a backend server",
+    cxxopts::value<int>()->default_value(std::to_string(DEFAULT_SERVERS)))(
     "logs", "folder of the logs", cxxopts::value<std::string>());
   cxxopts::ParseResult parsed = options.parse(argc, argv);
   std::uint64_t seed = parsed.count("seed") > 0
@@ -443,6 +529,12 @@
       ? parsed["logs"].as<std::string>()
       : std::filesystem::temp_directory_path().string() + "/geraniumhinge-soak";
   int seeds = parsed["seeds"].as<int>();
+  SoakSize size{ parsed["entries"].as<int>(), parsed["servers"].as<int>() };
+  if (size.entries < 1 || size.servers < 1 ||
+      size.entries + size.servers > MAX_PROCESSES) {
+    fmt::print(stderr, "at least one of each, at most {}\n", MAX_PROCESSES);
+    return 2;
+  }
   std::int64_t until_ms =
     parsed.count("minutes") > 0
       ? kernel::boot_ms() + parsed["minutes"].as<int>() * 60'000LL
@@ -452,7 +544,7 @@
   for (int index = 0;
        until_ms > 0 ? kernel::boot_ms() < until_ms : index < seeds;
        ++index) {
-    if (play_seed(seed + static_cast<std::uint64_t>(index), folder))
+    if (play_seed(seed + static_cast<std::uint64_t>(index), size, folder))
       ++passed;
     else
       ++failed;
--- a/tests/support/relay.cpp
+++ b/tests/support/relay.cpp
@@ -5,9 +5,12 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
+#include <chrono>
+#include <deque>
 #include <netinet/in.h>
 #include <poll.h>
 #include <stdexcept>
+#include <string>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -21,15 +24,36 @@
 constexpr int BACKLOG = 128;
 constexpr std::size_t BUFFER_BYTES = 65'536;
 
-/// Both sockets of one connection.
+/// A piece of data on its way.
+struct Piece
+{
+  std::int64_t due_ms = 0;
+  std::size_t to = 0; ///< Side that it goes to.
+  std::string data;
+};
+
+/// Both sockets of one connection: the caller's and the target's.
 struct Pair
 {
   std::array<int, 2> fds{ -1, -1 };
   std::uint64_t epoch = 0;
+  std::uint64_t reset_epoch = 0;
   bool silent = false;
+  bool deaf = false; ///< The target hears nothing.
   bool closed = false;
+  std::deque<Piece> pieces{};
 };
 
+constexpr std::size_t TARGET_SIDE = 1;
+
+std::int64_t
+now_ms()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::steady_clock::now().time_since_epoch())
+    .count();
+}
+
 sockaddr_in
 parse_address(const std::string& text)
 {
@@ -82,9 +106,9 @@
   return true;
 }
 
-/// Moves what one side sent to the other side, or discards it.
+/// Takes what one side sent, to be passed on after the delay, or discards it.
 void
-move_bytes(Pair& pair, std::size_t from)
+take_bytes(Pair& pair, std::size_t from, int delay_ms)
 {
   std::array<char, BUFFER_BYTES> buffer;
   ssize_t got = recv(pair.fds[from], buffer.data(), buffer.size(), 0);
@@ -96,11 +120,37 @@
   }
   if (got <= 0)
     pair.closed = true;
-  if (got <= 0 || pair.silent)
+  bool discarded = pair.silent || (pair.deaf && from != TARGET_SIDE);
+  if (got <= 0 || discarded)
     return;
-  if (!write_all(
-        pair.fds[1 - from], buffer.data(), static_cast<std::size_t>(got)))
-    pair.closed = true;
+  pair.pieces.push_back(
+    { now_ms() + delay_ms,
+      1 - from,
+      std::string(buffer.data(), static_cast<std::size_t>(got)) });
+}
+
+void
+pass_due(Pair& pair)
+{
+  while (!pair.closed && !pair.pieces.empty() &&
+         pair.pieces.front().due_ms <= now_ms()) {
+    Piece piece = std::move(pair.pieces.front());
+    pair.pieces.pop_front();
+    if (!pair.silent &&
+        !write_all(pair.fds[piece.to], piece.data.data(), piece.data.size()))
+      pair.closed = true;
+  }
+}
+
+void
+reset(Pair& pair)
+{
+  linger at_once{ 1, 0 };
+  for (int fd : pair.fds) {
+    if (fd >= 0)
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  }
+  pair.closed = true;
 }
 
 void
@@ -141,10 +191,30 @@
   this->silence_epoch++;
 }
 
+void
+Relay::cut_towards_target()
+{
+  this->is_half_cut = true;
+}
+
+void
+Relay::reset_existing()
+{
+  this->reset_epoch++;
+}
+
+void
+Relay::delay(int milliseconds)
+{
+  this->delay_ms = milliseconds;
+}
+
 void
 Relay::heal()
 {
   this->is_cut = false;
+  this->is_half_cut = false;
+  this->delay_ms = 0;
 }
 
 void
@@ -162,10 +232,14 @@
       Pair& pair = pairs[i];
       pair.silent =
         pair.silent || pair.epoch != this->silence_epoch || this->is_cut;
+      pair.deaf = pair.deaf || this->is_half_cut;
+      if (pair.reset_epoch != this->reset_epoch)
+        reset(pair);
       for (std::size_t side : { 0U, 1U }) {
         if (!pair.closed && polled[1 + 2 * i + side].revents != 0)
-          move_bytes(pair, side);
+          take_bytes(pair, side, this->delay_ms);
       }
+      pass_due(pair);
       if (pair.closed)
         close_pair(pair);
     }
@@ -173,7 +247,8 @@
     if (polled[0].revents == 0)
       continue;
     Pair pair{ { accept(listener, nullptr, nullptr), dial(this->target) },
-               this->silence_epoch };
+               this->silence_epoch,
+               this->reset_epoch };
     if (pair.fds[0] >= 0 && pair.fds[1] >= 0)
       pairs.push_back(pair);
     else
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -23,7 +23,15 @@
   void silence_existing();
   /// Discards every byte both ways, on new connections as well.
   void cut();
-  /// Passes bytes on new connections again. Silenced ones stay silent.
+  /// Discards the bytes of one way only: what the target sends arrives, what
+  /// is sent to it does not.
+  void cut_towards_target();
+  /// Resets every connection that exists now.
+  void reset_existing();
+  /// Holds each piece of data back for so long.
+  void delay(int milliseconds);
+  /// Passes bytes on new connections again, without delay. Silenced ones stay
+  /// silent.
   void heal();
 
 private:
@@ -33,6 +41,9 @@
   std::string listen_address;
   std::atomic<bool> stopping{ false };
   std::atomic<bool> is_cut{ false };
+  std::atomic<bool> is_half_cut{ false };
+  std::atomic<int> delay_ms{ 0 };
+  std::atomic<std::uint64_t> reset_epoch{ 0 };
   std::atomic<std::uint64_t> silence_epoch{ 0 };
   std::thread thread;
 };
