--- a/core/assign.cpp
+++ b/core/assign.cpp
@@ -28,21 +28,12 @@
     static_cast<std::int64_t>(request.step->max_per_server) - used, 0, limit);
 }
 
-Resources
-demand_of(const Step& step)
-{
-  Resources demand = step.demand;
-  if (step.fills)
-    demand.millicores = 0;
-  return demand;
-}
-
 /// Candidates by rack, the fullest servers first in each.
 std::map<std::string, Candidates>
 by_rack(const Pool& pool, const AssignRequest& request)
 {
   std::map<std::string, Candidates> racks;
-  Resources demand = demand_of(*request.step);
+  Resources demand = held_by(*request.step);
   for (const std::pair<const std::string, PoolServer>& item : pool.servers) {
     if (!eligible(item.second, request))
       continue;
@@ -127,6 +118,15 @@
 
 } // namespace
 
+Resources
+held_by(const Step& step)
+{
+  Resources held = step.demand;
+  if (step.fills)
+    held.millicores = 0;
+  return held;
+}
+
 bool
 eligible(const PoolServer& server, const AssignRequest& request)
 {
--- a/core/assign.h
+++ b/core/assign.h
@@ -25,6 +25,10 @@
   bool any_rack = false;
 };
 
+/// What a run of the step takes from its server.
+Resources
+held_by(const Step& step);
+
 /// Whether the server may run the step at all, free room aside.
 bool
 eligible(const PoolServer& server, const AssignRequest& request);
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -89,6 +89,7 @@
                      return before(left.job, right.job);
                    });
   std::vector<Waiting> sorted;
+  sorted.reserve(order.size());
   for (std::size_t index : order)
     sorted.push_back(std::move(waiting[index]));
   return sorted;
@@ -237,15 +238,6 @@
   this->result.placements.push_back({ key, servers, waiting.waited_ms });
 }
 
-Resources
-held_by(const Step& step)
-{
-  Resources held = step.demand;
-  if (step.fills)
-    held.millicores = 0;
-  return held;
-}
-
 std::int64_t
 accelerators_of(const Workflow& workflow)
 {
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -7,10 +7,6 @@
 
 namespace geraniumhinge::core {
 
-/// What runs of a step take from their server.
-Resources
-held_by(const Step& step);
-
 /// The work of some tasks for some seconds; an accelerator counts as cores.
 double
 core_seconds(const Resources& demand, double seconds);
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -60,7 +60,7 @@
 {
   LeaseBounds bounds;
   bounds.orphan_ms = settings.orphan.count();
-  bounds.max_lease_ms = settings.lease.count();
+  bounds.granted_ms = settings.lease.count();
   return bounds;
 }
 
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -19,7 +19,7 @@
 std::int64_t
 LeaseBounds::lease_ms() const
 {
-  return this->max_lease_ms * PERCENT / (PERCENT - SLOWNESS_PERCENT) +
+  return this->granted_ms * PERCENT / (PERCENT - SLOWNESS_PERCENT) +
          EXPIRY_SLACK_MS;
 }
 
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -14,8 +14,8 @@
 /// How long leases outlive the owner's last word.
 struct LeaseBounds
 {
-  std::int64_t orphan_ms = 4'000;    ///< Agents renew without a word.
-  std::int64_t max_lease_ms = 6'000; ///< On a clock that may be slow.
+  std::int64_t orphan_ms = 4'000;  ///< Agents renew without a word.
+  std::int64_t granted_ms = 3'000; ///< Leases, on a clock that may be slow.
   /// An owner that can't reach the store goes on sending its word this long.
   std::int64_t owner_word_ms = 12'000;
 
