--- a/entry/exclusive_run.cpp
+++ b/entry/exclusive_run.cpp
@@ -267,6 +267,15 @@
   this->confirming_absence = false;
   std::optional<v1::RequestRow> found =
     parse_row<v1::RequestRow>(result->front());
+  if (!found && result->front().version != 0) {
+    // The request may have run, whatever the unreadable row says.
+    this->context.log.write(ROW_MALFORMED, { { "key", this->key } });
+    this->respond(run_response(this->request.request_id(),
+                               v1::OUTCOME_UNKNOWN,
+                               v1::REASON_STORE_UNAVAILABLE));
+    this->end();
+    return;
+  }
   if (!found) {
     // The attempt of another entry has not run and its row was deleted.
     this->version = 0;
@@ -331,8 +340,14 @@
 {
   bool conflict =
     !result && result.error().kind == platform::TableErrorKind::Conflict;
+  if (conflict) {
+    // Another entry has changed the row; callers get the outcome in the row.
+    this->resolved = false;
+    this->read_row();
+    return;
+  }
   this->respond(this->row.answer());
-  if (result || conflict) {
+  if (result) {
     this->end();
     return;
   }
