--- a/agent/events.h
+++ b/agent/events.h
@@ -203,6 +203,23 @@
   "tasks beside them.",
   "None."
 };
+inline constexpr EventInfo SERVER_ROWS_MALFORMED{
+  528,
+  Severity::Warning,
+  "server_rows_malformed",
+  "The number of rows that can't be read in the backend server's lists of "
+  "tasks has changed. The other rows are used, and no end is acknowledged "
+  "meanwhile.",
+  "Check the version of the backend server."
+};
+inline constexpr EventInfo ENDS_ACKNOWLEDGED{
+  527,
+  Severity::Info,
+  "ends_acknowledged",
+  "The agent lets the backend server drop the ends up to a number, which the "
+  "owner has stored.",
+  "None."
+};
 
 inline constexpr EventInfo AGENT_EVENTS[] = {
   ENTRIES_CHANGED,
@@ -232,6 +249,8 @@
   OWNER_CHANGED,
   CALL_REJECTED,
   PACE_CHANGED,
+  ENDS_ACKNOWLEDGED,
+  SERVER_ROWS_MALFORMED,
 };
 
 } // namespace geraniumhinge::agent
--- a/agent/platform_program.cpp
+++ b/agent/platform_program.cpp
@@ -29,10 +29,11 @@
 constexpr kernel::Milliseconds LEASE_MARGIN{ 200 };
 
 ServerAgentOptions
-agent_options(const PlatformSettings& settings)
+agent_options(const PlatformSettings& settings, std::uint64_t incarnation)
 {
   ServerAgentOptions options;
   options.node = settings.name;
+  options.incarnation = incarnation;
   options.max_lease = settings.max_lease;
   options.lease = settings.lease - LEASE_MARGIN;
   options.orphan_timeout = settings.orphan_timeout;
@@ -67,7 +68,7 @@
          timers,
          log,
          this->metrics,
-         { settings.name, kernel::random_id(), settings.peer_listen })
+         { settings.name, this->incarnation, settings.peer_listen })
   , registry_server(
       loop,
       timers,
@@ -95,7 +96,7 @@
           log,
           this->metrics,
           this->server_client,
-          agent_options(settings),
+          agent_options(settings, this->incarnation),
           [this] { this->schedule_report(); })
   , owner_watcher(loop,
                   timers,
--- a/agent/platform_program.h
+++ b/agent/platform_program.h
@@ -54,6 +54,7 @@
   gateway::HttpClient server_http_client;
   platform::Store store;
   platform::ServerClient server_client;
+  std::uint64_t incarnation = kernel::random_id();
   peer::PeerNode node;
   gateway::HttpServer registry_server;
   gateway::HttpServer metrics_server;
--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -56,7 +56,8 @@
 bool
 ServerAgent::state_is_known() const
 {
-  return this->server && this->lists_known && !this->instance_replaced;
+  return this->server && this->lists_known && !this->instance_replaced &&
+         this->stray_runs.empty();
 }
 
 bool
@@ -75,10 +76,52 @@
   return this->answering && this->owner_seen_lately();
 }
 
+/// Records that the owner has replied to a report. The time of the report
+/// counts: the reply may have been under way for long, or this process paused.
+void
+ServerAgent::record_owner_reply(const v1::ServerOrders& orders)
+{
+  if (orders.agent_incarnation() != this->options.incarnation)
+    return;
+  std::optional<std::int64_t> sent_ms =
+    this->reports.sent_ms(orders.report_sequence());
+  if (sent_ms)
+    this->owner_last_seen_ms = std::max(this->owner_last_seen_ms, *sent_ms);
+}
+
+/// Discards all orders from before the next report. The owner may start the
+/// tasks on other servers because of that report.
+void
+ServerAgent::discard_orders()
+{
+  this->orders_are_current = false;
+  this->first_valid_report = this->reports.last() + 1;
+}
+
+/// Runs that may have started on the server without being listed by it.
+std::set<ServerAgent::RunKey>
+ServerAgent::unconfirmed_starts() const
+{
+  std::set<RunKey> unconfirmed;
+  for (const std::pair<const RunKey, TrackedRun>& item : this->runs) {
+    const TrackedRun& run = item.second;
+    bool ended =
+      run.phase == RunPhase::Stopped || run.phase == RunPhase::NeverStarted;
+    if (run.start_sent && !run.seen_on_server && !ended)
+      unconfirmed.insert(item.first);
+  }
+  return unconfirmed;
+}
+
 void
 ServerAgent::apply_announcement(const platform::Announcement& announcement)
 {
   bool same = this->server && this->server->instance == announcement.instance;
+  // An announcement of the previous instance may be delayed.
+  bool outdated = this->answering && announcement.instance.started_ms <
+                                       this->server->instance.started_ms;
+  if (outdated)
+    return;
   if (!same) {
     this->begin_instance(announcement);
     return;
@@ -89,6 +132,10 @@
   bool changed = announcement.draining != this->server->draining;
   this->server = announcement;
   this->announced_ms = kernel::boot_ms();
+  // A departure of the previous instance, which had the same identifier, may
+  // be delayed.
+  changed = changed || (this->leaving && !announcement.draining);
+  this->leaving = this->leaving && announcement.draining;
   if (changed) {
     this->log.write(SERVER_STATE_CHANGED,
                     { { "server", announcement.instance.id },
@@ -113,10 +160,12 @@
 ServerAgent::begin_instance(const platform::Announcement& announcement)
 {
   std::int64_t now = kernel::boot_ms();
+  this->stray_runs = this->unconfirmed_starts();
   this->log.write(SERVER_INSTANCE_STARTED,
                   { { "server", announcement.instance.id },
                     { "born_ms", announcement.instance.started_ms },
-                    { "address", announcement.address } });
+                    { "address", announcement.address },
+                    { "stray_runs", this->stray_runs.size() } });
   this->server = announcement;
   this->announced_ms = now;
   this->refused_polls = 0;
@@ -133,8 +182,13 @@
   this->instance_replaced = false;
   this->leases_expired = false;
   this->stored_ends = 0;
-  this->orders_are_current = false;
+  this->last_acknowledged_end = 0;
+  this->discard_orders();
   this->runs.clear();
+  for (const RunKey& key : this->stray_runs) {
+    this->runs[key].start_sent = true;
+    this->set_phase(key, this->runs[key], RunPhase::Stopping);
+  }
   this->poll_server();
 }
 
@@ -150,6 +204,7 @@
     request.lease_until_ms =
       this->lease_clock.grant(now, this->options.lease.count());
   request.acknowledged_ends = this->acknowledged_ends();
+  this->log_acknowledgement(request.acknowledged_ends);
   // The first poll of an instance and a poll after a confirmed stop return at
   // once.
   bool no_wait = !this->lists_known;
@@ -178,7 +233,7 @@
 ServerAgent::acknowledged_ends() const
 {
   std::uint64_t acknowledged = 0;
-  if (!this->answering)
+  if (!this->answering || this->lists.malformed_rows > 0)
     return acknowledged;
   for (const platform::EndedTask& end : this->lists.ended) {
     if (end.number <= this->stored_ends)
@@ -187,6 +242,19 @@
   return acknowledged;
 }
 
+void
+ServerAgent::log_acknowledgement(std::uint64_t number)
+{
+  if (number <= this->last_acknowledged_end)
+    return;
+  this->last_acknowledged_end = number;
+  this->log.write(ENDS_ACKNOWLEDGED,
+                  { { "server", this->server->instance.id },
+                    { "number", number },
+                    { "term", this->term },
+                    { "orders", this->orders.sequence() } });
+}
+
 void
 ServerAgent::poll_answered(
   std::int64_t sent_ms,
@@ -221,6 +289,13 @@
                  this->leases_expired ||
                  lists.ended.size() != this->lists.ended.size() ||
                  lists.running.size() != this->lists.running.size();
+  if (lists.malformed_rows > 0)
+    this->metrics.counter("agent_malformed_rows_total")
+      .add(lists.malformed_rows);
+  if (lists.malformed_rows != this->lists.malformed_rows)
+    this->log.write(SERVER_ROWS_MALFORMED,
+                    { { "server", this->server->instance.id },
+                      { "rows", lists.malformed_rows } });
   if (!this->lists_known)
     this->log.write(SERVER_LISTED,
                     { { "server", this->server->instance.id },
@@ -244,7 +319,8 @@
       this->set_phase(item.first, run, RunPhase::Started);
     // The poll was sent after the server confirmed the start or stop, so a run
     // that is in neither list is not on the server.
-    bool certainly_absent = sent_ms > run.phase_started_ms && !on_server &&
+    bool certainly_absent = lists.malformed_rows == 0 &&
+                            sent_ms > run.phase_started_ms && !on_server &&
                             !ended.contains(item.first) && !run.call_in_flight;
     if (certainly_absent && run.phase == RunPhase::Stopped) {
       this->set_phase(item.first, run, RunPhase::NeverStarted);
@@ -258,7 +334,9 @@
       return ended.contains(item.first) && !item.second.call_in_flight;
     });
   this->lists = std::move(lists);
+  bool was_known = this->state_is_known();
   this->reconcile();
+  changed = changed || this->state_is_known() != was_known;
   this->update_pace();
   if (changed)
     this->on_change();
@@ -280,8 +358,9 @@
     this->instance_replaced = true;
     this->lists = {};
   }
-  bool expired = this->leaving || this->instance_replaced ||
-                 this->refused_polls >= MAX_REFUSED_POLLS ||
+  int refusals_needed = this->leaving ? 1 : MAX_REFUSED_POLLS;
+  bool expired = this->instance_replaced ||
+                 this->refused_polls >= refusals_needed ||
                  this->lease_clock.expired(kernel::boot_ms());
   if (expired == this->leases_expired) {
     if (was_answering)
@@ -289,6 +368,8 @@
     return;
   }
   this->leases_expired = expired;
+  if (expired)
+    this->discard_orders();
   this->log.write(SERVER_LEASE_OVER,
                   { { "server", this->server->instance.id },
                     { "error", name_of(platform::SERVER_ERROR_NAMES, error) },
@@ -309,7 +390,8 @@
 ServerAgent::report()
 {
   v1::ServerReport report;
-  report.set_sequence(++this->report_sequence);
+  report.set_sequence(this->reports.record(
+    kernel::boot_ms(), this->options.orphan_timeout.count()));
   report.set_term(this->term);
   if (!this->state_is_known())
     return report;
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -2,6 +2,7 @@
 
 #include "agent/lease_clock.h"
 #include "agent/pacer.h"
+#include "agent/report_log.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/task.h"
@@ -23,10 +24,12 @@
 struct ServerAgentOptions
 {
   std::string node;
+  std::uint64_t incarnation = 0; ///< Of this process.
   kernel::Milliseconds lease{ 3'000 };
   /// The server shortens longer leases.
   kernel::Milliseconds max_lease{ 6'000 };
-  /// Leases are renewed for this long after the last orders of the owner.
+  /// Leases are renewed for this long after the last report that the owner has
+  /// replied to was sent.
   kernel::Milliseconds orphan_timeout{ 4'000 };
   kernel::Milliseconds poll_wait{ 700 }; ///< Longest wait of one poll.
 };
@@ -54,7 +57,8 @@
 
   /// Applies the owner's orders. Orders with an earlier term are ignored; those
   /// with the same term and no higher sequence number show only that the owner
-  /// is alive. Orders for another instance start and stop nothing.
+  /// is alive. Orders for another instance start and stop nothing, nor do
+  /// orders from before a report that all runs have ended.
   void apply_orders(const v1::ServerOrders& orders);
 
   /// Builds the next report to the owner.
@@ -81,7 +85,7 @@
     bool start_sent = false;
     std::int64_t phase_started_ms = 0;
     std::int64_t next_call_ms = 0;    ///< Earliest time of the next request.
-    bool seen_on_server = false;      ///< Listed by a poll at least once.
+    bool seen_on_server = false;      ///< Listed by a poll of this instance.
     std::uint32_t pace_percent = 100; ///< Last one that the server accepted.
     bool pace_call_in_flight = false;
   };
@@ -90,9 +94,14 @@
   bool state_is_known() const;
   bool owner_seen_lately() const;
   bool may_renew_lease() const;
+  void record_owner_reply(const v1::ServerOrders& orders);
+  void discard_orders();
+  std::set<RunKey> unconfirmed_starts() const;
+  bool stray_runs_remain();
   void begin_instance(const platform::Announcement& announcement);
   void poll_server();
   std::uint64_t acknowledged_ends() const;
+  void log_acknowledgement(std::uint64_t number);
   void poll_answered(
     std::int64_t sent_ms,
     tl::expected<platform::ServerTaskLists, platform::ServerError> lists);
@@ -142,12 +151,20 @@
   Pacer pacer;
   /// Ends up to this number are stored by the owner.
   std::uint64_t stored_ends = 0;
+  std::uint64_t last_acknowledged_end = 0; ///< To the server.
   v1::ServerOrders orders;
-  bool orders_are_current = false; ///< `orders` are for this instance.
-  std::uint64_t term = 0;          ///< Of the owner.
+  /// `orders` are for this instance and not discarded.
+  bool orders_are_current = false;
+  std::uint64_t term = 0; ///< Of the owner.
+  ReportLog reports;
+  /// Orders that reply to an earlier report are not carried out.
+  std::uint64_t first_valid_report = 0;
+  /// Boot time at which the last report with a reply was sent.
   std::int64_t owner_last_seen_ms = 0;
   std::map<RunKey, TrackedRun> runs;
-  std::uint64_t report_sequence = 0;
+  /// Runs whose start may have reached this instance although it was meant for
+  /// the one before. The instance is reported only after they have ended.
+  std::set<RunKey> stray_runs;
   kernel::Subscription poll_retry;
   kernel::Subscription reconcile_timer;
 };
--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -57,13 +57,15 @@
 {
   if (orders.term() < this->term)
     return;
-  this->owner_last_seen_ms = kernel::boot_ms();
+  this->record_owner_reply(orders);
   bool newer =
     orders.term() > this->term || orders.sequence() > this->orders.sequence();
   this->term = orders.term();
   bool for_this_instance =
     this->server && orders.life().id() == this->server->instance.id &&
-    orders.life().born_ms() == this->server->instance.started_ms;
+    orders.life().born_ms() == this->server->instance.started_ms &&
+    orders.agent_incarnation() == this->options.incarnation &&
+    orders.report_sequence() >= this->first_valid_report;
   if (!newer)
     return;
   this->orders = orders;
@@ -137,10 +139,31 @@
   }
 }
 
+/// Stops the stray runs. Returns whether any of them may still run: a run has
+/// ended once a poll after its confirmed stop no longer lists it, and from its
+/// stop on the server refuses a delayed start.
+bool
+ServerAgent::stray_runs_remain()
+{
+  std::erase_if(this->stray_runs, [this](const RunKey& key) {
+    std::map<RunKey, TrackedRun>::iterator run = this->runs.find(key);
+    if (run == this->runs.end())
+      return true;
+    if (run->second.phase != RunPhase::NeverStarted)
+      return false;
+    this->runs.erase(run);
+    return true;
+  });
+  for (const RunKey& key : this->stray_runs)
+    this->advance_run(key, this->runs[key]);
+  return !this->stray_runs.empty();
+}
+
 void
 ServerAgent::reconcile()
 {
-  if (!this->state_is_known() || !this->orders_are_current)
+  if (!this->server || !this->lists_known || this->instance_replaced ||
+      this->stray_runs_remain() || !this->orders_are_current)
     return;
   this->track_unordered_runs();
   this->track_orders();
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -147,10 +147,29 @@
   return waiting;
 }
 
+/// Limits the tasks to place to those that the workflow may run beside its
+/// other runs. Returns false if there are none.
+bool
+SchedulingRound::limit_tasks(WaitingStep& waiting) const
+{
+  std::size_t runs = 0;
+  for_each_run(waiting.round_workflow.progress,
+               [&runs](const TaskRef&, const TaskState&) { ++runs; });
+  std::size_t limit = waiting.round_workflow.max_runs;
+  std::size_t allowed = limit > runs ? limit - runs : 0;
+  std::uint32_t& tasks = waiting.request.tasks;
+  if (waiting.request.step->gang)
+    return tasks <= allowed;
+  tasks = static_cast<std::uint32_t>(std::min<std::size_t>(tasks, allowed));
+  return tasks > 0;
+}
+
 void
 SchedulingRound::place(WaitingStep& waiting)
 {
   AssignRequest& request = waiting.request;
+  if (!this->limit_tasks(waiting))
+    return;
   for (const GangReservation& reservation : this->gang_reservations) {
     if (request.step->estimate_ms == 0 ||
         reservation.free_in_ms <
--- a/core/round.h
+++ b/core/round.h
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,8 +27,10 @@
   std::uint32_t priority = 0;
   std::uint32_t max_failures = 1; ///< Failures after which the workflow fails.
   std::int64_t peak_accelerators = 0; ///< Most in use at the same time.
-  bool guaranteed = false;            ///< Within the organisation's guarantee.
-  std::set<std::string> avoided;      ///< Servers on which the workflow failed.
+  /// Most tasks that may run at the same time.
+  std::size_t max_runs = std::numeric_limits<std::size_t>::max();
+  bool guaranteed = false;       ///< Within the organisation's guarantee.
+  std::set<std::string> avoided; ///< Servers on which the workflow failed.
   Objective objective;
   std::optional<AdviceSettings> advice; ///< Set if the steps need tickets.
   bool changed = false;                 ///< The round changed `progress`.
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -46,6 +46,7 @@
   std::vector<WaitingStep> waiting_steps();
   WaitingStep make_waiting_step(RoundWorkflow& round_workflow,
                                 const ReadyStep& ready);
+  bool limit_tasks(WaitingStep& waiting) const;
   void place(WaitingStep& waiting);
   void request_advice(const WaitingStep& waiting);
   void commit(const WaitingStep& waiting,
--- a/core/workflow.cpp
+++ b/core/workflow.cpp
@@ -98,6 +98,20 @@
     });
 }
 
+/// Records that a task is done, and stops its runs. A gang is done when one of
+/// its members is done.
+void
+mark_done(const Step& step, StepState& members, TaskState& task)
+{
+  for (TaskState& member : members)
+    member.done = member.done || step.gang;
+  task.done = true;
+  if (step.gang)
+    mark_stopping(members);
+  else if (task.run)
+    task.run->stopping = true;
+}
+
 void
 count_failure(TaskState& task, std::uint32_t attempt)
 {
@@ -120,14 +134,41 @@
 
 } // namespace
 
+bool
+is_consistent(const Workflow& workflow, const Progress& progress)
+{
+  for (std::size_t index = 0; index < workflow.steps.size(); ++index) {
+    for (std::uint32_t dependency : workflow.steps[index].dependencies) {
+      if (dependency >= index)
+        return false;
+    }
+  }
+  for (const std::pair<const std::uint32_t, OccurrenceState>& item :
+       progress.open_occurrences) {
+    bool same_tasks =
+      std::equal(item.second.begin(),
+                 item.second.end(),
+                 workflow.steps.begin(),
+                 workflow.steps.end(),
+                 [](const StepState& state, const Step& step) {
+                   return !state.empty() && state.size() == step.tasks;
+                 });
+    if (!same_tasks)
+      return false;
+  }
+  return true;
+}
+
 bool
 open_due_occurrences(const Workflow& workflow,
                      Progress& progress,
                      std::int64_t unix_now_ms,
-                     std::int64_t early_ms)
+                     std::int64_t early_ms,
+                     std::size_t max_open)
 {
   bool changed = false;
-  while (progress.outcome == Outcome::Open) {
+  while (progress.outcome == Outcome::Open &&
+         progress.open_occurrences.size() < max_open) {
     std::optional<std::int64_t> due = next_due_ms(workflow, progress);
     if (!due || *due - early_ms > unix_now_ms)
       break;
@@ -196,12 +237,8 @@
   state->run.reset();
   if (!checkpoint.empty())
     primary.checkpoint = checkpoint;
-  if (kind == RunEndKind::Done && !step.runs_until_cancelled) {
-    // A gang is done when one of its members is done.
-    for (TaskState& member : members)
-      member.done = member.done || step.gang;
-    state->done = true;
-  }
+  if (kind == RunEndKind::Done && !step.runs_until_cancelled)
+    mark_done(step, members, *state);
   if (kind == RunEndKind::Failed)
     count_failure(primary, attempt);
   if (step.gang)
@@ -219,6 +256,27 @@
   return true;
 }
 
+bool
+apply_late_success(const Workflow& workflow,
+                   Progress& progress,
+                   const TaskRef& task,
+                   std::uint32_t attempt)
+{
+  TaskState* state = find_task(progress, task);
+  if (!state || state->done || attempt > state->last_attempt ||
+      progress.outcome != Outcome::Open)
+    return false;
+  const Step& step = workflow.steps[task.step];
+  if (step.runs_until_cancelled)
+    return false;
+  mark_done(
+    step, progress.open_occurrences[task.occurrence][task.step], *state);
+  if (all_done(workflow, progress))
+    progress.outcome = Outcome::Completed;
+  remove_finished(progress);
+  return true;
+}
+
 bool
 stop_all_runs(Progress& progress)
 {
--- a/core/workflow.h
+++ b/core/workflow.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -157,13 +158,20 @@
   std::uint32_t step = 0;
 };
 
+/// Whether the steps depend on earlier steps only, and the progress has the
+/// workflow's steps and tasks.
+bool
+is_consistent(const Workflow& workflow, const Progress& progress);
+
 /// Opens the occurrences that are due, at most `early_ms` before their due
-/// time. Returns whether any was opened.
+/// time; others wait while `max_open` are open. Returns whether any was opened.
 bool
-open_due_occurrences(const Workflow& workflow,
-                     Progress& progress,
-                     std::int64_t unix_now_ms,
-                     std::int64_t early_ms);
+open_due_occurrences(
+  const Workflow& workflow,
+  Progress& progress,
+  std::int64_t unix_now_ms,
+  std::int64_t early_ms,
+  std::size_t max_open = std::numeric_limits<std::size_t>::max());
 
 /// Unix time at which the next occurrence is due; nothing after the last one.
 std::optional<std::int64_t>
@@ -190,6 +198,15 @@
               const std::string& checkpoint,
               std::uint32_t max_failures);
 
+/// Records that an attempt ended as done after it had counted as lost. The task
+/// is done, and its later attempt is stopped. Returns false, without a change,
+/// if the attempt was never placed or the task's end is known already.
+bool
+apply_late_success(const Workflow& workflow,
+                   Progress& progress,
+                   const TaskRef& task,
+                   std::uint32_t attempt);
+
 /// Marks every run of the workflow as stopping. Returns whether a run was not
 /// stopping before.
 bool
--- a/entry/caller_api.cpp
+++ b/entry/caller_api.cpp
@@ -189,6 +189,10 @@
   workflow->priority = queue->priority;
   workflow->max_failures = std::max(queue->max_failures, 1U);
   call->workflow = std::move(*workflow);
+  if (!this->hooks.can_be_stored(call->workflow)) {
+    this->respond(call, CallerResult::TooLarge);
+    return;
+  }
   const WorkItem* known = this->view.find(call->id);
   if (known) {
     bool same = same_submission(*known->workflow, call->workflow);
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -23,6 +23,8 @@
   /// Whether the copies of the configuration and the work are recent enough to
   /// serve callers.
   std::function<bool()> data_is_current;
+  /// Whether the state of the workflow will always fit into its row.
+  std::function<bool(const core::Workflow&)> can_be_stored;
   /// Called when a submission or a cancellation was stored.
   std::function<void()> workflow_accepted;
 };
--- a/entry/events.h
+++ b/entry/events.h
@@ -196,6 +196,22 @@
   "its lease expired.",
   "Check the backend server or its agent."
 };
+inline constexpr kernel::EventInfo LATE_SUCCESS{
+  636,
+  kernel::Severity::Warning,
+  "late_success",
+  "A run that had counted as lost ended as done; its task is done, and the "
+  "later attempt is stopped.",
+  "Check why the backend server was silent for longer than its lease."
+};
+inline constexpr kernel::EventInfo ROW_OVERSIZED{
+  637,
+  kernel::Severity::Error,
+  "row_oversized",
+  "The state of a job no longer fits into a row of the store. Its changes are "
+  "not stored; other jobs go on.",
+  "Cancel the job; submit it again as several smaller ones."
+};
 inline constexpr kernel::EventInfo WORKFLOW_CANCELLED{
   626,
   kernel::Severity::Info,
@@ -297,6 +313,8 @@
   WORK_CONFLICT,
   RUN_ENDED,
   RUN_LOST,
+  LATE_SUCCESS,
+  ROW_OVERSIZED,
   WORKFLOW_CANCELLED,
   WORKFLOW_ENDED,
   STEP_PLACED,
--- a/entry/orders.cpp
+++ b/entry/orders.cpp
@@ -1,8 +1,5 @@
 #include "entry/orders.h"
 
-#include <set>
-#include <utility>
-
 namespace geraniumhinge::entry {
 
 namespace {
@@ -47,22 +44,25 @@
 v1::ServerOrders
 make_orders(const WorkView& view,
             const AgentView& agent,
-            const OrdersNumber& number)
+            const OrdersNumber& number,
+            const std::set<RunName>& ending)
 {
   v1::ServerOrders orders;
   orders.set_term(number.term);
   orders.set_sequence(number.sequence);
   *orders.mutable_life() = agent.report.life();
   orders.set_stored_ends(agent.stored_ends);
+  orders.set_agent_incarnation(agent.incarnation);
+  orders.set_report_sequence(agent.report.sequence());
   core::ServerInstance instance = instance_of(agent.report.life());
-  if (instance.id.empty())
+  if (instance.id.empty() || agent.report.lease_over())
     return orders;
-  std::set<std::pair<std::string, std::uint32_t>> reported;
+  std::set<RunName> reported;
   for (const v1::RunReport& run : agent.report.running())
     reported.emplace(run.task(), run.attempt());
   for (const std::pair<const std::string, WorkItem>& entry : view.items()) {
     const WorkItem& item = entry.second;
-    if (!item.workflow)
+    if (!item.usable)
       continue;
     core::for_each_run(
       item.progress,
@@ -70,6 +70,8 @@
         if (task.run->server != instance)
           return;
         std::string name = core::task_name(entry.first, ref);
+        if (ending.contains({ name, task.run->attempt }))
+          return;
         v1::RunOrder order =
           make_order(item.workflow->steps[ref.step], name, task.run->attempt);
         if (task.run->stopping) {
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -1,6 +1,7 @@
 #include "entry/platform_program.h"
 
 #include "entry/events.h"
+#include "entry/row_budget.h"
 #include "entry/work_rows.h"
 #include "kernel/clock.h"
 #include "kernel/events.h"
@@ -72,6 +73,7 @@
   limits.retention_ms = settings.retention.count();
   limits.stop_ms = settings.stop_grace.count();
   limits.rack_penalty = settings.rack_penalty;
+  limits.max_row_bytes = settings.max_row_bytes;
   return limits;
 }
 
@@ -249,6 +251,9 @@
     return this->operator_config;
   };
   hooks.data_is_current = [this] { return this->data_is_current(); };
+  hooks.can_be_stored = [this](const core::Workflow& workflow) {
+    return fits_rows(workflow, this->settings.max_row_bytes);
+  };
   hooks.workflow_accepted = [this] { this->scheduler.schedule_decision(); };
   return hooks;
 }
@@ -289,6 +294,7 @@
                  changed.max_lease != this->settings.max_lease ||
                  changed.orphan_timeout != this->settings.orphan_timeout;
   this->settings.max_config_age = changed.max_config_age;
+  this->settings.max_row_bytes = changed.max_row_bytes;
   this->scheduler.set_limits(scheduler_limits(changed));
   this->log.write(kernel::SETTINGS_RELOADED, { { "restart", restart } });
 }
--- a/entry/platform_settings.cpp
+++ b/entry/platform_settings.cpp
@@ -22,6 +22,7 @@
   { "/platform/rack_penalty", SettingType::Number, "", 1, 100, "3", "Factor on the duration of a task that does not run in its rack." },
   { "/platform/early_ms", SettingType::Integer, "ms", 0, 60'000, "0", "How long before its due time an occurrence may start." },
   { "/platform/retention_s", SettingType::Integer, "s", 1, 604'800, "150", "How long ended workflows are kept." },
+  { "/platform/max_row_bytes", SettingType::Integer, "bytes", 4'096, 16'777'216, "65536", "Longest value of a row that the store accepts. It limits the tasks of a job." },
   { "/platform/config_age_ms", SettingType::Integer, "ms", 200, 60'000, "1800", "Callers are served only while this entry's data on configuration and work is at most this old." },
   { "/name", SettingType::Text, "", 0, 0, "", "Name of this entry, unique among the entries." },
   { "/zone", SettingType::Text, "", 0, 0, "", "Availability zone of this entry." },
@@ -75,6 +76,8 @@
   settings.orphan_timeout = duration("/platform/orphan_ms");
   settings.max_early = duration("/platform/early_ms");
   settings.retention = duration("/platform/retention_s") * MS_PER_S;
+  settings.max_row_bytes =
+    static_cast<std::size_t>(reader.integer(row_of("/platform/max_row_bytes")));
   settings.max_config_age = duration("/platform/config_age_ms");
   tl::expected<kernel::Severity, kernel::SettingFault> level =
     kernel::parse_severity(reader.text(row_of(LEVEL_POINTER)), LEVEL_POINTER);
--- a/entry/platform_settings.h
+++ b/entry/platform_settings.h
@@ -28,6 +28,7 @@
   kernel::Milliseconds orphan_timeout{ 0 };
   kernel::Milliseconds max_early{ 0 };
   kernel::Milliseconds retention{ 0 };
+  std::size_t max_row_bytes = 65'536; ///< Longest value of a row.
   kernel::Milliseconds max_config_age{ 0 };
   kernel::Milliseconds stop_grace{ 0 };
   /// Factor on the duration of a task that does not run in its rack.
--- /dev/null
+++ b/entry/row_budget.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/workflow.h"
+
+#include <cstddef>
+
+namespace geraniumhinge::entry {
+
+// The whole state of a workflow is one row of the store, whose size is limited.
+// Sizes are in bytes.
+
+/// Whether the workflow's rows stay within the limit, whatever becomes of its
+/// tasks, as long as its runs and open occurrences are limited as below.
+bool
+fits_rows(const core::Workflow& workflow, std::size_t max_row_bytes);
+
+/// Most occurrences that may be open at the same time, at least one.
+std::size_t
+max_open_occurrences(const core::Workflow& workflow, std::size_t max_row_bytes);
+
+/// Most tasks that may run at the same time.
+std::size_t
+max_runs(const core::Workflow& workflow,
+         const core::Progress& progress,
+         std::size_t max_row_bytes);
+
+} // namespace geraniumhinge::entry
--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -28,6 +28,21 @@
            : core::RunEndKind::Stopped;
 }
 
+/// Whether the end is a success and a later attempt of its task has not ended.
+/// The end must stay unacknowledged until then: no run may start after the
+/// success of its task was acknowledged.
+bool
+must_stop_later_attempt(core::RoundWorkflow& round_workflow,
+                        const core::TaskRef& task,
+                        const v1::EndReport& end)
+{
+  if (end_kind(end.kind()) != core::RunEndKind::Done)
+    return false;
+  const core::TaskState* state = core::find_task(round_workflow.progress, task);
+  return state && state->done && state->run &&
+         state->run->attempt > end.attempt();
+}
+
 core::StepKey
 step_key(const core::RoundWorkflow& round_workflow, const core::TaskRef& task)
 {
@@ -87,16 +102,24 @@
        this->servers.all()) {
     AppliedEnds& ends = applied[entry.first];
     ends.instance = instance_of(entry.second.report.life());
+    std::optional<std::uint64_t> first_unsettled;
     for (const v1::EndReport& end : entry.second.report.ended()) {
       ends.number = std::max<std::uint64_t>(ends.number, end.number());
       std::optional<std::pair<std::string, core::TaskRef>> name =
         core::parse_task_name(end.task());
       std::map<std::string, core::RoundWorkflow*>::iterator round_workflow =
         name ? by_id.find(name->first) : by_id.end();
-      if (round_workflow != by_id.end())
-        this->apply_reported_end(
-          *round_workflow->second, entry.second, end, now_ms);
+      if (round_workflow == by_id.end())
+        continue;
+      this->apply_reported_end(
+        *round_workflow->second, entry.second, end, now_ms);
+      if (must_stop_later_attempt(*round_workflow->second, name->second, end))
+        first_unsettled = std::min(first_unsettled.value_or(end.number()),
+                                   std::uint64_t{ end.number() });
     }
+    // Ends are acknowledged in order of their numbers.
+    if (first_unsettled)
+      ends.number = std::min(ends.number, *first_unsettled - 1);
   }
   return applied;
 }
@@ -111,9 +134,12 @@
   const core::TaskState* task = core::find_task(round_workflow.progress, ref);
   bool current = task && task->run && task->run->attempt == end.attempt() &&
                  task->run->server == instance_of(agent.report.life());
-  if (!current)
-    return;
   core::RunEndKind kind = end_kind(end.kind());
+  if (!current) {
+    if (kind == core::RunEndKind::Done)
+      this->apply_late_success(round_workflow, agent, ref, end);
+    return;
+  }
   std::string checkpoint = end.checkpoint();
   if (checkpoint.empty())
     checkpoint = this->checkpoint_of(end.task());
@@ -147,6 +173,28 @@
   }
 }
 
+/// Applies the success of a run that had counted as lost: its server was only
+/// silent, and has kept the end.
+void
+RunTracker::apply_late_success(core::RoundWorkflow& round_workflow,
+                               const AgentView& agent,
+                               const core::TaskRef& task,
+                               const v1::EndReport& end)
+{
+  if (!core::apply_late_success(*round_workflow.definition,
+                                round_workflow.progress,
+                                task,
+                                end.attempt()))
+    return;
+  round_workflow.changed = true;
+  this->log.write(LATE_SUCCESS,
+                  { { "task", end.task() },
+                    { "attempt", end.attempt() },
+                    { "server", agent.report.life().id() },
+                    { "number", end.number() },
+                    { "report", agent.report.sequence() } });
+}
+
 void
 RunTracker::count_run_end(core::RunEndKind kind)
 {
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -77,6 +77,10 @@
                           const AgentView& agent,
                           const v1::EndReport& end,
                           std::int64_t now_ms);
+  void apply_late_success(core::RoundWorkflow& round_workflow,
+                          const AgentView& agent,
+                          const core::TaskRef& task,
+                          const v1::EndReport& end);
   void count_run_end(core::RunEndKind kind);
   void record_gang_end(const core::RoundWorkflow& round_workflow,
                        const core::TaskRef& task,
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -1,7 +1,7 @@
 #include "entry/work_scheduler.h"
 
 #include "entry/events.h"
-#include "entry/orders.h"
+#include "entry/row_budget.h"
 #include "entry/work_rows.h"
 #include "kernel/clock.h"
 
@@ -19,6 +19,9 @@
 /// The store accepts 100 entries per transaction; each workflow needs two.
 constexpr std::size_t MAX_WORKFLOWS_PER_COMMIT = 45;
 constexpr std::size_t MAX_REMOVALS_PER_COMMIT = 24;
+/// The store accepts 1 MB per transaction, in which values are encoded as
+/// base64.
+constexpr std::size_t MAX_BYTES_PER_COMMIT = 640'000;
 
 } // namespace
 
@@ -55,6 +58,7 @@
 WorkScheduler::start_term(std::uint64_t term)
 {
   this->term = term;
+  this->pending_ends.clear();
   this->writer.start_term(term);
   this->history = {};
   this->tracker.reset();
@@ -70,6 +74,7 @@
 WorkScheduler::end_term()
 {
   this->term = 0;
+  this->pending_ends.clear();
   this->writer.end_term();
   this->round_timer.reset();
   this->expiry_timer.reset();
@@ -100,8 +105,10 @@
 {
   if (this->term == 0 || !this->hooks.may_send_orders())
     return;
-  v1::ServerOrders orders =
-    make_orders(this->view, agent, { this->term, ++this->orders_sequence });
+  v1::ServerOrders orders = make_orders(this->view,
+                                        agent,
+                                        { this->term, ++this->orders_sequence },
+                                        this->pending_ends);
   agent.orders_sequence = orders.sequence();
   agent.orders_sent_ms = kernel::boot_ms();
   this->hooks.send(agent.address, std::move(orders));
@@ -124,7 +131,7 @@
        this->view.items()) {
     const WorkItem& item = entry.second;
     bool ended = item.progress.outcome != core::Outcome::Open;
-    if (!item.workflow || (ended && !core::has_runs(item.progress)))
+    if (!item.usable || (ended && !core::has_runs(item.progress)))
       continue;
     core::RoundWorkflow round_workflow;
     round_workflow.definition = &*item.workflow;
@@ -142,6 +149,8 @@
     }
     round_workflow.peak_accelerators =
       core::peak_accelerators_of(*item.workflow);
+    round_workflow.max_runs =
+      max_runs(*item.workflow, item.progress, this->limits.max_row_bytes);
     round_workflow.avoided = this->tracker.failed_on(entry.first);
     round.workflows.push_back(std::move(round_workflow));
   }
@@ -165,10 +174,13 @@
     this->log.write(WORKFLOW_CANCELLED,
                     { { "job", round_workflow.definition->id } });
   }
-  bool opened = core::open_due_occurrences(*round_workflow.definition,
-                                           round_workflow.progress,
-                                           kernel::unix_ms(),
-                                           this->limits.early_ms);
+  bool opened = core::open_due_occurrences(
+    *round_workflow.definition,
+    round_workflow.progress,
+    kernel::unix_ms(),
+    this->limits.early_ms,
+    max_open_occurrences(*round_workflow.definition,
+                         this->limits.max_row_bytes));
   round_workflow.changed = round_workflow.changed || opened;
 }
 
@@ -271,35 +283,72 @@
   platform::RowChange change;
   change.conditions.push_back({ owner_row(), this->term });
   std::size_t deferred = 0;
+  std::size_t bytes = 0;
   for (core::RoundWorkflow& round_workflow : round.workflows) {
     if (!round_workflow.changed)
       continue;
-    if (change.writes.size() == MAX_WORKFLOWS_PER_COMMIT) {
-      ++deferred;
-      continue;
-    }
     if (round_workflow.progress.outcome != core::Outcome::Open &&
         round_workflow.progress.ended_ms == 0)
       round_workflow.progress.ended_ms = kernel::unix_ms();
+    std::string value = encode_progress(round_workflow.progress);
+    bool oversized = value.size() > this->limits.max_row_bytes;
+    if (oversized)
+      this->log.write(ROW_OVERSIZED,
+                      { { "job", round_workflow.definition->id },
+                        { "bytes", value.size() } });
+    if (oversized || change.writes.size() == MAX_WORKFLOWS_PER_COMMIT ||
+        bytes + value.size() > MAX_BYTES_PER_COMMIT) {
+      ++deferred;
+      round_workflow.changed = false;
+      continue;
+    }
+    bytes += value.size();
     platform::RowName row =
       work_row(WorkRowKind::Progress, round_workflow.definition->id);
     const WorkItem* item = this->view.find(round_workflow.definition->id);
     change.conditions.push_back({ row, item->progress_version });
-    change.writes.push_back({ row, encode_progress(round_workflow.progress) });
+    change.writes.push_back({ row, std::move(value) });
   }
   if (change.writes.empty())
     return false;
   // Keeps the ends unacknowledged: a later round stores the deferred workflows.
   if (deferred > 0)
     round.applied_ends.clear();
+  this->pending_ends = this->ended_runs(round);
   this->pending = std::move(round);
   this->writer.write(std::move(change));
   return true;
 }
 
+std::set<RunName>
+WorkScheduler::ended_runs(const RoundInput& round) const
+{
+  std::set<RunName> ended;
+  for (const core::RoundWorkflow& round_workflow : round.workflows) {
+    if (!round_workflow.changed)
+      continue;
+    const std::string& id = round_workflow.definition->id;
+    std::set<RunName> left;
+    core::for_each_run(
+      round_workflow.progress,
+      [&left, &id](const core::TaskRef& ref, const core::TaskState& task) {
+        left.emplace(core::task_name(id, ref), task.run->attempt);
+      });
+    core::for_each_run(
+      this->view.find(id)->progress,
+      [&](const core::TaskRef& ref, const core::TaskState& task) {
+        RunName run{ core::task_name(id, ref), task.run->attempt };
+        if (!left.contains(run))
+          ended.insert(std::move(run));
+      });
+  }
+  return ended;
+}
+
 void
 WorkScheduler::handle_conflict(bool still_owner)
 {
+  this->pending_ends.clear();
   this->log.write(WORK_CONFLICT,
                   { { "term", this->term }, { "owner", still_owner } });
   if (still_owner)
@@ -332,6 +381,7 @@
     this->history.advice.forget(round_workflow.definition->id);
   }
   this->pending = {};
+  this->pending_ends.clear();
   for (const std::string& node : nodes) {
     AgentView* agent = this->servers.find(node);
     if (agent && agent->last_seen_ms != 0)
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -2,6 +2,7 @@
 
 #include "core/operator_config.h"
 #include "core/round.h"
+#include "entry/orders.h"
 #include "entry/run_tracker.h"
 #include "entry/server_table.h"
 #include "entry/work_view.h"
@@ -44,6 +45,7 @@
   std::int64_t stop_ms = 0; ///< Longest time until a stopped run has ended.
   /// Factor on the duration of a step that does not run in its rack.
   double rack_penalty = 1;
+  std::size_t max_row_bytes = 65'536; ///< Longest value of a row.
 };
 
 /// Runs the scheduling rounds of the owner: records the ends of runs, places
@@ -111,6 +113,8 @@
   /// acknowledge these ends.
   std::set<std::string> mark_ends_stored(
     const std::map<std::string, AppliedEnds>& applied_ends);
+  /// Runs that are stored as running and have ended in the changes of a round.
+  std::set<RunName> ended_runs(const RoundInput& round) const;
   std::uint32_t max_failures_of(const core::Workflow& workflow) const;
 
   kernel::TimerService& timers;
@@ -125,7 +129,8 @@
   std::uint64_t term = 0; ///< 0 while no rounds are run.
   bool decision_scheduled = false;
   WorkWriter writer;
-  RoundInput pending; ///< The round that `writer` is storing.
+  RoundInput pending;             ///< The round that `writer` is storing.
+  std::set<RunName> pending_ends; ///< Runs whose end `writer` is storing.
   core::StepHistory history;
   RunTracker tracker;
   std::uint64_t orders_sequence = 0;
--- a/entry/work_view.cpp
+++ b/entry/work_view.cpp
@@ -6,6 +6,13 @@
 
 namespace geraniumhinge::entry {
 
+void
+WorkItem::check()
+{
+  this->usable = this->workflow && this->progress_readable &&
+                 core::is_consistent(*this->workflow, this->progress);
+}
+
 void
 WorkView::load(const platform::RowPage& page)
 {
@@ -35,15 +42,19 @@
         return;
       item.workflow = decode_workflow(row.value);
       item.workflow_version = row.version;
+      item.check();
       return;
     }
     case WorkRowKind::Progress: {
       WorkItem& item = this->items_by_id[key.id];
-      std::optional<core::Progress> progress = decode_progress(row.value);
-      if (row.version <= item.progress_version || !progress)
+      if (row.version <= item.progress_version)
         return;
-      item.progress = std::move(*progress);
+      std::optional<core::Progress> progress = decode_progress(row.value);
+      item.progress_readable = progress.has_value();
+      if (progress)
+        item.progress = std::move(*progress);
       item.progress_version = row.version;
+      item.check();
       return;
     }
     case WorkRowKind::Cancel: {
--- a/entry/work_view.h
+++ b/entry/work_view.h
@@ -18,8 +18,14 @@
   std::uint64_t workflow_version = 0;
   core::Progress progress;
   std::uint64_t progress_version = 0; ///< 0 until the owner wrote the row.
+  bool progress_readable = true;
+  /// The rows were read and fit each other. The owner leaves other items alone.
+  bool usable = false;
   bool cancelled = false;
   std::uint64_t cancel_version = 0;
+
+  /// Sets `usable` after a row has changed.
+  void check();
 };
 
 /// The rows of all workflows, kept up to date from the changes of the store.
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr char SERVER_ID[] = "i-7f3a91c2";
 constexpr char TASK[] = "5c0e7a21d94b36f8.0.0.0";
+constexpr std::uint64_t INCARNATION = 7;
 constexpr char OTHER_TASK[] = "5c0e7a21d94b36f8.0.0.1";
 
 struct Fixture : LoopFixture
@@ -30,6 +31,7 @@
   {
     agent::ServerAgentOptions options;
     options.node = "node-1";
+    options.incarnation = INCARNATION;
     options.lease = kernel::Milliseconds(900);
     options.max_lease = kernel::Milliseconds(1'000);
     options.orphan_timeout = kernel::Milliseconds(600);
@@ -56,6 +58,8 @@
     result.set_sequence(++sequence);
     result.mutable_life()->set_id(SERVER_ID);
     result.mutable_life()->set_born_ms(server.started_ms);
+    result.set_agent_incarnation(INCARNATION);
+    result.set_report_sequence(agent->report().sequence());
     return result;
   }
 
@@ -72,8 +76,8 @@
     run.mutable_demand()->set_millicores(100);
   }
 
-  /// Repeats the owner's orders, with rising sequence numbers, until a
-  /// condition holds.
+  /// Repeats the owner's orders in reply to new reports, with rising sequence
+  /// numbers, until a condition holds.
   void send_orders_until(const v1::ServerOrders& ordered,
                          const std::function<bool()>& condition)
   {
@@ -81,11 +85,33 @@
       timers.every(kernel::Milliseconds(50), [this, ordered] {
         v1::ServerOrders repeated = ordered;
         repeated.set_sequence(++sequence);
+        repeated.set_report_sequence(agent->report().sequence());
         agent->apply_orders(repeated);
       });
     run_until(condition);
   }
 
+  /// Applies the same orders again and again, as if their delivery had been
+  /// delayed, until a condition holds.
+  void repeat_old_orders_until(const v1::ServerOrders& old,
+                               const std::function<bool()>& condition)
+  {
+    kernel::Subscription order_timer =
+      timers.every(kernel::Milliseconds(50), [this, old] {
+        v1::ServerOrders repeated = old;
+        repeated.set_sequence(++sequence);
+        agent->apply_orders(repeated);
+      });
+    run_until(condition);
+  }
+
+  /// A condition that holds after several polls of the server.
+  static std::function<bool()> after_several_polls()
+  {
+    std::int64_t begin_ms = kernel::boot_ms();
+    return [begin_ms] { return kernel::boot_ms() - begin_ms > 800; };
+  }
+
   bool reports(core::RunEndKind kind)
   {
     v1::ServerReport report = agent->report();
@@ -347,3 +373,127 @@
                     [begin] { return kernel::boot_ms() - begin > 800; });
   BOOST_TEST(server.ended.size() == 1U);
 }
+
+// Guards against a run that is started by orders from before the report that
+// all leases have expired. The owner records the run as lost because of that
+// report, and starts the next attempt on another server.
+BOOST_FIXTURE_TEST_CASE(orders_before_an_expired_lease_start_nothing, Fixture)
+{
+  announce();
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1, 8);
+  send_orders_until(ordered, [this] { return server.running.size() == 1; });
+  v1::ServerOrders old = orders();
+  add(old.mutable_runs(), TASK, 1, 8);
+  add(old.mutable_runs(), OTHER_TASK, 1, 8); // Waits for free resources.
+  agent->apply_orders(old);
+  server.silent = true;
+  run_until([this] { return agent->report().lease_over(); });
+  server.silent = false;
+  repeat_old_orders_until(old,
+                          [this] { return !agent->report().lease_over(); });
+  repeat_old_orders_until(old, after_several_polls());
+  BOOST_TEST(server.starts.size() == 1U);
+  // Orders that reply to a later report are carried out.
+  v1::ServerOrders next = orders();
+  add(next.mutable_runs(), OTHER_TASK, 2, 8);
+  send_orders_until(next, [this] {
+    return server.running.contains({ OTHER_TASK, 2 });
+  });
+}
+
+// Guards against orders that were delayed for longer than the orphan timeout
+// and then keep runs alive, or start some, which the owner has given up
+// meanwhile.
+BOOST_FIXTURE_TEST_CASE(delayed_orders_do_not_renew_the_lease, Fixture)
+{
+  announce();
+  run_until([this] { return listed(); });
+  v1::ServerOrders delayed = orders();
+  add(delayed.mutable_runs(), TASK, 1);
+  std::int64_t reported_ms = kernel::boot_ms();
+  run_until([reported_ms] { return kernel::boot_ms() - reported_ms > 700; });
+  repeat_old_orders_until(delayed, after_several_polls());
+  BOOST_TEST(server.starts.empty());
+}
+
+// Guards against orders for an earlier process of the agent, whose reports had
+// other numbers.
+BOOST_FIXTURE_TEST_CASE(orders_for_an_earlier_agent_start_nothing, Fixture)
+{
+  announce();
+  run_until([this] { return listed(); });
+  v1::ServerOrders earlier = orders();
+  earlier.set_agent_incarnation(INCARNATION - 1);
+  add(earlier.mutable_runs(), TASK, 1);
+  repeat_old_orders_until(earlier, after_several_polls());
+  BOOST_TEST(server.starts.empty());
+}
+
+// Guards against two runs of one task: a start meant for an instance reaches
+// the next one, which has the same identifier, between two polls. The owner
+// starts the task on another server as soon as the new instance is reported.
+BOOST_FIXTURE_TEST_CASE(start_that_reached_a_new_instance_is_stopped, Fixture)
+{
+  announce();
+  send_orders_until(orders(), [this] { return listed(); });
+  server.restart(ServerStandin::Connections::Kept);
+  v1::ServerOrders ordered = orders();
+  ordered.mutable_life()->set_born_ms(server.started_ms - 1);
+  add(ordered.mutable_runs(), TASK, 1);
+  agent->apply_orders(ordered);
+  run_until([this] { return server.running.size() == 1; });
+  announce();
+  run_until(
+    [this] { return agent->report().life().born_ms() == server.started_ms; });
+  BOOST_TEST(server.running.empty());
+  BOOST_TEST(agent->report().running_size() == 0);
+}
+
+// Guards against a run that counts as ended, and is started elsewhere, because
+// its row in the server's list can't be read.
+BOOST_FIXTURE_TEST_CASE(run_in_a_malformed_row_is_not_absent, Fixture)
+{
+  announce();
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  send_orders_until(ordered, [this] { return server.running.size() == 1; });
+  server.malformed_rows = true;
+  send_orders_until(ordered,
+                    [this] { return agent->report().running_size() == 0; });
+  send_orders_until(ordered, after_several_polls());
+  BOOST_TEST(server.running.size() == 1U);
+  BOOST_TEST(!reports(core::RunEndKind::NeverStarted));
+}
+
+// Guards against runs that count as lost while the leaving server still works
+// on them and is only slow to respond.
+BOOST_FIXTURE_TEST_CASE(slow_response_does_not_end_a_leaving_server, Fixture)
+{
+  announce();
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  send_orders_until(ordered, [this] { return server.running.size() == 1; });
+  announce("draining");
+  agent->apply_departure(SERVER_ID);
+  server.silent = true;
+  send_orders_until(ordered, [this] { return !agent->report().answering(); });
+  BOOST_TEST(!agent->report().lease_over());
+}
+
+// Guards against a server that is taken over by a delayed announcement of its
+// previous instance, or excluded by a delayed departure of it.
+BOOST_FIXTURE_TEST_CASE(messages_of_the_previous_instance_are_ignored, Fixture)
+{
+  server.started_ms = 2'000;
+  announce();
+  send_orders_until(orders(), [this] { return listed(); });
+  server.started_ms = 1'000;
+  announce();
+  server.started_ms = 2'000;
+  BOOST_TEST(agent->report().life().born_ms() == 2'000);
+  agent->apply_departure(SERVER_ID);
+  BOOST_TEST(agent->report().leaving());
+  announce();
+  BOOST_TEST(!agent->report().leaving());
+}
--- /dev/null
+++ b/tests/entry/malformed_input_test.cpp
@@ -0,0 +1,306 @@
+#define BOOST_TEST_MODULE malformed_input
+// Feeds every decoder of bytes from outside with valid inputs that were changed
+// at random. A decoder must return a value or an error; an exception that
+// leaves it would end the process.
+#include "entry/work_rows.h"
+#include "entry/work_view.h"
+#include "platform/advice.h"
+#include "platform/caller.h"
+#include "platform/operator_config.h"
+#include "platform/server_client.h"
+#include "platform/store_codec.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace geraniumhinge;
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int DEFAULT_INPUTS = 3'000;
+constexpr std::uint64_t SEED = 20'261'204;
+constexpr char JOB[] = "5c0e7a21d94b36f8";
+
+/// Inputs per decoder; FUZZ_INPUTS sets more for a longer run by hand.
+int
+input_count()
+{
+  const char* text = std::getenv("FUZZ_INPUTS");
+  return text ? std::atoi(text) : DEFAULT_INPUTS;
+}
+
+class Mutator
+{
+public:
+  std::size_t below(std::size_t limit)
+  {
+    return std::uniform_int_distribution<std::size_t>(0,
+                                                      limit - 1)(this->random);
+  }
+
+  /// Changes, inserts or removes some bytes.
+  std::string change_bytes(std::string text)
+  {
+    std::size_t changes = this->below(6) + 1;
+    for (std::size_t change = 0; change < changes && !text.empty(); ++change) {
+      std::size_t at = this->below(text.size());
+      switch (this->below(4)) {
+        case 0:
+          text[at] = static_cast<char>(this->below(256));
+          break;
+        case 1:
+          text.insert(at, 1, static_cast<char>(this->below(256)));
+          break;
+        case 2:
+          text.erase(at, this->below(8) + 1);
+          break;
+        default:
+          text.resize(at);
+      }
+    }
+    return text;
+  }
+
+  /// Replaces some values by values of other types.
+  std::string change_values(const std::string& text)
+  {
+    Json root = Json::parse(text);
+    std::size_t changes = this->below(3) + 1;
+    for (std::size_t change = 0; change < changes; ++change)
+      this->change_value(root);
+    return root.dump();
+  }
+
+private:
+  Json other_value()
+  {
+    static const Json values[] = {
+      nullptr,
+      true,
+      -1,
+      1e300,
+      std::numeric_limits<std::uint64_t>::max(),
+      std::numeric_limits<std::int64_t>::min(),
+      "",
+      "text",
+      Json::array(),
+      Json::array({ Json::array(), Json::object(), 7 }),
+      Json::object(),
+    };
+    return values[this->below(std::size(values))];
+  }
+
+  void change_value(Json& root)
+  {
+    Json* at = &root;
+    while (at->is_structured() && !at->empty() && this->below(5) != 0) {
+      Json::iterator child = at->begin();
+      std::advance(child, static_cast<long>(this->below(at->size())));
+      at = &*child;
+    }
+    *at = this->other_value();
+  }
+
+  std::mt19937_64 random{ SEED };
+};
+
+using Decode = std::function<void(const std::string&)>;
+
+void
+feed(const std::string& valid, const Decode& decode, bool json = true)
+{
+  BOOST_TEST_MESSAGE("seed " << SEED);
+  Mutator mutator;
+  for (int count = 0; count < input_count(); ++count) {
+    std::string input = json && count % 2 == 0 ? mutator.change_values(valid)
+                                               : mutator.change_bytes(valid);
+    BOOST_REQUIRE_NO_THROW(decode(input));
+  }
+}
+
+core::Workflow
+example_workflow()
+{
+  core::Workflow workflow;
+  workflow.id = JOB;
+  workflow.payload = "text";
+  workflow.steps.resize(2);
+  workflow.steps[0].tasks = 3;
+  workflow.steps[0].gang = true;
+  workflow.steps[1].dependencies = { 0 };
+  return workflow;
+}
+
+core::Progress
+example_progress()
+{
+  core::Progress progress;
+  core::open_due_occurrences(example_workflow(), progress, 0, 0);
+  progress.open_occurrences[0][0][1].run =
+    core::Run{ 2, { "i-1", 1 }, "node-1", false, "ticket" };
+  return progress;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(submissions)
+{
+  feed(R"({"task_spec":"text","phases":[{"count":4,"cpu":500,"mem_mb":256,
+         "estimate_ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,
+         "mem_mb":1024,"gpu":2,"depends_on":[0],"checkpoints":true,
+         "gang":true,"same_rack":true,"requires":"a","anti_affinity":3}],
+         "times":4,"start_at_ms":1700,"interval_ms":2000})",
+       [](const std::string& body) {
+         std::optional<core::Workflow> workflow =
+           platform::decode_workflow(body);
+         if (!workflow)
+           return;
+         core::Progress progress;
+         core::open_due_occurrences(*workflow, progress, 1'000'000, 0, 8);
+         core::next_due_ms(*workflow, progress);
+         BOOST_REQUIRE(core::is_consistent(*workflow, progress));
+       });
+}
+
+BOOST_AUTO_TEST_CASE(responses_of_other_entries)
+{
+  feed(R"({"state":"running","num_waiting":12})", [](const std::string& body) {
+    platform::decode_caller_response(200, body);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(announcements)
+{
+  feed(R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"z",
+         "version":"v1","slots":8,"state":"draining","warmup_left_ms":0,
+         "free_capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
+         "labels":["a","r1-3"],"clock_ms":482113,"born":1700000000123,
+         "remaining_ms":5,"sequence":4})",
+       [](const std::string& body) {
+         platform::decode_announcement({ "i-1", false, body });
+       });
+}
+
+BOOST_AUTO_TEST_CASE(lists_of_tasks)
+{
+  feed(
+    R"({"clock_ms":482113,"born":17,
+         "running_tasks":[["5c0e7a21d94b36f8.0.1.17",2,"saved",41,3.5]],
+         "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})",
+    [](const std::string& body) { platform::decode_server_task_lists(body); });
+}
+
+BOOST_AUTO_TEST_CASE(advice)
+{
+  feed(R"({"good":[["i-1","ticket-1"],["i-2","ticket-2"]]})",
+       [](const std::string& body) { platform::decode_advice(body); });
+}
+
+BOOST_AUTO_TEST_CASE(configurations)
+{
+  feed(R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/",
+         "service":"s","attempts":2,"slo_factor":3.0,"slo_ms":250,
+         "auth_exempt":false,"recommendation":{"decide_ms":5,
+         "per_worker_ms":1,"validity_ms":9}}],"services":[{"name":"s",
+         "health_path":"/health","standby":false}],
+         "limits":{"body_bytes":262144},"tenants":[{"name":"t",
+         "api_keys":["k"],"guaranteed":{"gpu":16}}]})",
+       [](const std::string& body) { platform::decode_operator_config(body); });
+}
+
+BOOST_AUTO_TEST_CASE(pages_of_rows)
+{
+  feed(R"({"rows":[{"table":"t","part":"","key":"l","value":"b25l",
+         "schema_ver":3,"removed":false}],"schema_ver":9,"has_more":true})",
+       [](const std::string& body) { platform::decode_rows(body); });
+}
+
+// Rows that parse although their workflow and progress do not fit each other
+// would be indexed out of range.
+BOOST_AUTO_TEST_CASE(rows_of_workflows)
+{
+  std::string workflow = entry::encode_workflow(example_workflow());
+  std::string progress = entry::encode_progress(example_progress());
+  std::uint64_t version = 0;
+  Decode apply = [&version](const std::string& changed) {
+    for (entry::WorkRowKind kind :
+         { entry::WorkRowKind::Workflow, entry::WorkRowKind::Progress }) {
+      entry::WorkView view;
+      view.apply(
+        platform::StoredRow{ entry::work_row(entry::WorkRowKind::Workflow, JOB),
+                             entry::encode_workflow(example_workflow()),
+                             ++version,
+                             false });
+      view.apply(platform::StoredRow{
+        entry::work_row(kind, JOB), changed, ++version, false });
+      const entry::WorkItem& item = view.items().at(JOB);
+      if (item.usable)
+        core::ready_steps(*item.workflow, item.progress);
+    }
+  };
+  feed(workflow, apply, false);
+  feed(progress, apply, false);
+}
+
+// One malformed row must not hide the other rows of its page.
+BOOST_AUTO_TEST_CASE(rest_of_a_page_is_used)
+{
+  for (const char* malformed : { R"("schema_ver":"2")",
+                                 R"("schema_ver":2,"removed":[])",
+                                 R"("schema_ver":-4)" }) {
+    std::string body =
+      R"({"rows":[{"table":"t","part":"","key":"k","value":"b25l",)" +
+      std::string(malformed) +
+      R"(},{"table":"t","part":"","key":"l","value":"b25l","schema_ver":3}],
+         "schema_ver":9})";
+    std::optional<platform::RowPage> page = platform::decode_rows(body);
+    BOOST_REQUIRE(page.has_value());
+    BOOST_TEST(page->rows.back().name.key == "l");
+  }
+}
+
+// The same for the lists of a server. A run that is in neither list may be in
+// the row that was left out.
+BOOST_AUTO_TEST_CASE(rest_of_a_list_is_used)
+{
+  std::optional<platform::ServerTaskLists> lists =
+    platform::decode_server_task_lists(
+      R"({"clock_ms":1,"born":17,"running_tasks":[["a.0.0.0",1,"",41],[7],
+        ["a.0.0.1","1","",41]],"ended":[[1,"a.0.0.2",1,"unknown",""],
+        [2,"a.0.0.3",1,"done",""]]})");
+  BOOST_REQUIRE(lists.has_value());
+  BOOST_TEST(lists->running.size() == 1U);
+  BOOST_TEST(lists->ended.size() == 1U);
+  BOOST_TEST(lists->malformed_rows == 3U);
+}
+
+// A row that can't be read, or does not fit the workflow, leaves the workflow
+// alone; a later valid row makes it usable again.
+BOOST_AUTO_TEST_CASE(unreadable_progress_is_left_alone)
+{
+  entry::WorkView view;
+  platform::RowName workflow_row =
+    entry::work_row(entry::WorkRowKind::Workflow, JOB);
+  platform::RowName progress_row =
+    entry::work_row(entry::WorkRowKind::Progress, JOB);
+  view.apply(platform::StoredRow{
+    workflow_row, entry::encode_workflow(example_workflow()), 1, false });
+  BOOST_TEST(view.items().at(JOB).usable);
+  view.apply(platform::StoredRow{ progress_row, "\xff\xff", 2, false });
+  BOOST_TEST(!view.items().at(JOB).usable);
+  core::Progress other = example_progress();
+  other.open_occurrences[0].pop_back();
+  view.apply(platform::StoredRow{
+    progress_row, entry::encode_progress(other), 3, false });
+  BOOST_TEST(!view.items().at(JOB).usable);
+  view.apply(platform::StoredRow{
+    progress_row, entry::encode_progress(example_progress()), 4, false });
+  BOOST_TEST(view.items().at(JOB).usable);
+}
--- a/tests/entry/orders_test.cpp
+++ b/tests/entry/orders_test.cpp
@@ -50,9 +50,14 @@
     run.set_attempt(attempt);
   }
 
+  v1::ServerOrders orders(const std::set<entry::RunName>& ending = {})
+  {
+    return entry::make_orders(view, agent, { 5, 1 }, ending);
+  }
+
   v1::RunOrder order()
   {
-    v1::ServerOrders orders = entry::make_orders(view, agent, { 5, 1 });
+    v1::ServerOrders orders = this->orders();
     BOOST_REQUIRE(orders.runs_size() == 1);
     return orders.runs(0);
   }
@@ -77,3 +82,28 @@
   BOOST_TEST(order().attempt() == 2U);
   BOOST_TEST(order().payload().empty());
 }
+
+// Guards against two runs of one task: the owner has decided that the run is
+// lost, and the agent reports again before the decision is stored.
+BOOST_FIXTURE_TEST_CASE(run_whose_end_is_being_stored_is_not_ordered, Fixture)
+{
+  BOOST_TEST(orders({ { std::string(JOB) + ".0.0.0", 2U } }).runs_size() == 0);
+  BOOST_TEST(orders({ { std::string(JOB) + ".0.0.0", 1U } }).runs_size() == 1);
+}
+
+// Guards against the same through the reply to the report that all leases have
+// expired: the next round records the run as lost.
+BOOST_FIXTURE_TEST_CASE(no_run_is_ordered_while_the_lease_is_over, Fixture)
+{
+  agent.report.set_lease_over(true);
+  BOOST_TEST(orders().runs_size() == 0);
+}
+
+// Guards against orders from which the agent can't tell how old they are.
+BOOST_FIXTURE_TEST_CASE(orders_name_the_report_they_reply_to, Fixture)
+{
+  agent.incarnation = 11;
+  agent.report.set_sequence(42);
+  BOOST_TEST(orders().agent_incarnation() == 11U);
+  BOOST_TEST(orders().report_sequence() == 42U);
+}
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -87,6 +87,24 @@
   }
 };
 
+/// A task whose first attempt, on server 0, counts as lost. Its second attempt
+/// is placed on server 1.
+struct SingleTask : Fixture
+{
+  SingleTask()
+    : Fixture(1)
+  {
+    workflow.steps.front().gang = false;
+    task().last_attempt = 2;
+    task().run = core::Run{ 2, instance(1), node(1), false, "" };
+  }
+
+  core::TaskState& task()
+  {
+    return workflows[0].progress.open_occurrences.at(0)[0][0];
+  }
+};
+
 } // namespace
 
 // Guards against a gang that waits for the lease of a lost server to expire
@@ -137,3 +155,38 @@
   BOOST_TEST(applied.at(node(0)).number == 1U);
   BOOST_TEST(applied.at(node(1)).number == 0U);
 }
+
+// Guards against running a task again whose success came late: its server was
+// silent until the run counted as lost, and has kept the end.
+BOOST_FIXTURE_TEST_CASE(late_success_ends_the_task, SingleTask)
+{
+  report(0, NOW_MS, core::RunEndKind::Done);
+  std::map<std::string, entry::AppliedEnds> applied =
+    tracker.apply_ends(workflows, NOW_MS);
+  BOOST_TEST(task().done);
+  BOOST_TEST(task().run->stopping);
+  BOOST_TEST((workflows[0].progress.outcome == core::Outcome::Completed));
+  // The second attempt may still start, so the end stays unacknowledged.
+  BOOST_TEST(applied.at(node(0)).number == 0U);
+}
+
+// Guards against a success that is never acknowledged, or acknowledged while a
+// later attempt may still start.
+BOOST_FIXTURE_TEST_CASE(late_success_is_acknowledged_after_the_stop, SingleTask)
+{
+  report(0, NOW_MS, core::RunEndKind::Done);
+  tracker.apply_ends(workflows, NOW_MS);
+  task().run.reset();
+  std::map<std::string, entry::AppliedEnds> applied =
+    tracker.apply_ends(workflows, NOW_MS);
+  BOOST_TEST(applied.at(node(0)).number == 1U);
+}
+
+// Guards against a task that counts as done by an attempt that was never made.
+BOOST_FIXTURE_TEST_CASE(success_of_an_unknown_attempt_is_ignored, SingleTask)
+{
+  task().last_attempt = 0;
+  report(0, NOW_MS, core::RunEndKind::Done);
+  tracker.apply_ends(workflows, NOW_MS);
+  BOOST_TEST(!task().done);
+}
--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -72,13 +72,23 @@
     this->end(run, end_kind);
   }
 
-  /// Simulates a crash and a restart under the same identifier: closes the
-  /// connections and drops all state.
-  void restart()
+  /// What a restart does to the calls that wait for a response.
+  enum class Connections
   {
-    for (Waiting& item : this->waiting)
-      item.respond({ gateway::CLOSE_CONNECTION, "", "", {} });
-    this->waiting.clear();
+    Closed,
+    Kept, ///< The new instance responds, as behind a proxy that hides a
+          ///< restart.
+  };
+
+  /// Simulates a crash and a restart under the same identifier: drops all
+  /// state.
+  void restart(Connections connections = Connections::Closed)
+  {
+    if (connections == Connections::Closed) {
+      for (Waiting& item : this->waiting)
+        item.respond({ gateway::CLOSE_CONNECTION, "", "", {} });
+      this->waiting.clear();
+    }
     for (const std::pair<const Run, std::string>& item : this->running)
       this->on_end(item.first, "gone");
     this->running.clear();
@@ -122,7 +132,8 @@
   bool silent = false; ///< Requests are read and never answered.
   /// Number of starts to execute without a response.
   int unanswered_starts = 0;
-  int ignored_starts = 0; ///< Number of starts to drop without a response.
+  int ignored_starts = 0;      ///< Number of starts to drop without a response.
+  bool malformed_rows = false; ///< Lists of tasks can't be read row by row.
   std::string rack = "r1-1";
   std::int64_t min_stay_ms = 0;        ///< `remaining_ms` of the announcement.
   std::map<std::string, double> loads; ///< Load in the list of running tasks.
@@ -312,6 +323,10 @@
                                     item.run.second,
                                     item.end_kind,
                                     item.checkpoint });
+    if (this->malformed_rows) {
+      for (Json& row : response["running_tasks"])
+        row[1] = "mistyped";
+    }
     respond({ 200, "application/json", response.dump(), {} });
   }
 
