Run scheduling rounds only on changes, and let an entry with a larger share own the work

Cause: on the large deployment the busiest entry used 0.24 of a core, and 20 of 35 entries have 0.12. Each report of an agent, at least one a second, caused a whole scheduling round; the search for runs to stop tried its candidates one by one with a new copy of the pool for each rack. Change: a report causes a round only if it differs from the one before in what a round depends on. The pool is copied once per round and plan. An entry claims ownership later the less of a core it has (core/owner_choice, setting /platform/core_share). The loss of a stop follows the platform's time between checkpoints (/platform/checkpoint_s), which was fixed at 2 s.

--- a/core/assign.cpp
+++ b/core/assign.cpp
@@ -174,12 +174,10 @@
 }
 
 bool
-fits_one_rack(const Pool& pool, const AssignRequest& request)
+fits_one_rack(const Pool& idle_pool, const AssignRequest& request)
 {
-  Pool empty = pool;
-  for (const std::pair<const std::string, PoolServer>& item : pool.servers)
-    empty.free[item.first] = item.second.capacity;
-  return tightest_rack(candidates_by_rack(empty, request), request) != nullptr;
+  return tightest_rack(candidates_by_rack(idle_pool, request), request) !=
+         nullptr;
 }
 
 } // namespace geraniumhinge::core
--- a/core/assign.h
+++ b/core/assign.h
@@ -40,9 +40,9 @@
 std::vector<std::string>
 assign(const Pool& pool, const AssignRequest& request);
 
-/// Whether the request fits one rack, or the rack of its data, on servers
-/// without any runs. If not, waiting for such a rack cannot succeed.
+/// Whether the request fits one rack, or the rack of its data, in a pool of
+/// servers without any runs. If not, waiting for such a rack cannot succeed.
 bool
-fits_one_rack(const Pool& pool, const AssignRequest& request);
+fits_one_rack(const Pool& idle_pool, const AssignRequest& request);
 
 } // namespace geraniumhinge::core
--- a/core/pool.h
+++ b/core/pool.h
@@ -77,4 +77,26 @@
   }
 };
 
+/// Releases the resources of all runs of the group.
+inline void
+release_runs(Pool& pool, const RunGroup& group)
+{
+  for (const std::pair<const std::string, std::uint32_t>& item :
+       group.servers) {
+    if (pool.free.contains(item.first))
+      pool.release(item.first, group.demand.times(item.second));
+  }
+}
+
+/// Allocates the resources of all runs of the group.
+inline void
+allocate_runs(Pool& pool, const RunGroup& group)
+{
+  for (const std::pair<const std::string, std::uint32_t>& item :
+       group.servers) {
+    if (pool.free.contains(item.first))
+      pool.allocate(item.first, group.demand.times(item.second));
+  }
+}
+
 } // namespace geraniumhinge::core
--- a/core/preempt.cpp
+++ b/core/preempt.cpp
@@ -1,6 +1,7 @@
 #include "core/preempt.h"
 
 #include <algorithm>
+#include <span>
 
 namespace geraniumhinge::core {
 
@@ -23,45 +24,88 @@
   return victim.stopping ? 0 : victim.loss_core_s;
 }
 
-void
-release(Pool& pool, const RunGroup& victim)
+using Victims = std::vector<RunGroup*>;
+
+/// Tries out which of the runs have to be stopped. Stopping more runs never
+/// takes away a fit, so the searches below may halve their range.
+class StopTrial
 {
-  for (const std::pair<const std::string, std::uint32_t>& item :
-       victim.servers) {
-    for (std::uint32_t task = 0; task < item.second; ++task)
-      pool.release(item.first, victim.demand);
+public:
+  StopTrial(const Pool& pool, const AssignRequest& request)
+    : pool(pool)
+    , request(request)
+  {
   }
-}
 
-void
-allocate(Pool& pool, const RunGroup& victim)
-{
-  for (const std::pair<const std::string, std::uint32_t>& item :
-       victim.servers) {
-    for (std::uint32_t task = 0; task < item.second; ++task)
-      pool.allocate(item.first, victim.demand);
+  bool fits() const { return this->servers().size() >= this->request.tasks; }
+  std::vector<std::string> servers() const
+  {
+    return assign(this->pool, this->request);
   }
-}
 
-/// The victims without which the request does not fit. Victims that are not
-/// needed are removed, most expensive first.
-std::vector<RunGroup*>
-needed_victims(Pool pool,
-               std::vector<RunGroup*> victims,
-               const AssignRequest& assign_request)
-{
-  std::vector<RunGroup*> needed;
-  while (!victims.empty()) {
-    RunGroup* victim = victims.back();
-    victims.pop_back();
-    allocate(pool, *victim);
-    if (assign(pool, assign_request).size() < assign_request.tasks) {
-      release(pool, *victim);
-      needed.push_back(victim);
+  void stop(std::span<RunGroup* const> victims)
+  {
+    for (const RunGroup* victim : victims)
+      release_runs(this->pool, *victim);
+  }
+  void resume(std::span<RunGroup* const> victims)
+  {
+    for (const RunGroup* victim : victims)
+      allocate_runs(this->pool, *victim);
+  }
+
+  /// Stops as few of the victims as suffice, from the front, and returns their
+  /// number. Nothing, with all of them resumed, if the request does not fit.
+  std::optional<std::size_t> stop_until_fit(const Victims& victims)
+  {
+    std::span<RunGroup* const> all(victims);
+    this->stop(all);
+    if (!this->fits()) {
+      this->resume(all);
+      return std::nullopt;
+    }
+    std::size_t too_few = 0; // Not known to fit with this many.
+    std::size_t enough = all.size();
+    std::size_t stopped = all.size();
+    while (too_few < enough) {
+      std::size_t middle = (too_few + enough) / 2;
+      if (middle < stopped)
+        this->resume(all.subspan(middle, stopped - middle));
+      else
+        this->stop(all.subspan(stopped, middle - stopped));
+      stopped = middle;
+      if (this->fits())
+        enough = middle;
+      else
+        too_few = middle + 1;
     }
+    this->stop(all.subspan(stopped, enough - stopped));
+    return enough;
   }
-  return needed;
-}
+
+  /// Resumes the stopped victims that are not needed, most expensive (last)
+  /// first, and adds the others to `needed`.
+  void resume_unneeded(std::span<RunGroup* const> victims, Victims& needed)
+  {
+    if (victims.empty())
+      return;
+    this->resume(victims);
+    if (this->fits())
+      return;
+    this->stop(victims);
+    if (victims.size() == 1) {
+      needed.push_back(victims.front());
+      return;
+    }
+    std::size_t half = victims.size() / 2;
+    this->resume_unneeded(victims.subspan(half), needed);
+    this->resume_unneeded(victims.first(half), needed);
+  }
+
+private:
+  Pool pool;
+  const AssignRequest& request;
+};
 
 bool
 uses_rack(const RunGroup& victim, const Pool& pool, const std::string& rack)
@@ -76,41 +120,45 @@
     });
 }
 
-struct VictimChoice
-{
-  std::vector<RunGroup*> victims;
-  double cost = 0;
-};
-
-/// Chooses the cheapest victims, in one rack or in any (`rack` empty), until
-/// the request fits. Nothing if the request does not fit.
-std::optional<VictimChoice>
-choose_victims(const Pool& pool,
-               const std::vector<RunGroup*>& cheapest_first,
-               const AssignRequest& assign_request,
-               const std::string& rack)
+/// The candidates in the rack, or all if `rack` is empty, without those whose
+/// stop would make too many tasks of a long-running step unavailable.
+Victims
+candidates_in(const Victims& candidates,
+              const Pool& pool,
+              const std::string& rack)
 {
-  Pool trial = pool;
-  std::vector<RunGroup*> victims;
+  Victims chosen;
   std::map<StepKey, std::size_t> chosen_tasks; // By long-running step.
-  bool found = false;
-  for (RunGroup* victim : cheapest_first) {
+  for (RunGroup* victim : candidates) {
     if (!rack.empty() && !uses_rack(*victim, pool, rack))
       continue;
     if (victim->runs_until_cancelled && !victim->stopping &&
         (chosen_tasks[victim->step] += victim->tasks.size()) >
           victim->disruptions_allowed)
       continue;
-    release(trial, *victim);
-    victims.push_back(victim);
-    found = assign(trial, assign_request).size() >= assign_request.tasks;
-    if (found)
-      break;
+    chosen.push_back(victim);
   }
-  if (!found)
+  return chosen;
+}
+
+struct VictimChoice
+{
+  Victims victims;
+  double cost = 0;
+};
+
+/// Chooses the cheapest victims until the request fits, without those that are
+/// not needed. Nothing if the request does not fit. Leaves the trial as it was.
+std::optional<VictimChoice>
+choose_victims(StopTrial& trial, Victims cheapest_first)
+{
+  std::optional<std::size_t> count = trial.stop_until_fit(cheapest_first);
+  if (!count)
     return std::nullopt;
+  cheapest_first.resize(*count);
   VictimChoice choice;
-  choice.victims = needed_victims(trial, std::move(victims), assign_request);
+  trial.resume_unneeded(cheapest_first, choice.victims);
+  trial.resume(choice.victims);
   for (RunGroup* victim : choice.victims)
     choice.cost += cost(*victim);
   return choice;
@@ -123,7 +171,7 @@
                 std::vector<RunGroup>& running,
                 const PreemptRequest& request)
 {
-  std::vector<RunGroup*> candidates;
+  Victims candidates;
   for (RunGroup& victim : running) {
     if (may_stop(victim, request))
       candidates.push_back(&victim);
@@ -133,27 +181,29 @@
                    [](const RunGroup* left, const RunGroup* right) {
                      return cost(*left) < cost(*right);
                    });
-  std::set<std::string> racks{ "" };
+  StopTrial trial(pool, request.assign_request);
+  std::optional<VictimChoice> best =
+    choose_victims(trial, candidates_in(candidates, pool, ""));
+  if (!best)
+    return std::nullopt;
+  std::set<std::string> racks;
   for (const std::pair<const std::string, PoolServer>& item : pool.servers)
     racks.insert(item.second.rack);
-  std::optional<VictimChoice> best;
+  racks.erase("");
   for (const std::string& rack : racks) {
     std::optional<VictimChoice> choice =
-      choose_victims(pool, candidates, request.assign_request, rack);
-    if (choice && (!best || choice->cost < best->cost))
+      choose_victims(trial, candidates_in(candidates, pool, rack));
+    if (choice && choice->cost < best->cost)
       best = std::move(choice);
   }
-  if (!best)
-    return std::nullopt;
-  Pool after = pool;
+  trial.stop(best->victims);
   PreemptPlan plan;
+  plan.servers = trial.servers();
+  plan.loss_core_s = best->cost;
   for (RunGroup* victim : best->victims) {
-    release(after, *victim);
     if (!victim->stopping)
       plan.victims.push_back(victim);
   }
-  plan.servers = assign(after, request.assign_request);
-  plan.loss_core_s = best->cost;
   return plan;
 }
 
--- a/core/resources.h
+++ b/core/resources.h
@@ -34,6 +34,13 @@
            this->accelerators >= other.accelerators;
   }
 
+  Resources times(std::int64_t count) const
+  {
+    return { this->millicores * count,
+             this->memory_mb * count,
+             this->accelerators * count };
+  }
+
   bool operator==(const Resources&) const = default;
 };
 
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -43,7 +43,10 @@
   , history(history)
   , limits(limits)
   , now_ms(now_ms)
+  , idle_pool(pool)
 {
+  for (std::pair<const std::string, Resources>& item : this->idle_pool.free)
+    item.second = this->pool.servers.at(item.first).capacity;
 }
 
 RoundResult
@@ -142,8 +145,8 @@
       (this->limits.rack_penalty - 1) * step.estimate_ms);
   if (round_workflow.guaranteed)
     max_rack_wait_ms = std::min(max_rack_wait_ms, MAX_RECLAIM_RACK_WAIT_MS);
-  request.allow_any_rack =
-    waiting.waited_ms > max_rack_wait_ms || !fits_one_rack(this->pool, request);
+  request.allow_any_rack = waiting.waited_ms > max_rack_wait_ms ||
+                           !fits_one_rack(this->idle_pool, request);
   return waiting;
 }
 
--- a/core/round.h
+++ b/core/round.h
@@ -42,6 +42,7 @@
   double rack_penalty = 3;
   std::int64_t unix_offset_ms = 0; ///< Unix time minus boot time.
   std::int64_t stop_ms = 0; ///< From a stop until the resources are free.
+  std::int64_t checkpoint_ms = 2'000; ///< Run time between two checkpoints.
   /// Lost work that a step of priority 0 outside its organisation's guarantee
   /// may cause at once, and the increase for each second of waiting.
   double max_urgent_loss_core_s = 100;
--- a/core/round_reserve.cpp
+++ b/core/round_reserve.cpp
@@ -33,20 +33,16 @@
             [](const RunGroup* left, const RunGroup* right) {
               return left->remaining_ms < right->remaining_ms;
             });
-  // Servers for the gang after the first `count` ends; empty if the gang does
-  // not fit. The smallest sufficient count is found by bisection.
+  // The pool after the first `ended` ends. The smallest number of ends after
+  // which the gang fits is found by bisection.
+  Pool future_pool = this->pool;
+  std::size_t ended = 0;
   std::function<std::vector<std::string>(std::size_t)> servers_after_ends =
-    [this, &ending_groups, &waiting](std::size_t count) {
-      Pool future_pool = this->pool;
-      for (std::size_t index = 0; index < count; ++index) {
-        for (const std::pair<const std::string, std::uint32_t>& item :
-             ending_groups[index]->servers) {
-          if (!future_pool.free.contains(item.first))
-            continue;
-          for (std::uint32_t task = 0; task < item.second; ++task)
-            future_pool.release(item.first, ending_groups[index]->demand);
-        }
-      }
+    [&future_pool, &ended, &ending_groups, &waiting](std::size_t count) {
+      for (; ended < count; ++ended)
+        release_runs(future_pool, *ending_groups[ended]);
+      for (; ended > count; --ended)
+        allocate_runs(future_pool, *ending_groups[ended - 1]);
       return assign(future_pool, waiting.request);
     };
   if (servers_after_ends(ending_groups.size()).empty())
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -83,6 +83,7 @@
   StepHistory& history;
   const RoundLimits& limits;
   std::int64_t now_ms;
+  Pool idle_pool;               ///< The servers without any runs.
   std::vector<RunGroup> groups; ///< Runs at the start of the round.
   std::vector<GangReservation> gang_reservations;
   RoundResult result;
--- a/core/round_stop.cpp
+++ b/core/round_stop.cpp
@@ -14,8 +14,6 @@
 constexpr double MILLICORES_PER_CORE = 1'000;
 constexpr double MS_PER_S = 1'000;
 constexpr std::int64_t COMPLETE_PERCENT = 100;
-/// Longest time between two checkpoints.
-constexpr double MAX_CHECKPOINT_INTERVAL_S = 2;
 /// Assumed run time so far of runs that an earlier owner placed.
 constexpr std::int64_t ASSUMED_ELAPSED_MS = 5'000;
 /// With less slack, a step that does not get servers in this round misses its
@@ -101,7 +99,8 @@
   const Step& step = round_workflow.definition->steps[task.first.step];
   double seconds = static_cast<double>(this->elapsed_ms(task)) / MS_PER_S;
   if (step.checkpoints)
-    seconds = std::min(seconds, MAX_CHECKPOINT_INTERVAL_S);
+    seconds = std::min(
+      seconds, static_cast<double>(this->limits.checkpoint_ms) / MS_PER_S);
   seconds += static_cast<double>(this->limits.stop_ms) / MS_PER_S;
   double loss_core_s = core_seconds(step.demand, seconds);
   if (this->stop_misses_objective(round_workflow, task))
--- a/entry/ownership.cpp
+++ b/entry/ownership.cpp
@@ -16,8 +16,9 @@
 constexpr kernel::Milliseconds OWNER_WAIT{ 1'000 };
 /// Three heartbeats in a row are missing.
 constexpr std::int64_t SILENCE_LIMIT_MS = 1'300;
-/// Random part of the limit, so that entries do not all claim at once.
-constexpr std::uint64_t TIMEOUT_SPREAD_MS = 400;
+/// Random part of the limit, so that entries with the same share of a core do
+/// not all claim at once.
+constexpr std::uint64_t TIMEOUT_SPREAD_MS = 100;
 
 platform::TableWatchOptions
 owner_options()
@@ -37,6 +38,7 @@
                      platform::Store& store,
                      std::string entry,
                      std::string peer_address,
+                     std::int64_t claim_delay_ms,
                      OwnershipHooks hooks)
   : Task(loop, "ownership")
   , timers(timers)
@@ -54,8 +56,9 @@
       owner_options(),
       { [this](const platform::RowPage& page) { this->handle_rows(page); },
         [this](const platform::RowPage& page) { this->handle_rows(page); } })
+  , claim_delay_ms(claim_delay_ms)
   , heartbeat_timeout_ms(
-      SILENCE_LIMIT_MS +
+      SILENCE_LIMIT_MS + claim_delay_ms +
       static_cast<std::int64_t>(kernel::random_id() % TIMEOUT_SPREAD_MS))
 {
 }
@@ -63,6 +66,7 @@
 void
 Ownership::start()
 {
+  this->vacant_since_ms = kernel::boot_ms();
   this->watcher.start();
   this->check_timer =
     this->timers.every(CHECK_PERIOD, [this] { this->check_owner(); });
@@ -93,6 +97,7 @@
     bool predecessor =
       owner.entry() == this->entry && owner.incarnation() != this->incarnation;
     this->vacant = owner.released() || predecessor;
+    this->vacant_since_ms = kernel::boot_ms();
     this->current_owner_address = owner.peer_address();
     this->seen_heartbeat_ms = kernel::boot_ms();
     bool own = owner.incarnation() == this->incarnation && !owner.released();
@@ -126,8 +131,11 @@
   if (this->owns() || this->released || this->claiming ||
       !this->watcher.loaded())
     return;
-  bool silent = this->owner_silent(kernel::boot_ms());
-  if (this->vacant || silent)
+  std::int64_t now = kernel::boot_ms();
+  bool silent = this->owner_silent(now);
+  bool vacant =
+    this->vacant && now - this->vacant_since_ms >= this->claim_delay_ms;
+  if (vacant || silent)
     this->claim();
 }
 
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -29,9 +29,10 @@
 };
 
 /// Elects the entry that places the work, the owner. Any entry takes over from
-/// an owner that is silent. The new owner need not wait for the old one: each
-/// transaction of an owner depends on the version of the owner's row (the term)
-/// and fails once this version has changed.
+/// an owner that is silent, later by its claim delay (core/owner_choice.h). The
+/// new owner need not wait for the old one: each transaction of an owner
+/// depends on the version of the owner's row (the term) and fails once this
+/// version has changed.
 class Ownership : public kernel::Task
 {
 public:
@@ -41,6 +42,7 @@
             platform::Store& store,
             std::string entry,
             std::string peer_address,
+            std::int64_t claim_delay_ms,
             OwnershipHooks hooks);
 
   void start();
@@ -79,12 +81,14 @@
   platform::TableWatcher watcher;
   std::uint64_t row_version = 0;
   bool vacant = true; ///< There is no owner, or the owner released ownership.
+  std::int64_t vacant_since_ms = 0; ///< Boot time; valid while `vacant`.
   std::string current_owner_address;
   std::uint64_t own_term = 0;
   std::uint64_t heartbeats = 0;
   std::uint64_t seen_heartbeat = 0;
   /// Boot time from which the wait for the owner's next heartbeat counts.
   std::int64_t seen_heartbeat_ms = 0;
+  std::int64_t claim_delay_ms;
   std::int64_t heartbeat_timeout_ms;
   bool claiming = false;
   bool heartbeat_in_flight = false;
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -1,5 +1,6 @@
 #include "entry/platform_program.h"
 
+#include "core/owner_choice.h"
 #include "entry/events.h"
 #include "entry/row_budget.h"
 #include "entry/work_rows.h"
@@ -72,6 +73,7 @@
   limits.early_ms = settings.max_early.count();
   limits.retention_ms = settings.retention.count();
   limits.stop_ms = settings.stop_grace.count();
+  limits.checkpoint_ms = settings.checkpoint_period.count();
   limits.rack_penalty = settings.rack_penalty;
   limits.max_row_bytes = settings.max_row_bytes;
   return limits;
@@ -152,6 +154,7 @@
               this->store,
               settings.name,
               settings.peer_listen,
+              core::claim_delay_ms(settings.core_share),
               this->ownership_hooks())
   , relay(loop,
           timers,
--- a/entry/platform_settings.cpp
+++ b/entry/platform_settings.cpp
@@ -19,6 +19,8 @@
   { "/platform/orphan_ms", SettingType::Integer, "ms", 500, 600'000, "4000", "How long agents keep renewing leases after the last orders of the owner; must be the same for agents and entries." },
   { "/platform/advice_address", SettingType::Text, "", 0, 0, "\"\"", "Address of the platform's advice service, for queues that need advice; empty if there is none." },
   { "/platform/stop_grace_ms", SettingType::Integer, "ms", 0, 600'000, "0", "Longest time from the stop of a task to its end." },
+  { "/platform/checkpoint_s", SettingType::Number, "s", 0.01, 3'600, "2", "Run time between two checkpoints of a task." },
+  { "/platform/core_share", SettingType::Number, "", 0.01, 1'024, "1", "Share of a processor core that this entry may use. Entries with a larger share take over the placement of work first." },
   { "/platform/rack_penalty", SettingType::Number, "", 1, 100, "3", "Factor on the duration of a task that does not run in its rack." },
   { "/platform/early_ms", SettingType::Integer, "ms", 0, 60'000, "0", "How long before its due time an occurrence may start." },
   { "/platform/retention_s", SettingType::Integer, "s", 1, 604'800, "150", "How long ended workflows are kept." },
@@ -70,6 +72,9 @@
   settings.store_address = reader.text(row_of("/platform/store_address"));
   settings.advice_address = reader.text(row_of("/platform/advice_address"));
   settings.stop_grace = duration("/platform/stop_grace_ms");
+  settings.checkpoint_period = kernel::Milliseconds(static_cast<std::int64_t>(
+    reader.number(row_of("/platform/checkpoint_s")) * MS_PER_S));
+  settings.core_share = reader.number(row_of("/platform/core_share"));
   settings.rack_penalty = reader.number(row_of("/platform/rack_penalty"));
   settings.max_lease = duration("/platform/max_lease_ms");
   settings.lease = std::min(duration("/platform/lease_ms"), settings.max_lease);
--- a/entry/platform_settings.h
+++ b/entry/platform_settings.h
@@ -31,6 +31,8 @@
   std::size_t max_row_bytes = 65'536; ///< Longest value of a row.
   kernel::Milliseconds max_config_age{ 0 };
   kernel::Milliseconds stop_grace{ 0 };
+  kernel::Milliseconds checkpoint_period{ 2'000 };
+  double core_share = 1; ///< Share of a processor core that this entry has.
   /// Factor on the duration of a task that does not run in its rack.
   double rack_penalty = 1;
   kernel::Severity log_level = kernel::Severity::Info;
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -14,6 +14,19 @@
 /// Covers messages in flight and rounding.
 constexpr std::int64_t EXPIRY_SLACK_MS = 500;
 
+/// The report without what changes from one report to the next although the
+/// server and its runs have not changed.
+std::string
+stable_part(v1::ServerReport report)
+{
+  report.clear_sequence();
+  report.clear_term();
+  report.clear_orders_sequence();
+  report.clear_stays_ms();
+  report.clear_running();
+  return report.SerializeAsString();
+}
+
 } // namespace
 
 std::int64_t
@@ -55,11 +68,14 @@
       agent.no_server_since_ms = now_ms;
     agent.report.set_sequence(report.sequence());
     agent.report.set_ready(false);
+    agent.report_changed = true;
     return &agent;
   }
   agent.no_server_since_ms = 0;
   if (!same_instance)
     agent.stored_ends = 0;
+  agent.report_changed =
+    !same_process || stable_part(agent.report) != stable_part(report);
   agent.report = report;
   return &agent;
 }
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -35,6 +35,9 @@
   std::string address;
   std::uint64_t incarnation = 0; ///< Of the agent's process.
   v1::ServerReport report;
+  /// The last report differs from the one before in what a scheduling round
+  /// depends on.
+  bool report_changed = false;
   /// Boot time of the first report of an agent process that does not know its
   /// backend server yet, 0 if the process knows it.
   std::int64_t no_server_since_ms = 0;
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -97,7 +97,9 @@
 {
   this->tracker.record_progress(agent, kernel::boot_ms());
   this->send_orders(agent);
-  this->schedule_decision();
+  // Progress and the passing of time are left to the periodic round.
+  if (agent.report_changed)
+    this->schedule_decision();
 }
 
 void
@@ -223,6 +225,7 @@
   core::RoundLimits limits;
   limits.rack_penalty = this->limits.rack_penalty;
   limits.stop_ms = this->limits.stop_ms;
+  limits.checkpoint_ms = this->limits.checkpoint_ms;
   limits.unix_offset_ms = kernel::unix_ms() - now;
   round.result = core::run_scheduling_round(
     round.workflows, pool, this->history, limits, now);
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -43,6 +43,7 @@
   std::int64_t early_ms = 0;
   std::int64_t retention_ms = 0; ///< Time for which ended workflows are kept.
   std::int64_t stop_ms = 0; ///< Longest time until a stopped run has ended.
+  std::int64_t checkpoint_ms = 0; ///< Run time between two checkpoints.
   /// Factor on the duration of a step that does not run in its rack.
   double rack_penalty = 1;
   std::size_t max_row_bytes = 65'536; ///< Longest value of a row.
--- /dev/null
+++ b/tests/entry/server_table_test.cpp
@@ -0,0 +1,59 @@
+#define BOOST_TEST_MODULE server_table
+#include "entry/server_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace geraniumhinge;
+
+namespace {
+
+constexpr std::int64_t NOW_MS = 100'000;
+
+struct Fixture
+{
+  entry::ServerTable servers{ entry::LeaseBounds{} };
+  v1::Envelope envelope;
+  v1::ServerReport& report = *envelope.mutable_server_report();
+
+  Fixture()
+  {
+    envelope.set_sender("node-1");
+    envelope.set_sender_incarnation(1);
+    report.mutable_life()->set_id("i-1");
+    report.mutable_life()->set_born_ms(1);
+    report.set_ready(true);
+    report.set_listed(true);
+  }
+
+  bool changes()
+  {
+    report.set_sequence(report.sequence() + 1);
+    entry::AgentView* agent = servers.apply_report(envelope, NOW_MS);
+    BOOST_REQUIRE(agent != nullptr);
+    return agent->report_changed;
+  }
+};
+
+} // namespace
+
+// Guards against a scheduling round for each report, which takes most of the
+// owner's processor time, and against changes that wait for the next period.
+BOOST_FIXTURE_TEST_CASE(only_changes_need_a_round, Fixture)
+{
+  BOOST_TEST(changes());
+  BOOST_TEST(!changes());
+  v1::RunReport& run = *report.add_running();
+  run.set_task("5c0e7a21d94b36f8.0.0.0");
+  run.set_percent(7);
+  report.set_orders_sequence(9);
+  BOOST_TEST(!changes());
+  report.add_ended()->set_number(1);
+  BOOST_TEST(changes());
+  BOOST_TEST(!changes());
+  report.set_lease_over(true);
+  BOOST_TEST(changes());
+  report.mutable_life()->set_born_ms(2);
+  BOOST_TEST(changes());
+  envelope.set_sender_incarnation(2);
+  BOOST_TEST(changes());
+}
