--- a/agent/lease_clock.h
+++ b/agent/lease_clock.h
@@ -24,9 +24,6 @@
   /// The lease counts as granted even if the call that carries it is lost.
   std::int64_t grant(std::int64_t now_ms, std::int64_t length_ms);
 
-  /// Whether the server's clock is known.
-  bool known() const { return this->clock_known; }
-
   /// Whether every granted lease has certainly expired.
   bool expired(std::int64_t now_ms) const;
 
--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -187,7 +187,7 @@
   this->runs.clear();
   for (const RunKey& key : this->stray_runs) {
     this->runs[key].start_sent = true;
-    this->set_phase(key, this->runs[key], RunPhase::Stopping);
+    set_phase(this->runs[key], RunPhase::Stopping);
   }
   this->poll_server();
 }
@@ -316,17 +316,17 @@
     bool on_server = running.contains(item.first);
     run.seen_on_server = run.seen_on_server || on_server;
     if (run.phase == RunPhase::Starting && on_server)
-      this->set_phase(item.first, run, RunPhase::Started);
+      set_phase(run, RunPhase::Started);
     // The poll was sent after the server confirmed the start or stop, so a run
     // that is in neither list is not on the server.
     bool certainly_absent = lists.malformed_rows == 0 &&
                             sent_ms > run.phase_started_ms && !on_server &&
                             !ended.contains(item.first) && !run.call_in_flight;
     if (certainly_absent && run.phase == RunPhase::Stopped) {
-      this->set_phase(item.first, run, RunPhase::NeverStarted);
+      set_phase(run, RunPhase::NeverStarted);
       changed = true;
     } else if (certainly_absent && run.phase == RunPhase::Started) {
-      this->set_phase(item.first, run, RunPhase::Stopping);
+      set_phase(run, RunPhase::Stopping);
     }
   }
   std::erase_if(
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -119,7 +119,7 @@
   bool must_pace() const;
   void update_pace();
   void set_pace(const RunKey& key, TrackedRun& run, std::uint32_t percent);
-  void set_phase(const RunKey& key, TrackedRun& run, RunPhase phase);
+  static void set_phase(TrackedRun& run, RunPhase phase);
   bool is_ordered(const RunKey& key) const;
   bool stop_is_ordered(const RunKey& key) const;
 
--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -117,7 +117,7 @@
     TrackedRun& run = this->runs[key];
     run.order = order;
     run.start_sent = true;
-    this->set_phase(key, run, RunPhase::Stopping);
+    set_phase(run, RunPhase::Stopping);
   }
 }
 
@@ -134,8 +134,8 @@
     run.start_sent = true;
     run.seen_on_server = true;
     run.pace_percent = UNKNOWN_PACE_PERCENT;
-    this->set_phase(
-      key, run, this->is_ordered(key) ? RunPhase::Started : RunPhase::Stopping);
+    set_phase(run,
+              this->is_ordered(key) ? RunPhase::Started : RunPhase::Stopping);
   }
 }
 
@@ -191,8 +191,8 @@
     !run.call_in_flight;
   if (active && !run.call_in_flight && (!this->is_ordered(key) || given_up)) {
     // Without a start request the run can't be on the server.
-    this->set_phase(
-      key, run, run.start_sent ? RunPhase::Stopping : RunPhase::NeverStarted);
+    set_phase(run,
+              run.start_sent ? RunPhase::Stopping : RunPhase::NeverStarted);
     if (run.phase == RunPhase::NeverStarted)
       this->on_change();
   }
@@ -230,7 +230,7 @@
   if (!this->may_renew_lease())
     return;
   if (run.phase == RunPhase::Waiting)
-    this->set_phase(key, run, RunPhase::Starting);
+    set_phase(run, RunPhase::Starting);
   run.call_in_flight = true;
   run.start_sent = true;
   platform::StartRequest request;
@@ -272,7 +272,7 @@
   run.next_call_ms = kernel::boot_ms() + CALL_RETRY_MS;
   switch (result) {
     case platform::StartResult::Started:
-      this->set_phase(key, run, RunPhase::Started);
+      set_phase(run, RunPhase::Started);
       this->on_change();
       break;
     case platform::StartResult::Fenced:
@@ -281,7 +281,7 @@
     case platform::StartResult::Ended:
     case platform::StartResult::NoCapacity:
     case platform::StartResult::NoTicket:
-      this->set_phase(key, run, RunPhase::Stopping);
+      set_phase(run, RunPhase::Stopping);
       run.next_call_ms = 0;
       break;
     default:
@@ -315,14 +315,14 @@
             result ? "stopped"
                    : name_of(platform::SERVER_ERROR_NAMES, result.error()) } });
       if (result)
-        this->set_phase(key, stopped, RunPhase::Stopped);
+        set_phase(stopped, RunPhase::Stopped);
       else if (result.error() == platform::ServerError::Fenced)
         this->raise_fencing_token();
     }));
 }
 
 void
-ServerAgent::set_phase(const RunKey&, TrackedRun& run, RunPhase phase)
+ServerAgent::set_phase(TrackedRun& run, RunPhase phase)
 {
   run.phase = phase;
   run.phase_started_ms = kernel::boot_ms();
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -481,6 +481,8 @@
   for (const std::pair<const std::string, WorkItem>& entry :
        this->view.items()) {
     const WorkItem& item = entry.second;
+    if (item.workflow_version != 0 && !item.usable)
+      this->log.write(ROW_MALFORMED, { { "key", entry.first } });
     bool expired = item.workflow && item.progress.ended_ms != 0 &&
                    item.progress.ended_ms < limit &&
                    !core::has_runs(item.progress);
--- a/entry/work_view.cpp
+++ b/entry/work_view.cpp
@@ -13,13 +13,6 @@
                  core::is_consistent(*this->workflow, this->progress);
 }
 
-void
-WorkView::load(const platform::RowPage& page)
-{
-  this->items_by_id.clear();
-  this->apply(page);
-}
-
 void
 WorkView::apply(const platform::RowPage& page)
 {
--- a/entry/work_view.h
+++ b/entry/work_view.h
@@ -35,8 +35,6 @@
 public:
   using Items = std::map<std::string, WorkItem>;
 
-  /// Replaces all rows by those of the page.
-  void load(const platform::RowPage& page);
   /// Applies changed and removed rows.
   void apply(const platform::RowPage& page);
   void apply(const platform::StoredRow& row);
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -269,6 +269,25 @@
   });
 }
 
+// Guards against one job whose state outgrows its row and stops all others, and
+// against a schedule that opens all its occurrences at once.
+BOOST_FIXTURE_TEST_CASE(jobs_that_no_row_can_hold_are_rejected_at_once, Fixture)
+{
+  add_entry();
+  add_agent();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("POST", path, submission(5'000, 1, true)).status == 413);
+  BOOST_TEST(call("POST",
+                  path,
+                  R"({"task_spec":"text","phases":[{"count":1,"cpu":1000,
+                      "mem_mb":1024}],"times":1000000,"start_at_ms":1})")
+               .status == 400);
+  BOOST_TEST(call("GET", path).status == 410);
+  BOOST_TEST(call("POST", path, submission(1, 1, false)).status == 200);
+  run_until([this] { return running() == 1; });
+}
+
 // Guards against a submission that is refused and runs later because its write
 // arrives late, and against one that is lost because the store's response to
 // the write was lost.
