Report crashes of backend servers with the runs that were on them

The logs of the crashing task could not tell a crash from an expired lease, a departure or a silent agent, nor show which runs were on a server when it crashed, or for how long.

The agent logs server_crashed (529) with these runs and the time since their start, and keeps its recent crashes in its reports. The owner's run_lost has the field cause. Nothing decides on these yet.

--- a/agent/events.h
+++ b/agent/events.h
@@ -158,6 +158,15 @@
   "or every lease granted to it has expired; or they no longer count as ended.",
   "Check the backend server; its tasks start on other servers."
 };
+inline constexpr EventInfo SERVER_CRASHED{
+  529,
+  Severity::Warning,
+  "server_crashed",
+  "The instance of the backend server ended without an announcement. The field "
+  "runs lists the tasks that were or may have been on it, each with the time "
+  "since its start request.",
+  "If one task was on several servers that crashed, look into that task."
+};
 inline constexpr EventInfo FENCING_TOKEN_RAISED{
   521,
   Severity::Warning,
@@ -243,6 +252,7 @@
   SERVER_STATE_CHANGED,
   SERVER_LEFT,
   SERVER_LEASE_OVER,
+  SERVER_CRASHED,
   FENCING_TOKEN_RAISED,
   RUN_START_ANSWERED,
   RUN_STOP_ANSWERED,
--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -22,6 +22,20 @@
 /// First increment of a refused fencing token; doubled at each refusal.
 constexpr std::uint64_t FENCING_TOKEN_STEP = 1'000;
 
+void
+add_crash(const ServerCrash& crash, v1::ServerReport& report)
+{
+  v1::CrashReport& row = *report.add_crashes();
+  row.mutable_life()->set_id(crash.instance.id);
+  row.mutable_life()->set_born_ms(crash.instance.started_ms);
+  for (const CrashedRun& run : crash.runs) {
+    v1::CrashedRun& item = *row.add_runs();
+    item.set_task(run.task);
+    item.set_attempt(run.attempt);
+    item.set_ran_ms(run.ran_ms);
+  }
+}
+
 } // namespace
 
 ServerAgent::ServerAgent(kernel::Loop& loop,
@@ -160,6 +174,8 @@
 ServerAgent::begin_instance(const platform::Announcement& announcement)
 {
   std::int64_t now = kernel::boot_ms();
+  if (this->server)
+    this->record_crash();
   this->stray_runs = this->unconfirmed_starts();
   this->log.write(SERVER_INSTANCE_STARTED,
                   { { "server", announcement.instance.id },
@@ -349,6 +365,8 @@
   if (error == platform::ServerError::Fenced)
     this->raise_fencing_token();
   bool was_answering = std::exchange(this->answering, false);
+  if (was_answering)
+    this->silent_since_ms = kernel::boot_ms();
   this->refused_polls = error == platform::ServerError::ConnectionRefused
                           ? this->refused_polls + 1
                           : 0;
@@ -359,9 +377,11 @@
     this->lists = {};
   }
   int refusals_needed = this->leaving ? 1 : MAX_REFUSED_POLLS;
-  bool expired = this->instance_replaced ||
-                 this->refused_polls >= refusals_needed ||
-                 this->lease_clock.expired(kernel::boot_ms());
+  bool instance_ended =
+    this->instance_replaced || this->refused_polls >= refusals_needed;
+  if (instance_ended)
+    this->record_crash();
+  bool expired = instance_ended || this->lease_clock.expired(kernel::boot_ms());
   if (expired == this->leases_expired) {
     if (was_answering)
       this->on_change();
@@ -377,6 +397,46 @@
   this->on_change();
 }
 
+/// Whether the run was on the server, or its start request may have reached it.
+bool
+ServerAgent::may_be_on_server(const TrackedRun& run) const
+{
+  if (run.phase == RunPhase::Waiting || run.phase == RunPhase::NeverStarted)
+    return false;
+  return run.seen_on_server || run.start_sent;
+}
+
+/// Records that the instance has ended, unless it had announced its departure.
+void
+ServerAgent::record_crash()
+{
+  if (this->leaving || this->server->draining)
+    return;
+  std::int64_t now = kernel::boot_ms();
+  ServerCrash crash{ this->server->instance, now, {} };
+  std::int64_t last_alive_ms = this->answering ? now : this->silent_since_ms;
+  std::string tasks;
+  for (const std::pair<const RunKey, TrackedRun>& item : this->runs) {
+    if (!this->may_be_on_server(item.second))
+      continue;
+    std::int64_t ran_ms = last_alive_ms - item.second.first_start_ms;
+    crash.runs.push_back({ item.first.first,
+                           item.first.second,
+                           std::max<std::int64_t>(ran_ms, 0) });
+    tasks += fmt::format("{}{}:{}ms",
+                         tasks.empty() ? "" : ",",
+                         item.first.first,
+                         crash.runs.back().ran_ms);
+  }
+  if (!this->crash_log.record(std::move(crash)))
+    return;
+  this->metrics.counter("agent_server_crashes_total").add();
+  this->log.write(SERVER_CRASHED,
+                  { { "server", this->server->instance.id },
+                    { "silent_ms", now - last_alive_ms },
+                    { "runs", tasks } });
+}
+
 void
 ServerAgent::raise_fencing_token()
 {
@@ -393,6 +453,8 @@
   report.set_sequence(this->reports.record(
     kernel::boot_ms(), this->options.orphan_timeout.count()));
   report.set_term(this->term);
+  for (const ServerCrash& crash : this->crash_log.recent(kernel::boot_ms()))
+    add_crash(crash, report);
   if (!this->state_is_known())
     return report;
   report.mutable_life()->set_id(this->server->instance.id);
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agent/crash_log.h"
 #include "agent/lease_clock.h"
 #include "agent/pacer.h"
 #include "agent/report_log.h"
@@ -83,6 +84,8 @@
     v1::RunOrder order;
     bool call_in_flight = false; ///< A start or stop request.
     bool start_sent = false;
+    /// Boot time of the first start request, 0 if this process sent none.
+    std::int64_t first_start_ms = 0;
     std::int64_t phase_started_ms = 0;
     std::int64_t next_call_ms = 0;    ///< Earliest time of the next request.
     bool seen_on_server = false;      ///< Listed by a poll of this instance.
@@ -98,6 +101,8 @@
   void discard_orders();
   std::set<RunKey> unconfirmed_starts() const;
   bool stray_runs_remain();
+  bool may_be_on_server(const TrackedRun& run) const;
+  void record_crash();
   void begin_instance(const platform::Announcement& announcement);
   void poll_server();
   std::uint64_t acknowledged_ends() const;
@@ -147,6 +152,9 @@
   bool leases_expired = false;
   /// Consecutive polls whose connection was refused.
   int refused_polls = 0;
+  /// Boot time of the first failed poll after the last answer.
+  std::int64_t silent_since_ms = 0;
+  CrashLog crash_log;
   std::int64_t announced_ms = 0; ///< Boot time of the last announcement.
   Pacer pacer;
   /// Ends up to this number are stored by the owner.
--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -6,6 +6,7 @@
 #include "kernel/clock.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace geraniumhinge::agent {
 
@@ -232,7 +233,8 @@
   if (run.phase == RunPhase::Waiting)
     set_phase(run, RunPhase::Starting);
   run.call_in_flight = true;
-  run.start_sent = true;
+  if (!std::exchange(run.start_sent, true))
+    run.first_start_ms = kernel::boot_ms();
   platform::StartRequest request;
   request.task = key.first;
   request.attempt = key.second;
--- a/entry/events.h
+++ b/entry/events.h
@@ -193,7 +193,7 @@
   kernel::Severity::Warning,
   "run_lost",
   "A run counts as lost because the instance of its backend server ended or "
-  "its lease expired.",
+  "its lease expired. The field cause says how the owner knows.",
   "Check the backend server or its agent."
 };
 inline constexpr kernel::EventInfo LATE_SUCCESS{
--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -239,51 +239,62 @@
            }) == 1;
 }
 
-bool
-RunTracker::run_has_ended(const core::RoundWorkflow& round_workflow,
-                          const core::TaskRef& task,
-                          const core::Run& run,
-                          std::int64_t now_ms) const
+std::optional<LossCause>
+RunTracker::loss_cause(const core::RoundWorkflow& round_workflow,
+                       const core::TaskRef& task,
+                       const core::Run& run,
+                       std::int64_t now_ms) const
 {
-  if (this->servers.instance_ended(run.server, run.node, now_ms))
-    return true;
-  return this->servers.agent_silent(run.node, now_ms) &&
-         this->must_have_broken_gang(round_workflow, task, run);
+  std::optional<LossCause> cause =
+    this->servers.loss_cause(run.server, run.node, now_ms);
+  if (!cause && this->servers.agent_silent(run.node, now_ms) &&
+      this->must_have_broken_gang(round_workflow, task, run))
+    return LossCause::GangBroken;
+  return cause;
 }
 
 void
 RunTracker::apply_lost_runs(core::RoundWorkflow& round_workflow,
                             std::int64_t now_ms)
 {
-  std::vector<std::pair<core::TaskRef, core::Run>> lost;
+  struct LostRun
+  {
+    core::TaskRef task;
+    core::Run run;
+    LossCause cause;
+  };
+  std::vector<LostRun> lost;
   core::for_each_run(
     round_workflow.progress,
     [&](const core::TaskRef& ref, const core::TaskState& task) {
-      if (this->run_has_ended(round_workflow, ref, *task.run, now_ms))
-        lost.emplace_back(ref, *task.run);
+      std::optional<LossCause> cause =
+        this->loss_cause(round_workflow, ref, *task.run, now_ms);
+      if (cause)
+        lost.push_back({ ref, *task.run, *cause });
     });
-  for (const std::pair<core::TaskRef, core::Run>& item : lost) {
+  for (const LostRun& item : lost) {
     std::string name =
-      core::task_name(round_workflow.definition->id, item.first);
+      core::task_name(round_workflow.definition->id, item.task);
     core::apply_run_end(*round_workflow.definition,
                         round_workflow.progress,
-                        item.first,
-                        item.second.attempt,
+                        item.task,
+                        item.run.attempt,
                         core::RunEndKind::Lost,
                         this->checkpoint_of(name),
                         round_workflow.max_failures);
     this->record_gang_end(
-      round_workflow, item.first, item.second.attempt, core::RunEndKind::Lost);
+      round_workflow, item.task, item.run.attempt, core::RunEndKind::Lost);
     this->count_run_end(core::RunEndKind::Lost);
     round_workflow.changed = true;
-    const AgentView* agent = this->servers.find(item.second.node);
+    const AgentView* agent = this->servers.find(item.run.node);
     std::int64_t age =
       agent && agent->last_seen_ms != 0 ? now_ms - agent->last_seen_ms : -1;
     this->log.write(RUN_LOST,
                     { { "task", name },
-                      { "attempt", item.second.attempt },
-                      { "server", item.second.server.id },
-                      { "node", item.second.node },
+                      { "attempt", item.run.attempt },
+                      { "server", item.run.server.id },
+                      { "node", item.run.node },
+                      { "cause", name_of(LOSS_CAUSE_NAMES, item.cause) },
                       { "heard_ms_ago", age } });
   }
 }
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -89,10 +90,12 @@
   bool must_have_broken_gang(const core::RoundWorkflow& round_workflow,
                              const core::TaskRef& task,
                              const core::Run& run) const;
-  bool run_has_ended(const core::RoundWorkflow& round_workflow,
-                     const core::TaskRef& task,
-                     const core::Run& run,
-                     std::int64_t now_ms) const;
+  /// Why a run must have ended although no end was reported; empty if it may
+  /// not have ended.
+  std::optional<LossCause> loss_cause(const core::RoundWorkflow& round_workflow,
+                                      const core::TaskRef& task,
+                                      const core::Run& run,
+                                      std::int64_t now_ms) const;
   std::string checkpoint_of(const std::string& task) const;
 
   const kernel::Log& log;
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -67,6 +67,7 @@
     if (!same_process)
       agent.no_server_since_ms = now_ms;
     agent.report.set_sequence(report.sequence());
+    *agent.report.mutable_crashes() = report.crashes();
     agent.report.set_ready(false);
     agent.report_changed = true;
     return &agent;
@@ -96,10 +97,10 @@
   return found == this->agents.end() ? nullptr : &found->second;
 }
 
-bool
-ServerTable::instance_ended(const core::ServerInstance& instance,
-                            const std::string& node,
-                            std::int64_t now_ms) const
+std::optional<LossCause>
+ServerTable::loss_cause(const core::ServerInstance& instance,
+                        const std::string& node,
+                        std::int64_t now_ms) const
 {
   std::map<std::string, AgentView>::const_iterator found =
     this->agents.find(node);
@@ -110,17 +111,19 @@
     const AgentView& agent = found->second;
     bool reported = !agent.report.life().id().empty();
     if (reported && instance_of(agent.report.life()) != instance)
-      return true;
+      return LossCause::InstanceReplaced;
     if (reported && agent.report.lease_over())
-      return true;
+      return LossCause::LeasesExpired;
     // An agent process that does not know its server renews no lease.
     if (agent.no_server_since_ms != 0 &&
         now_ms - agent.no_server_since_ms > this->bounds.lease_ms())
-      return true;
+      return LossCause::ServerUnknown;
     if (agent.last_seen_ms != 0)
       orders_sent_ms = std::max(agent.last_seen_ms, agent.orders_sent_ms);
   }
-  return now_ms - orders_sent_ms > this->bounds.expiry_ms();
+  if (now_ms - orders_sent_ms > this->bounds.expiry_ms())
+    return LossCause::AgentSilent;
+  return std::nullopt;
 }
 
 bool
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace geraniumhinge::entry {
@@ -28,6 +29,24 @@
   std::int64_t expiry_ms() const { return this->orphan_ms + this->lease_ms(); }
 };
 
+/// Why the owner treats an instance of a backend server as ended.
+enum class LossCause
+{
+  InstanceReplaced, ///< Its agent reported another instance.
+  LeasesExpired,    ///< Its agent reported that no run is left.
+  ServerUnknown,    ///< Its agent restarted and does not know the server.
+  AgentSilent,      ///< Its agent sent no report for too long.
+  GangBroken,       ///< All other members of the gang ended because of it.
+};
+
+inline constexpr NamedValue<LossCause> LOSS_CAUSE_NAMES[] = {
+  { LossCause::InstanceReplaced, "instance_replaced" },
+  { LossCause::LeasesExpired, "leases_expired" },
+  { LossCause::ServerUnknown, "server_unknown" },
+  { LossCause::AgentSilent, "agent_silent" },
+  { LossCause::GangBroken, "gang_broken" },
+};
+
 /// The last report of an agent, and what was sent to this agent.
 struct AgentView
 {
@@ -65,10 +84,11 @@
   AgentView* find(const std::string& node);
   std::map<std::string, AgentView>& all() { return this->agents; }
 
-  /// Whether the instance and all runs in it must have ended.
-  bool instance_ended(const core::ServerInstance& instance,
-                      const std::string& node,
-                      std::int64_t now_ms) const;
+  /// Why the instance and all runs in it must have ended; empty if they may
+  /// not have ended.
+  std::optional<LossCause> loss_cause(const core::ServerInstance& instance,
+                                      const std::string& node,
+                                      std::int64_t now_ms) const;
 
   /// Whether two reports of the agent in a row are missing.
   bool agent_silent(const std::string& node, std::int64_t now_ms) const;
