--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -36,19 +36,10 @@
   ServerStandin(kernel::Loop& loop,
                 kernel::TimerService& timers,
                 const std::string& address = "127.0.0.1:0")
-    : timers(timers)
-    , server(std::make_unique<gateway::HttpServer>(
-        loop,
-        timers,
-        address,
-        1UL * 1'024 * 1'024,
-        [this](const gateway::HttpRequest& request,
-               gateway::HttpServer::ResponseCallback respond) {
-          this->handle(request, std::move(respond));
-        }))
+    : loop(loop)
+    , timers(timers)
   {
-    this->listening = this->server->listen().has_value();
-    this->port = this->server->port();
+    this->listen(address);
     this->lease_timer =
       timers.every(kernel::Milliseconds(10), [this] { this->expire(); });
   }
@@ -103,11 +94,19 @@
     ++this->started_ms;
   }
 
-  /// Simulates a crash without a restart: connections are refused from now on.
+  /// Simulates a crash: connections are refused until `recover`.
   void crash()
   {
     this->waiting.clear();
     this->server.reset();
+    this->listening = false;
+  }
+
+  /// Starts a new instance at the address of the one that crashed.
+  void recover()
+  {
+    this->listen(this->address());
+    this->restart();
   }
 
   Json announcement(const std::string& state, std::uint64_t sequence) const
@@ -161,6 +160,21 @@
     kernel::Subscription timeout;
   };
 
+  void listen(const std::string& address)
+  {
+    this->server = std::make_unique<gateway::HttpServer>(
+      this->loop,
+      this->timers,
+      address,
+      1UL * 1'024 * 1'024,
+      [this](const gateway::HttpRequest& request,
+             gateway::HttpServer::ResponseCallback respond) {
+        this->handle(request, std::move(respond));
+      });
+    this->listening = this->server->listen().has_value();
+    this->port = this->server->port();
+  }
+
   void end(const Run& run, const std::string& end_kind)
   {
     this->running.erase(run);
@@ -330,6 +344,7 @@
     respond({ 200, "application/json", response.dump(), {} });
   }
 
+  kernel::Loop& loop;
   kernel::TimerService& timers;
   std::unique_ptr<gateway::HttpServer> server;
   int port = 0;
--- /dev/null
+++ b/tests/system/crashing_task_test.cpp
@@ -0,0 +1,101 @@
+#define BOOST_TEST_MODULE crashing_task
+#include "tests/system/platform_fixture.h"
+
+using namespace geraniumhinge;
+using namespace geraniumhinge::tests;
+
+namespace {
+
+constexpr char OTHER_JOB[] = "6d1f8b32ea5c0479";
+/// The operators count a task as restarted without end from its sixth start on.
+constexpr std::size_t MAX_STARTS = 5;
+constexpr kernel::Milliseconds CRASH_DELAY{ 5 };
+constexpr kernel::Milliseconds RECOVERY_TIME{ 1'000 };
+
+/// Three servers that crash when they start a task of `JOB`.
+struct CrashFixture : PlatformFixture
+{
+  std::size_t crashing_starts = 0;
+  std::vector<kernel::Subscription> events;
+
+  CrashFixture()
+  {
+    add_entry();
+    for (std::size_t index = 0; index < 3; ++index) {
+      add_agent();
+      servers[index]->on_start = [this, index](const ServerStandin::Run& run) {
+        if (run.first.starts_with(JOB))
+          crash(index);
+      };
+    }
+    wait_ready();
+  }
+
+  void crash(std::size_t index)
+  {
+    ++crashing_starts;
+    events.push_back(
+      timers.after(CRASH_DELAY, [this, index] { servers[index]->crash(); }));
+    events.push_back(timers.after(CRASH_DELAY + RECOVERY_TIME, [this, index] {
+      servers[index]->recover();
+    }));
+  }
+
+  void submit(const std::string& id, const std::string& body)
+  {
+    BOOST_REQUIRE(call("POST", PREFIX + id, body).status == 200);
+  }
+
+  /// Waits until the job is shown as failed, or started more often than
+  /// allowed.
+  void wait_failed(std::size_t max_starts, std::size_t entry = 0)
+  {
+    while (crashing_starts <= max_starts &&
+           state(JOB, entry) != "{\"state\":\"failed\"}") {
+      std::int64_t begin_ms = kernel::boot_ms();
+      run_until([begin_ms] { return kernel::boot_ms() - begin_ms > 20; });
+    }
+    BOOST_TEST(crashing_starts <= max_starts);
+    BOOST_TEST(state(JOB, entry) == "{\"state\":\"failed\"}");
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(crashing_task_takes_down_server_after_server,
+                        CrashFixture)
+{
+  submit(JOB, submission(1, 1, false));
+  wait_failed(MAX_STARTS);
+}
+
+BOOST_FIXTURE_TEST_CASE(crashing_gang_takes_down_server_after_server,
+                        CrashFixture)
+{
+  submit(JOB, submission(2, 8, true));
+  wait_failed(2 * MAX_STARTS);
+}
+
+// The crashes must count for the new owner too.
+BOOST_FIXTURE_TEST_CASE(crashes_are_forgotten_when_the_owner_changes,
+                        CrashFixture)
+{
+  submit(JOB, submission(1, 1, false));
+  run_until([this] { return crashing_starts == 2; });
+  entries[0].reset();
+  add_entry();
+  wait_ready(1);
+  wait_failed(MAX_STARTS, 1);
+}
+
+// A job that was on a crashing server must run again, and must not fail.
+BOOST_FIXTURE_TEST_CASE(neighbour_of_a_crashing_task_is_given_up, CrashFixture)
+{
+  submit(OTHER_JOB, submission(3, 1, false));
+  run_until([this] { return running() == 3; });
+  submit(JOB, submission(1, 1, false));
+  wait_failed(MAX_STARTS);
+  run_until([this] { return running() == 3; });
+  finish_all("done");
+  wait_state(OTHER_JOB, "completed");
+}
