Give up tasks that crash their servers, and place suspects alone

Cause: the owner recorded a run whose server had ended as lost, and a loss changed nothing but the task's attempt number. A crash was no evidence against anything. The class of fault is a retry without a budget.

Change: agents report crashes with the runs that were on the server and the time since their start. The owner counts each crash against the runs that had just started, or against all if none had (core/crash), stores the count with the progress, and gives the job up after 3 crashes soon after a start or 5 in all.

--- a/agent/crash_log.cpp
+++ b/agent/crash_log.cpp
@@ -9,32 +9,34 @@
 
 /// Longer than an outage of the store that an owner survives.
 constexpr std::int64_t RETENTION_MS = 30'000;
-constexpr std::size_t MAX_CRASHES = 8;
+constexpr std::size_t MAX_ENTRIES = 8;
 
 } // namespace
 
 bool
-CrashLog::record(ServerCrash crash)
+CrashLog::record(core::ServerCrash crash, std::int64_t now_ms)
 {
   bool known = std::any_of(
-    this->crashes.begin(), this->crashes.end(), [&](const ServerCrash& other) {
-      return other.instance == crash.instance;
+    this->entries.begin(), this->entries.end(), [&crash](const Entry& entry) {
+      return entry.crash.instance == crash.instance;
     });
   if (known)
     return false;
-  this->crashes.push_back(std::move(crash));
-  if (this->crashes.size() > MAX_CRASHES)
-    this->crashes.pop_front();
+  this->entries.push_back({ std::move(crash), now_ms });
+  if (this->entries.size() > MAX_ENTRIES)
+    this->entries.pop_front();
   return true;
 }
 
-const std::deque<ServerCrash>&
-CrashLog::recent(std::int64_t now_ms)
+std::vector<core::ServerCrash>
+CrashLog::recent(std::int64_t now_ms) const
 {
-  while (!this->crashes.empty() &&
-         now_ms - this->crashes.front().detected_ms > RETENTION_MS)
-    this->crashes.pop_front();
-  return this->crashes;
+  std::vector<core::ServerCrash> crashes;
+  for (const Entry& entry : this->entries) {
+    if (now_ms - entry.detected_ms <= RETENTION_MS)
+      crashes.push_back(entry.crash);
+  }
+  return crashes;
 }
 
 } // namespace geraniumhinge::agent
--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -23,12 +23,12 @@
 constexpr std::uint64_t FENCING_TOKEN_STEP = 1'000;
 
 void
-add_crash(const ServerCrash& crash, v1::ServerReport& report)
+add_crash(const core::ServerCrash& crash, v1::ServerReport& report)
 {
   v1::CrashReport& row = *report.add_crashes();
   row.mutable_life()->set_id(crash.instance.id);
   row.mutable_life()->set_born_ms(crash.instance.started_ms);
-  for (const CrashedRun& run : crash.runs) {
+  for (const core::CrashedRun& run : crash.runs) {
     v1::CrashedRun& item = *row.add_runs();
     item.set_task(run.task);
     item.set_attempt(run.attempt);
@@ -413,7 +413,7 @@
   if (this->leaving || this->server->draining)
     return;
   std::int64_t now = kernel::boot_ms();
-  ServerCrash crash{ this->server->instance, now, {} };
+  core::ServerCrash crash{ this->server->instance, {} };
   std::int64_t last_alive_ms = this->answering ? now : this->silent_since_ms;
   std::string tasks;
   for (const std::pair<const RunKey, TrackedRun>& item : this->runs) {
@@ -428,7 +428,7 @@
                          item.first.first,
                          crash.runs.back().ran_ms);
   }
-  if (!this->crash_log.record(std::move(crash)))
+  if (!this->crash_log.record(std::move(crash), now))
     return;
   this->metrics.counter("agent_server_crashes_total").add();
   this->log.write(SERVER_CRASHED,
@@ -453,7 +453,8 @@
   report.set_sequence(this->reports.record(
     kernel::boot_ms(), this->options.orphan_timeout.count()));
   report.set_term(this->term);
-  for (const ServerCrash& crash : this->crash_log.recent(kernel::boot_ms()))
+  for (const core::ServerCrash& crash :
+       this->crash_log.recent(kernel::boot_ms()))
     add_crash(crash, report);
   if (!this->state_is_known())
     return report;
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -53,6 +53,7 @@
 SchedulingRound::run()
 {
   this->find_run_groups();
+  this->find_probation_servers();
   this->restart_runs();
   for (WaitingStep& waiting : this->waiting_steps())
     this->place(waiting);
@@ -109,9 +110,7 @@
   const Step& step = round_workflow.definition->steps[ready.step];
   std::int64_t ready_ms =
     this->history.ready_ms.try_emplace(key, this->now_ms).first->second;
-  WaitingStep waiting{
-    round_workflow, key, {}, this->now_ms - ready_ms, std::nullopt
-  };
+  WaitingStep waiting{ round_workflow, key, {}, this->now_ms - ready_ms };
   if (round_workflow.objective.factor > 0)
     waiting.slack_ms = slack_ms(*round_workflow.definition,
                                 round_workflow.objective,
@@ -171,8 +170,9 @@
 SchedulingRound::place(WaitingStep& waiting)
 {
   AssignRequest& request = waiting.request;
-  if (!this->limit_tasks(waiting))
+  if (!this->limit_suspects(waiting) || !this->limit_tasks(waiting))
     return;
+  this->reserve_for_suspects(waiting);
   for (const GangReservation& reservation : this->gang_reservations) {
     if (request.step->estimate_ms == 0 ||
         reservation.free_in_ms <
@@ -188,7 +188,7 @@
   bool incomplete = servers.size() < request.tasks;
   if (incomplete && waiting.round_workflow.advice)
     this->request_advice(waiting);
-  if (incomplete && !this->preempt(waiting))
+  if (incomplete && !this->must_isolate(waiting) && !this->preempt(waiting))
     this->reserve_for_gang(waiting);
   if (!servers.empty())
     this->commit(waiting, servers);
@@ -236,6 +236,20 @@
   this->result.advice_requests.push_back(std::move(advice_request));
 }
 
+/// Whether the round may place this task of the step.
+bool
+SchedulingRound::may_place(const WaitingStep& waiting,
+                           const StepState& tasks,
+                           std::uint32_t index)
+{
+  const TaskState& task = tasks[index];
+  if (task.done || task.run)
+    return false;
+  if (waiting.only_task)
+    return index == *waiting.only_task;
+  return !waiting.skip_suspects || task.early_crashes == 0;
+}
+
 void
 SchedulingRound::commit(const WaitingStep& waiting,
                         const std::vector<std::string>& servers)
@@ -252,8 +266,9 @@
   for (const TaskState& task : tasks)
     gang_attempt = std::max(gang_attempt, task.last_attempt + 1);
   std::size_t next = 0;
-  for (TaskState& task : tasks) {
-    if (task.done || task.run || next == servers.size())
+  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+    TaskState& task = tasks[index];
+    if (!may_place(waiting, tasks, index) || next == servers.size())
       continue;
     const std::string& server = servers[next++];
     task.last_attempt = step.gang ? gang_attempt : task.last_attempt + 1;
@@ -263,7 +278,8 @@
                     false,
                     tickets[server] };
     this->pool.allocate(server, resources_of_run(step));
-    std::uint32_t index = static_cast<std::uint32_t>(&task - tasks.data());
+    if (waiting.isolated)
+      this->probation_servers.insert(server);
     this->history.placed_ms[{ key, index }] = this->now_ms;
     this->history.percent.erase({ key, index });
     this->history.stalled.erase({ key, index });
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -4,6 +4,7 @@
 #include "core/round.h"
 
 #include <optional>
+#include <set>
 
 namespace geraniumhinge::core {
 
@@ -32,7 +33,11 @@
     StepKey key;
     AssignRequest request;
     std::int64_t waited_ms = 0;
-    std::optional<std::int64_t> slack_ms; ///< Empty without an objective.
+    std::optional<std::int64_t> slack_ms{}; ///< Empty without an objective.
+    /// The only task to place, a suspect (core/crash.h); empty for any task.
+    std::optional<std::uint32_t> only_task{};
+    bool skip_suspects = false; ///< Places only tasks that are not suspects.
+    bool isolated = false;      ///< Needs servers without other runs.
   };
 
   /// Servers reserved for a gang that fits once other runs have ended.
@@ -52,6 +57,18 @@
   void commit(const WaitingStep& waiting,
               const std::vector<std::string>& servers);
 
+  bool on_probation(const StepKey& key,
+                    const Step& step,
+                    const StepState& tasks,
+                    std::uint32_t index) const;
+  void find_probation_servers();
+  bool limit_suspects(WaitingStep& waiting);
+  void reserve_for_suspects(WaitingStep& waiting) const;
+  bool must_isolate(const WaitingStep& waiting) const;
+  static bool may_place(const WaitingStep& waiting,
+                        const StepState& tasks,
+                        std::uint32_t index);
+
   void restart_runs();
   std::optional<RestartReason> restart_reason(const RunGroup& group) const;
   bool must_leave_server(const RunGroup& group, std::int64_t min_stay_ms) const;
@@ -86,6 +103,8 @@
   Pool idle_pool;               ///< The servers without any runs.
   std::vector<RunGroup> groups; ///< Runs at the start of the round.
   std::vector<GangReservation> gang_reservations;
+  /// Servers of suspects that may still crash them.
+  std::set<std::string> probation_servers;
   RoundResult result;
 };
 
--- a/core/workflow.cpp
+++ b/core/workflow.cpp
@@ -200,6 +200,13 @@
   return task.index < step.size() ? &step[task.index] : nullptr;
 }
 
+TaskState&
+primary_task(const Workflow& workflow, Progress& progress, const TaskRef& task)
+{
+  StepState& members = progress.open_occurrences[task.occurrence][task.step];
+  return workflow.steps[task.step].gang ? members.front() : members[task.index];
+}
+
 std::vector<ReadyStep>
 ready_steps(const Workflow& workflow, const Progress& progress)
 {
@@ -232,8 +239,7 @@
     return false;
   const Step& step = workflow.steps[task.step];
   StepState& members = progress.open_occurrences[task.occurrence][task.step];
-  // The task that keeps the failures and the checkpoint; of a gang, the first.
-  TaskState& primary = step.gang ? members.front() : *state;
+  TaskState& primary = primary_task(workflow, progress, task);
   state->run.reset();
   if (!checkpoint.empty())
     primary.checkpoint = checkpoint;
--- a/core/workflow.h
+++ b/core/workflow.h
@@ -83,6 +83,11 @@
   /// Failed attempts. A gang counts them in its first task.
   std::uint32_t failures = 0;
   std::uint32_t failed_attempt = 0; ///< Last attempt counted as a failure.
+  /// Crashes of backend servers that count against the task (core/crash.h). A
+  /// gang counts them in its first task.
+  std::uint32_t crashes = 0;
+  std::uint32_t early_crashes = 0;   ///< Of these, soon after a start.
+  std::uint32_t crashed_attempt = 0; ///< Last attempt counted as a crash.
   bool done = false;
   std::string checkpoint; ///< Newest one. A gang keeps it in its first task.
   std::optional<Run> run;
@@ -181,6 +186,11 @@
 TaskState*
 find_task(Progress& progress, const TaskRef& task);
 
+/// The task that keeps the failures, crashes and the checkpoint of an existing
+/// task: the task itself; of a gang, the first member.
+TaskState&
+primary_task(const Workflow& workflow, Progress& progress, const TaskRef& task);
+
 /// Steps whose dependencies are done and that have an unfinished task without
 /// a run. A gang is listed only when none of its members has a run.
 std::vector<ReadyStep>
--- a/entry/events.h
+++ b/entry/events.h
@@ -212,6 +212,14 @@
   "not stored; other jobs go on.",
   "Cancel the job; submit it again as several smaller ones."
 };
+inline constexpr kernel::EventInfo CRASH_COUNTED{
+  638,
+  kernel::Severity::Warning,
+  "crash_counted",
+  "A backend server crashed, and the crash counts against a task that may have "
+  "caused it. At a limit the task is given up and its job fails.",
+  "If given_up is true, look into the job's task; it crashes its servers."
+};
 inline constexpr kernel::EventInfo WORKFLOW_CANCELLED{
   626,
   kernel::Severity::Info,
@@ -315,6 +323,7 @@
   RUN_LOST,
   LATE_SUCCESS,
   ROW_OVERSIZED,
+  CRASH_COUNTED,
   WORKFLOW_CANCELLED,
   WORKFLOW_ENDED,
   STEP_PLACED,
--- a/entry/row_budget.cpp
+++ b/entry/row_budget.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// A task without a run: its counters and a checkpoint.
-constexpr std::size_t TASK_BYTES = 48;
+constexpr std::size_t TASK_BYTES = 60;
 /// Added by a run: the names of its server and node, and a ticket.
 constexpr std::size_t RUN_BYTES = 128;
 /// Open occurrences may use this part of a row, so that most of it stays free
--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -43,6 +43,26 @@
          state->run->attempt > end.attempt();
 }
 
+using WorkflowIndex = std::map<std::string, core::RoundWorkflow*>;
+
+WorkflowIndex
+index_by_id(std::vector<core::RoundWorkflow>& workflows)
+{
+  WorkflowIndex index;
+  for (core::RoundWorkflow& round_workflow : workflows)
+    index[round_workflow.definition->id] = &round_workflow;
+  return index;
+}
+
+core::ServerCrash
+decode_crash(const v1::CrashReport& row)
+{
+  core::ServerCrash crash{ instance_of(row.life()), {} };
+  for (const v1::CrashedRun& run : row.runs())
+    crash.runs.push_back({ run.task(), run.attempt(), run.ran_ms() });
+  return crash;
+}
+
 core::StepKey
 step_key(const core::RoundWorkflow& round_workflow, const core::TaskRef& task)
 {
@@ -94,9 +114,7 @@
 RunTracker::apply_ends(std::vector<core::RoundWorkflow>& workflows,
                        std::int64_t now_ms)
 {
-  std::map<std::string, core::RoundWorkflow*> by_id;
-  for (core::RoundWorkflow& round_workflow : workflows)
-    by_id[round_workflow.definition->id] = &round_workflow;
+  WorkflowIndex by_id = index_by_id(workflows);
   std::map<std::string, AppliedEnds> applied;
   for (const std::pair<const std::string, AgentView>& entry :
        this->servers.all()) {
@@ -107,7 +125,7 @@
       ends.number = std::max<std::uint64_t>(ends.number, end.number());
       std::optional<std::pair<std::string, core::TaskRef>> name =
         core::parse_task_name(end.task());
-      std::map<std::string, core::RoundWorkflow*>::iterator round_workflow =
+      WorkflowIndex::iterator round_workflow =
         name ? by_id.find(name->first) : by_id.end();
       if (round_workflow == by_id.end())
         continue;
@@ -124,6 +142,53 @@
   return applied;
 }
 
+void
+RunTracker::apply_crashes(std::vector<core::RoundWorkflow>& workflows)
+{
+  WorkflowIndex by_id = index_by_id(workflows);
+  for (const std::pair<const std::string, AgentView>& entry :
+       this->servers.all()) {
+    for (const v1::CrashReport& row : entry.second.report.crashes()) {
+      core::ServerCrash crash = decode_crash(row);
+      for (const core::BlamedRun& blamed : core::blamed_runs(crash)) {
+        std::optional<std::pair<std::string, core::TaskRef>> name =
+          core::parse_task_name(blamed.run.task);
+        WorkflowIndex::iterator found =
+          name ? by_id.find(name->first) : by_id.end();
+        if (found != by_id.end())
+          this->apply_blame(
+            *found->second, crash.instance, name->second, blamed);
+      }
+    }
+  }
+}
+
+void
+RunTracker::apply_blame(core::RoundWorkflow& round_workflow,
+                        const core::ServerInstance& server,
+                        const core::TaskRef& task,
+                        const core::BlamedRun& blamed)
+{
+  const core::Workflow& workflow = *round_workflow.definition;
+  if (!core::apply_crash(workflow, round_workflow.progress, task, blamed))
+    return;
+  round_workflow.changed = true;
+  const core::TaskState& primary =
+    core::primary_task(workflow, round_workflow.progress, task);
+  bool given_up = round_workflow.progress.outcome == core::Outcome::Failed;
+  this->metrics.counter("entry_crashes_counted_total").add();
+  if (given_up)
+    this->metrics.counter("entry_crashing_tasks_given_up_total").add();
+  this->log.write(CRASH_COUNTED,
+                  { { "task", blamed.run.task },
+                    { "attempt", blamed.run.attempt },
+                    { "server", server.id },
+                    { "ran_ms", blamed.run.ran_ms },
+                    { "early_crashes", primary.early_crashes },
+                    { "crashes", primary.crashes },
+                    { "given_up", given_up } });
+}
+
 void
 RunTracker::apply_reported_end(core::RoundWorkflow& round_workflow,
                                const AgentView& agent,
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/crash.h"
 #include "core/names.h"
 #include "core/progress_watch.h"
 #include "core/quarantine.h"
@@ -46,6 +47,10 @@
     std::vector<core::RoundWorkflow>& workflows,
     std::int64_t now_ms);
 
+  /// Counts the crashes of servers that agents have reported against the tasks
+  /// that may have caused them.
+  void apply_crashes(std::vector<core::RoundWorkflow>& workflows);
+
   /// Applies ends that no agent has reported, of runs that must have ended.
   void apply_lost_runs(core::RoundWorkflow& round_workflow,
                        std::int64_t now_ms);
@@ -74,6 +79,10 @@
     bool cause_known = false; ///< A member ended for another reason.
   };
 
+  void apply_blame(core::RoundWorkflow& round_workflow,
+                   const core::ServerInstance& server,
+                   const core::TaskRef& task,
+                   const core::BlamedRun& blamed);
   void apply_reported_end(core::RoundWorkflow& round_workflow,
                           const AgentView& agent,
                           const v1::EndReport& end,
--- a/entry/work_rows.cpp
+++ b/entry/work_rows.cpp
@@ -74,6 +74,9 @@
   row.set_last_attempt(task.last_attempt);
   row.set_failures(task.failures);
   row.set_failed_attempt(task.failed_attempt);
+  row.set_crashes(task.crashes);
+  row.set_early_crashes(task.early_crashes);
+  row.set_crashed_attempt(task.crashed_attempt);
   row.set_done(task.done);
   row.set_checkpoint(task.checkpoint);
   if (!task.run)
@@ -93,6 +96,9 @@
   task.last_attempt = row.last_attempt();
   task.failures = row.failures();
   task.failed_attempt = row.failed_attempt();
+  task.crashes = row.crashes();
+  task.early_crashes = row.early_crashes();
+  task.crashed_attempt = row.crashed_attempt();
   task.done = row.done();
   task.checkpoint = row.checkpoint();
   if (row.run_attempt() > 0)
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE run_tracker
 #include "entry/run_tracker.h"
+#include "entry/work_rows.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -190,3 +191,28 @@
   tracker.apply_ends(workflows, NOW_MS);
   BOOST_TEST(!task().done);
 }
+
+BOOST_FIXTURE_TEST_CASE(crash_count_is_not_stored, SingleTask)
+{
+  v1::Envelope envelope;
+  envelope.set_sender(node(0));
+  envelope.set_sender_incarnation(1);
+  v1::ServerReport& server_report = *envelope.mutable_server_report();
+  server_report.set_sequence(++sequence);
+  v1::CrashReport& crash = *server_report.add_crashes();
+  crash.mutable_life()->set_id(instance(0).id);
+  v1::CrashedRun& run = *crash.add_runs();
+  run.set_task(core::task_name(JOB, { 0, 0, 0 }));
+  run.set_attempt(2);
+  BOOST_REQUIRE(servers.apply_report(envelope, NOW_MS) != nullptr);
+  tracker.apply_crashes(workflows);
+  tracker.apply_crashes(workflows);
+  BOOST_TEST(workflows[0].changed);
+  std::optional<core::Progress> stored =
+    entry::decode_progress(entry::encode_progress(workflows[0].progress));
+  BOOST_REQUIRE(stored.has_value());
+  const core::TaskState& state = stored->open_occurrences.at(0)[0][0];
+  BOOST_TEST(state.crashes == 1U);
+  BOOST_TEST(state.early_crashes == 1U);
+  BOOST_TEST(state.crashed_attempt == 2U);
+}
--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -80,9 +80,7 @@
         item.respond({ gateway::CLOSE_CONNECTION, "", "", {} });
       this->waiting.clear();
     }
-    for (const std::pair<const Run, std::string>& item : this->running)
-      this->on_end(item.first, "gone");
-    this->running.clear();
+    this->drop_runs();
     this->ended.clear();
     this->starts.clear();
     this->last_attempts.clear();
@@ -100,6 +98,7 @@
     this->waiting.clear();
     this->server.reset();
     this->listening = false;
+    this->drop_runs();
   }
 
   /// Starts a new instance at the address of the one that crashed.
@@ -160,6 +159,13 @@
     kernel::Subscription timeout;
   };
 
+  void drop_runs()
+  {
+    for (const std::pair<const Run, std::string>& item : this->running)
+      this->on_end(item.first, "gone");
+    this->running.clear();
+  }
+
   void listen(const std::string& address)
   {
     this->server = std::make_unique<gateway::HttpServer>(
