Place one suspect of a step first, and blame only starts within half a second

Change: a suspect that outlives its probation of 1.2 s frees the rest of its step, a task whose later attempt ran on is no suspect any more, and only runs that started within 0.5 s before the crash are blamed first.

--- a/core/crash.h
+++ b/core/crash.h
@@ -14,7 +14,7 @@
 /// servers of a long task may crash for other reasons.
 inline constexpr std::uint32_t MAX_CRASHES = 5;
 /// A run that has lasted longer did not crash its server by starting.
-inline constexpr std::int64_t EARLY_CRASH_MS = 1'500;
+inline constexpr std::int64_t EARLY_CRASH_MS = 500;
 
 /// A run that was or may have been on a backend server when it crashed.
 struct CrashedRun
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -245,9 +245,7 @@
   const TaskState& task = tasks[index];
   if (task.done || task.run)
     return false;
-  if (waiting.only_task)
-    return index == *waiting.only_task;
-  return !waiting.skip_suspects || task.early_crashes == 0;
+  return !waiting.only_task || index == *waiting.only_task;
 }
 
 void
--- a/core/round_isolate.cpp
+++ b/core/round_isolate.cpp
@@ -10,32 +10,41 @@
 
 namespace {
 
-/// After this time, a crash of the server is no longer blamed on the start of
-/// the run: the run's age is known only up to the delay of a report.
-constexpr std::int64_t PROBATION_MS = EARLY_CRASH_MS + 500;
+/// From the placement of a suspect until it has certainly run for longer than
+/// `EARLY_CRASH_MS`, and a crash would have been reported.
+constexpr std::int64_t PROBATION_MS = EARLY_CRASH_MS + 700;
 /// Longest time that a suspect waits for a server without other runs.
 constexpr std::int64_t MAX_ISOLATION_WAIT_MS = 2'000;
 
-/// Whether a crash soon after a start counts against the task.
+/// Whether an attempt of the task directly follows one that crashed its server
+/// soon after its start.
 bool
-is_suspect(const TaskState& task)
+is_suspect(const TaskState& primary, std::uint32_t attempt)
 {
-  return task.early_crashes > 0 && !task.done;
+  return primary.early_crashes > 0 && attempt == primary.crashed_attempt + 1;
 }
 
 } // namespace
 
-/// Whether the run of a suspect began so lately that it may still crash its
-/// server.
-bool
-SchedulingRound::on_probation(const StepKey& key,
-                              const Step& step,
-                              const StepState& tasks,
-                              std::uint32_t index) const
+SchedulingRound::Suspicion
+SchedulingRound::suspicion(const StepKey& key,
+                           const Step& step,
+                           const StepState& tasks,
+                           std::uint32_t index) const
 {
-  const TaskState& primary = step.gang ? tasks.front() : tasks[index];
-  return tasks[index].run && is_suspect(primary) &&
-         this->elapsed_ms({ key, index }) < PROBATION_MS;
+  const TaskState& task = tasks[index];
+  const TaskState& primary = step.gang ? tasks.front() : task;
+  if (primary.early_crashes == 0)
+    return Suspicion::None;
+  if (task.done)
+    return Suspicion::Outlived;
+  if (!task.run)
+    return is_suspect(primary, task.last_attempt + 1) ? Suspicion::Waiting
+                                                      : Suspicion::Outlived;
+  bool young = this->elapsed_ms({ key, index }) < PROBATION_MS;
+  return young && is_suspect(primary, task.run->attempt)
+           ? Suspicion::OnProbation
+           : Suspicion::Outlived;
 }
 
 /// Finds the servers of suspects on probation, which get no other work.
@@ -49,8 +58,9 @@
         const StepState& tasks = item.second[step];
         StepKey key{ round_workflow.definition->id, item.first, step };
         for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-          if (this->on_probation(
-                key, round_workflow.definition->steps[step], tasks, index))
+          if (this->suspicion(
+                key, round_workflow.definition->steps[step], tasks, index) ==
+              Suspicion::OnProbation)
             this->probation_servers.insert(tasks[index].run->server.id);
         }
       }
@@ -58,50 +68,40 @@
   }
 }
 
-/// Limits a step with suspects to one suspect at a time. Its other tasks wait
-/// until one suspect has outlived its probation. Returns false if no task may
-/// be placed now.
+/// Limits a step with suspects to one of them, the one with the most crashes.
+/// Its other tasks wait until a suspect has outlived its probation, which
+/// suggests that the step's tasks don't all crash their servers. Returns false
+/// if no task may be placed now.
 bool
 SchedulingRound::limit_suspects(WaitingStep& waiting)
 {
   const Step& step = this->step_of(waiting);
   const StepState& tasks = waiting.round_workflow.progress.open_occurrences.at(
     waiting.key.occurrence)[waiting.key.step];
-  if (step.gang) {
-    waiting.isolated = is_suspect(tasks.front());
-    return true;
-  }
-  bool probation = false;
+  std::optional<std::uint32_t> worst;
+  bool on_probation = false;
   bool outlived = false;
-  std::uint32_t unblamed = 0;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-    const TaskState& task = tasks[index];
-    bool waits = !task.run && !task.done;
-    unblamed += waits && !is_suspect(task) ? 1 : 0;
-    if (this->on_probation(waiting.key, step, tasks, index))
-      probation = true;
-    else if (task.early_crashes > 0 && (task.run || task.done))
-      outlived = true;
-    else if (waits && is_suspect(task) &&
-             (!waiting.only_task ||
-              task.early_crashes > tasks[*waiting.only_task].early_crashes))
-      waiting.only_task = index;
+    Suspicion suspicion = this->suspicion(waiting.key, step, tasks, index);
+    on_probation = on_probation || suspicion == Suspicion::OnProbation;
+    outlived = outlived || suspicion == Suspicion::Outlived;
+    if (suspicion == Suspicion::Waiting &&
+        (!worst || tasks[index].early_crashes > tasks[*worst].early_crashes))
+      worst = index;
   }
-  if (waiting.only_task && !probation) {
-    waiting.isolated = true;
-    waiting.request.tasks = 1;
+  waiting.isolated = worst.has_value();
+  if (step.gang || outlived)
     return true;
+  if (worst && !on_probation) {
+    waiting.only_task = worst;
+    waiting.request.tasks = 1;
   }
-  bool has_suspects = waiting.only_task || probation;
-  waiting.only_task.reset();
-  waiting.skip_suspects = true;
-  waiting.request.tasks = unblamed;
-  return unblamed > 0 && (!has_suspects || outlived);
+  return !on_probation;
 }
 
-/// Keeps other work off the servers of suspects, and a suspect off servers with
-/// other work. After a while a suspect shares a server with other runs, but
-/// never with another suspect.
+/// Keeps other work off the servers of suspects on probation, and suspects off
+/// servers with other work. After a while suspects share servers with other
+/// runs.
 void
 SchedulingRound::reserve_for_suspects(WaitingStep& waiting) const
 {
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -34,10 +34,19 @@
     AssignRequest request;
     std::int64_t waited_ms = 0;
     std::optional<std::int64_t> slack_ms{}; ///< Empty without an objective.
-    /// The only task to place, a suspect (core/crash.h); empty for any task.
+    /// The only task to place; empty for any task.
     std::optional<std::uint32_t> only_task{};
-    bool skip_suspects = false; ///< Places only tasks that are not suspects.
-    bool isolated = false;      ///< Needs servers without other runs.
+    bool isolated = false; ///< Needs servers without other runs.
+  };
+
+  /// Whether a task may crash its server. It is a suspect if its last attempt
+  /// did so soon after its start (core/crash.h).
+  enum class Suspicion
+  {
+    None,        ///< Never crashed a server soon after a start.
+    Waiting,     ///< A suspect without a run.
+    OnProbation, ///< A suspect whose run has just started.
+    Outlived,    ///< No longer a suspect: it has run on since.
   };
 
   /// Servers reserved for a gang that fits once other runs have ended.
@@ -57,10 +66,10 @@
   void commit(const WaitingStep& waiting,
               const std::vector<std::string>& servers);
 
-  bool on_probation(const StepKey& key,
-                    const Step& step,
-                    const StepState& tasks,
-                    std::uint32_t index) const;
+  Suspicion suspicion(const StepKey& key,
+                      const Step& step,
+                      const StepState& tasks,
+                      std::uint32_t index) const;
   void find_probation_servers();
   bool limit_suspects(WaitingStep& waiting);
   void reserve_for_suspects(WaitingStep& waiting) const;
