Treat a server's capacity as a value that changes while it runs

Cause: the announced capacity was taken as constant for an instance, which the platform's pages no longer promise.

The log line server_state_changed has the capacity.

--- a/agent/events.h
+++ b/agent/events.h
@@ -140,7 +140,7 @@
   518,
   Severity::Info,
   "server_state_changed",
-  "The backend server started or stopped draining.",
+  "The backend server started or stopped draining, or its capacity changed.",
   "None."
 };
 inline constexpr EventInfo SERVER_LEFT{
--- a/agent/platform_program.cpp
+++ b/agent/platform_program.cpp
@@ -37,6 +37,7 @@
   options.max_lease = settings.max_lease;
   options.lease = settings.lease - LEASE_MARGIN;
   options.orphan_timeout = settings.orphan_timeout;
+  options.heartbeat_period = settings.heartbeat_period;
   return options;
 }
 
@@ -142,7 +143,8 @@
                  changed.store_address != this->settings.store_address ||
                  changed.max_lease != this->settings.max_lease ||
                  changed.lease != this->settings.lease ||
-                 changed.orphan_timeout != this->settings.orphan_timeout;
+                 changed.orphan_timeout != this->settings.orphan_timeout ||
+                 changed.heartbeat_period != this->settings.heartbeat_period;
   this->settings.report_period = changed.report_period;
   this->report_timer = this->timers.every(this->settings.report_period,
                                           [this] { this->send_report(); });
--- a/agent/platform_settings.cpp
+++ b/agent/platform_settings.cpp
@@ -17,6 +17,7 @@
   { "/platform/max_lease_ms", SettingType::Integer, "ms", 500, 600'000, "6000", "Longest lease that the backend server grants." },
   { "/platform/lease_ms", SettingType::Integer, "ms", 500, 600'000, "3000", "Length of the leases that agents request, limited to /platform/max_lease_ms; must be the same for agents and entries. A shorter lease detects lost servers sooner but tolerates only shorter pauses of an agent." },
   { "/platform/orphan_ms", SettingType::Integer, "ms", 500, 600'000, "4000", "How long the agent keeps renewing leases after the last orders of the owner; must be the same for agents and entries." },
+  { "/platform/heartbeat_ms", SettingType::Integer, "ms", 10, 60'000, "1500", "Time between two announcements of the backend server. After more than two missing ones the agent starts no runs, since the server's capacity may have changed." },
   { "/platform/report_ms", SettingType::Integer, "ms", 100, 60'000, "1000", "Time between two reports to the owner." },
   { "/name", SettingType::Text, "", 0, 0, "", "Name of this VM, unique in the deployment." },
   { "/zone", SettingType::Text, "", 0, 0, "", "Availability zone." },
@@ -65,6 +66,7 @@
   settings.max_lease = duration("/platform/max_lease_ms");
   settings.lease = std::min(duration("/platform/lease_ms"), settings.max_lease);
   settings.orphan_timeout = duration("/platform/orphan_ms");
+  settings.heartbeat_period = duration("/platform/heartbeat_ms");
   settings.report_period = duration("/platform/report_ms");
   tl::expected<kernel::Severity, kernel::SettingFault> level =
     kernel::parse_severity(reader.text(setting_of(LEVEL_POINTER)),
--- a/agent/platform_settings.h
+++ b/agent/platform_settings.h
@@ -25,6 +25,7 @@
   kernel::Milliseconds max_lease{ 0 };
   kernel::Milliseconds lease{ 0 };
   kernel::Milliseconds orphan_timeout{ 0 };
+  kernel::Milliseconds heartbeat_period{ 0 };
   kernel::Milliseconds report_period{ 0 };
   kernel::Severity log_level = kernel::Severity::Info;
 };
--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -143,7 +143,8 @@
   // Announcements may arrive out of order.
   if (announcement.sequence < this->server->sequence)
     return;
-  bool changed = announcement.draining != this->server->draining;
+  bool changed = announcement.draining != this->server->draining ||
+                 announcement.capacity != this->server->capacity;
   this->server = announcement;
   this->announced_ms = kernel::boot_ms();
   // A departure of the previous instance, which had the same identifier, may
@@ -155,6 +156,9 @@
                     { { "server", announcement.instance.id },
                       { "draining", announcement.draining },
                       { "stays_ms", announcement.min_stay_ms },
+                      { "millicores", announcement.capacity.millicores },
+                      { "memory_mb", announcement.capacity.memory_mb },
+                      { "accelerators", announcement.capacity.accelerators },
                       { "sequence", announcement.sequence } });
     this->reconcile();
     this->on_change();
@@ -469,7 +473,8 @@
   report.mutable_room()->set_millicores(this->server->capacity.millicores);
   report.mutable_room()->set_memory_mb(this->server->capacity.memory_mb);
   report.mutable_room()->set_accelerators(this->server->capacity.accelerators);
-  report.set_ready(!this->server->draining && this->answering);
+  report.set_ready(!this->server->draining && this->answering &&
+                   this->announcement_is_recent());
   report.set_lease_over(this->leases_expired);
   report.set_listed(this->lists_known);
   report.set_answering(this->answering);
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -33,6 +33,8 @@
   /// replied to was sent.
   kernel::Milliseconds orphan_timeout{ 4'000 };
   kernel::Milliseconds poll_wait{ 700 }; ///< Longest wait of one poll.
+  /// Time between two announcements of the server.
+  kernel::Milliseconds heartbeat_period{ 1'500 };
 };
 
 /// Carries out the owner's orders on one backend server: starts and stops
@@ -117,7 +119,8 @@
   void track_unordered_runs();
   void reconcile();
   void advance_run(const RunKey& key, TrackedRun& run);
-  bool has_capacity(const v1::RunOrder& order) const;
+  bool announcement_is_recent() const;
+  bool has_capacity(const RunKey& key, const TrackedRun& run) const;
   void start_run(const RunKey& key, TrackedRun& run);
   void handle_start_result(const RunKey& key, platform::StartResult result);
   void stop_run(const RunKey& key, TrackedRun& run);
--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -14,6 +14,8 @@
 
 constexpr kernel::Milliseconds CALL_TIMEOUT{ 700 };
 constexpr std::int64_t CALL_RETRY_MS = 200;
+constexpr int MAX_MISSED_HEARTBEATS = 2;
+constexpr kernel::Milliseconds HEARTBEAT_SLACK{ 500 };
 /// Pace of a run that an earlier agent started. It differs from each valid
 /// percentage, so that the next update sets the pace of the run.
 constexpr std::uint32_t UNKNOWN_PACE_PERCENT = 255;
@@ -199,30 +201,43 @@
   }
   if (run.call_in_flight || now < run.next_call_ms)
     return;
-  if ((run.phase == RunPhase::Waiting && this->has_capacity(run.order)) ||
-      run.phase == RunPhase::Starting)
+  if (not_started && this->has_capacity(key, run))
     this->start_run(key, run);
   else if (run.phase == RunPhase::Stopping)
     this->stop_run(key, run);
 }
 
+/// Whether the announced capacity is recent enough for a start. After a pause
+/// of this process, or of the announcements, the server may have shrunk.
 bool
-ServerAgent::has_capacity(const v1::RunOrder& order) const
+ServerAgent::announcement_is_recent() const
 {
+  kernel::Milliseconds limit =
+    this->options.heartbeat_period * MAX_MISSED_HEARTBEATS + HEARTBEAT_SLACK;
+  return kernel::boot_ms() - this->announced_ms <= limit.count();
+}
+
+/// Whether the run fits beside all other runs that were started and have not
+/// ended. The capacity may have shrunk since the run's own start request.
+bool
+ServerAgent::has_capacity(const RunKey& key, const TrackedRun& run) const
+{
+  if (!this->announcement_is_recent())
+    return false;
   core::Resources free = this->server->capacity;
   for (const std::pair<const RunKey, TrackedRun>& item : this->runs) {
-    const TrackedRun& run = item.second;
+    const TrackedRun& other = item.second;
     bool allocated =
-      run.phase != RunPhase::Waiting && run.phase != RunPhase::NeverStarted;
-    if (!allocated)
+      other.phase != RunPhase::Waiting && other.phase != RunPhase::NeverStarted;
+    if (!allocated || item.first == key)
       continue;
     // For a run that an earlier agent started, the demand is known only after
     // the owner has ordered the run again.
-    if (!run.order.has_demand())
+    if (!other.order.has_demand())
       return false;
-    free.subtract(demand_of(run.order));
+    free.subtract(demand_of(other.order));
   }
-  return free.covers(demand_of(order));
+  return free.covers(demand_of(run.order));
 }
 
 void
--- a/tests/agent/server_agent_fixture.h
+++ b/tests/agent/server_agent_fixture.h
@@ -27,6 +27,8 @@
   ServerStandin server{ loop, timers };
   std::uint64_t sequence = 0;
   std::uint64_t announcements = 0;
+  kernel::Milliseconds heartbeat_period{ 1'500 };
+  int changes = 0; ///< Calls of the agent's hook for changes.
   std::unique_ptr<agent::ServerAgent> agent = make_agent();
 
   std::unique_ptr<agent::ServerAgent> make_agent()
@@ -38,8 +40,11 @@
     options.max_lease = kernel::Milliseconds(1'000);
     options.orphan_timeout = kernel::Milliseconds(600);
     options.poll_wait = kernel::Milliseconds(100);
+    options.heartbeat_period = heartbeat_period;
     return std::make_unique<agent::ServerAgent>(
-      loop, timers, log, metrics, server_client, options, [] {});
+      loop, timers, log, metrics, server_client, options, [this] {
+        ++changes;
+      });
   }
 
   void announce(const std::string& state = "ready")
--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -119,7 +119,9 @@
              { "state", state },
              { "warmup_left_ms", 0 },
              { "free_capacity",
-               { { "cpu", 32'000 }, { "mem_mb", 131'072 }, { "gpu", 8 } } },
+               { { "cpu", 32'000 },
+                 { "mem_mb", 131'072 },
+                 { "gpu", this->accelerators } } },
              { "labels", { "a", this->rack } },
              { "clock_ms", this->clock_ms() },
              { "born", this->started_ms },
@@ -132,6 +134,7 @@
   int unanswered_starts = 0;
   int ignored_starts = 0;      ///< Number of starts to drop without a response.
   bool malformed_rows = false; ///< Lists of tasks can't be read row by row.
+  int accelerators = 8; ///< Capacity in the announcement.
   std::string rack = "r1-1";
   std::int64_t min_stay_ms = 0;        ///< `remaining_ms` of the announcement.
   std::map<std::string, double> loads; ///< Load in the list of running tasks.
--- a/tests/system/platform_fixture.h
+++ b/tests/system/platform_fixture.h
@@ -22,6 +22,7 @@
 
 inline constexpr char TOKEN[] = "d4a3hwrr6x73d3zji9n7";
 inline constexpr char JOB[] = "5c0e7a21d94b36f8";
+inline constexpr kernel::Milliseconds HEARTBEAT_PERIOD{ 100 };
 inline constexpr char PREFIX[] = "/lohu930/";
 
 inline std::string
@@ -72,7 +73,7 @@
   PlatformFixture()
   {
     store.put({ "op", "", "config" }, configuration(3));
-    heartbeats = timers.every(kernel::Milliseconds(100), [this] {
+    heartbeats = timers.every(HEARTBEAT_PERIOD, [this] {
       for (std::size_t index = 0; index < servers.size(); ++index)
         announce(index);
     });
@@ -117,6 +118,7 @@
     settings.lease = kernel::Milliseconds(2'000);
     settings.orphan_timeout = kernel::Milliseconds(1'500);
     settings.report_period = kernel::Milliseconds(200);
+    settings.heartbeat_period = HEARTBEAT_PERIOD;
     agent_settings.push_back(settings);
     agents.push_back(
       std::make_unique<agent::PlatformProgram>(loop, timers, log, settings));
