Never tell a caller that its job was rejected while the job may still start

The entry was cut off from the store: its change had got no answer and reached the store when the cut healed. Meanwhile the entry had forwarded the request to another one, which knew a newer configuration without the caller's key, and passed its 401 on as final.

Change: once a change was sent without an answer, every response that says the change was not applied becomes 504, after which the caller asks again with the same id. Such a response is formed in one place, so it also holds for a newer configuration at the entry itself, and for cancellations.

Evidence: caller_is_rejected_although_its_job_may_still_start got 401 without the change and gets 504 with it; the test's proxy now holds back responses of calls that were under way too.

--- a/entry/caller_api.cpp
+++ b/entry/caller_api.cpp
@@ -46,6 +46,17 @@
   return encode_workflow(left) == encode_workflow(other);
 }
 
+/// Whether the result tells the caller that its change was not applied and will
+/// not be. `Malformed` is left out: it follows from the request or from a
+/// stored row, so no change is on its way.
+bool
+says_not_applied(CallerResult result)
+{
+  return result == CallerResult::NoSuchQueue ||
+         result == CallerResult::Unauthorised ||
+         result == CallerResult::TooLarge || result == CallerResult::NotApplied;
+}
+
 } // namespace
 
 struct CallerApi::Call
@@ -495,9 +506,14 @@
 
 void
 CallerApi::respond(const CallPointer& call,
-                   const platform::CallerResponse& response)
+                   const platform::CallerResponse& decided)
 {
   const platform::CallerRequest& request = call->request;
+  platform::CallerResponse response = decided;
+  // A change without a response may still be applied, whatever another entry,
+  // or a newer configuration, says of the request.
+  if (call->ambiguous && says_not_applied(response.result))
+    response = { CallerResult::Ambiguous, {}, 0 };
   std::string_view result =
     name_of(platform::CALLER_RESULT_NAMES, response.result);
   std::string_view operation =
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -51,9 +51,11 @@
     call.body = request.body;
     client.call(
       std::move(call),
-      [respond =
-         std::move(respond)](const gateway::HttpClient::Result& response) {
-        if (response)
+      [this, respond = std::move(respond)](
+        const gateway::HttpClient::Result& response) mutable {
+        if (blackholed)
+          unanswered.push_back(std::move(respond));
+        else if (response)
           respond({ response->status, "application/json", response->body, {} });
       });
   }
@@ -434,3 +436,28 @@
   BOOST_TEST(
     call("POST", path, submission(1, 1, false), 0, TOKEN, 250).status == 200);
 }
+
+// The first entry's change may reach the store late; the second entry knows
+// already that the caller's key was withdrawn.
+BOOST_FIXTURE_TEST_CASE(caller_is_rejected_although_its_job_may_still_start,
+                        Fixture)
+{
+  StoreProxy store_proxy(*this);
+  store_address = "127.0.0.1:" + std::to_string(store_proxy.server.port());
+  add_entry();
+  store_address.clear();
+  add_entry();
+  wait_ready(0);
+  wait_ready(1);
+  run_until([this] {
+    return entries[0]->data_is_current() && entries[1]->data_is_current();
+  });
+  // Wait until the entries have read each other's rows from the store.
+  run_until([iterations = 0]() mutable { return ++iterations > 50; });
+  store_proxy.blackholed = true;
+  store.put({ "op", "", "config" }, configuration(4, ""));
+  std::string path = std::string(PREFIX) + JOB;
+  run_until([iterations = 0]() mutable { return ++iterations > 50; });
+  BOOST_TEST(call("POST", path, submission(1, 1, false), 1).status == 401);
+  BOOST_TEST(call("POST", path, submission(1, 1, false), 0).status == 504);
+}
