Count dispatches of a short request that crashed their servers up to the limit

Change: dispatches without a known outcome still count after the pause that follows when all servers were tried; at /requests/max_attempts the caller gets UNKNOWN.

Jobs of that interface were bounded already, by /jobs/max_generations. An attempt to show the fault with lost replies instead of known crashes did not: replies are then awaited until the deadline, and nothing is sent again.

--- a/entry/idempotent_run.cpp
+++ b/entry/idempotent_run.cpp
@@ -117,7 +117,7 @@
   --this->missing_replies;
   if (!reply) {
     if (reply.error() == peer::PeerError::TimedOut)
-      this->may_have_run = true;
+      this->record_lost_attempt();
     this->context.fleet.mark_suspect(picked.server);
     this->try_another_server();
     return;
@@ -145,18 +145,30 @@
         this->retry_after_delay();
       return;
     default:
-      this->may_have_run = true;
+      this->record_lost_attempt();
       this->try_another_server();
   }
 }
 
+void
+IdempotentRun::record_lost_attempt()
+{
+  this->may_have_run = true;
+  ++this->lost_attempts;
+}
+
 void
 IdempotentRun::retry_after_delay()
 {
   // All servers are busy: all are tried again after a delay, until the
-  // deadline.
+  // deadline. Lost attempts still count, since the request itself may make its
+  // servers crash.
   this->tried_servers.clear();
-  this->attempts = 0;
+  this->attempts = this->lost_attempts;
+  if (this->attempts >= this->context.settings.max_attempts) {
+    this->give_up(v1::REASON_RETRIES_EXHAUSTED);
+    return;
+  }
   this->retry_timer = this->context.timers.after(
     kernel::Milliseconds(core::retry_delay_ms(BUSY_RETRY_LIMITS,
                                               ++this->busy_retries,
--- a/entry/idempotent_run.h
+++ b/entry/idempotent_run.h
@@ -30,6 +30,7 @@
                     const peer::PeerNode::Reply& reply);
   void attempt_timed_out(const std::string& server, std::int64_t sent_ms);
   void try_another_server();
+  void record_lost_attempt();
   void retry_after_delay();
   void give_up(v1::Reason reason);
   void finish(v1::RunResponse response);
@@ -41,6 +42,7 @@
   kernel::Span span;
   std::int64_t deadline_ms;
   int attempts = 0;
+  int lost_attempts = 0; ///< Attempts without a known outcome.
   int missing_replies = 0;
   std::uint32_t busy_retries = 0;
   bool may_have_run = false;
--- a/tests/entry/entry_fakes.h
+++ b/tests/entry/entry_fakes.h
@@ -137,6 +137,7 @@
   std::set<std::string> succeed;     ///< Jobs whose started members succeed.
   std::map<std::uint64_t, std::string> attempts; ///< Short requests that ran.
   std::set<std::uint64_t> refused;
+  bool outcomes_unknown = false; ///< Each short request crashes its server.
   std::function<bool(const std::string&, const v1::Envelope&)> lose_request;
   std::function<bool(const std::string&, const v1::Envelope&)> lose_reply;
   std::function<void(const v1::Envelope&)> on_message;
@@ -295,7 +296,8 @@
       run_reply.set_result(v1::AGENT_RUN_RESULT_REFUSED);
     if (other_incarnation || !attempts.contains(run.attempt()))
       return;
-    run_reply.set_result(v1::AGENT_RUN_RESULT_DONE);
+    run_reply.set_result(outcomes_unknown ? v1::AGENT_RUN_RESULT_UNKNOWN
+                                          : v1::AGENT_RUN_RESULT_DONE);
     run_reply.set_output(attempts[run.attempt()]);
   }
 };
--- a/tests/entry/router_test.cpp
+++ b/tests/entry/router_test.cpp
@@ -119,6 +119,18 @@
   BOOST_TEST(response.outcome() == v1::OUTCOME_UNKNOWN);
 }
 
+BOOST_FIXTURE_TEST_CASE(request_that_crashes_its_servers_is_sent_without_end,
+                        RouterFixture)
+{
+  RunNode node(*this, "e1");
+  this->agents.outcomes_unknown = true;
+  v1::RunResponse response = this->run(node, request(true, "in", 4'000));
+  BOOST_TEST(response.outcome() == v1::OUTCOME_UNKNOWN);
+  std::size_t limit =
+    static_cast<std::size_t>(node.entry->settings.max_attempts);
+  BOOST_TEST(this->agents.attempts.size() <= limit);
+}
+
 // Guards against a dispatch before its attempt is recorded: after a crash of
 // the entry, no other entry would know of the attempt.
 BOOST_FIXTURE_TEST_CASE(attempt_row_precedes_dispatch, RouterFixture)
