--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -134,7 +134,7 @@
   int unanswered_starts = 0;
   int ignored_starts = 0;      ///< Number of starts to drop without a response.
   bool malformed_rows = false; ///< Lists of tasks can't be read row by row.
-  int accelerators = 8; ///< Capacity in the announcement.
+  int accelerators = 8;        ///< Capacity in the announcement.
   std::string rack = "r1-1";
   std::int64_t min_stay_ms = 0;        ///< `remaining_ms` of the announcement.
   std::map<std::string, double> loads; ///< Load in the list of running tasks.
