Start no run that was reported as never started

A regression of: the condition for a start used the state from before the decision to give the run up, so an agent whose server announced that it drains reported the run as never started and sent its start request as well.

The condition looks at the phase after that decision again.

--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -201,7 +201,9 @@
   }
   if (run.call_in_flight || now < run.next_call_ms)
     return;
-  if (not_started && this->has_capacity(key, run))
+  bool to_start =
+    run.phase == RunPhase::Waiting || run.phase == RunPhase::Starting;
+  if (to_start && this->has_capacity(key, run))
     this->start_run(key, run);
   else if (run.phase == RunPhase::Stopping)
     this->stop_run(key, run);
