--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -389,8 +389,8 @@
   run_until([this] { return listed(); });
   v1::ServerOrders ordered = orders();
   add(ordered.mutable_runs(), TASK, 1);
-  send_orders_until(
-    ordered, [this] { return reports(core::RunEndKind::NeverStarted); });
+  send_orders_until(ordered,
+                    [this] { return reports(core::RunEndKind::NeverStarted); });
   send_orders_until(ordered, after_several_polls());
   BOOST_TEST(server.starts.empty());
 }
