--- a/tests/peer/closing_test.cpp
+++ b/tests/peer/closing_test.cpp
@@ -48,6 +48,34 @@
   return done.wait_for(BOUND) == std::future_status::ready;
 }
 
+/// Closes a listener and its connections while messages arrive.
+void
+close_while_receiving(int& port)
+{
+  std::shared_ptr<std::promise<void>> received =
+    std::make_shared<std::promise<void>>();
+  std::shared_ptr<std::once_flag> once = std::make_shared<std::once_flag>();
+  std::shared_ptr<Listener> listener =
+    std::make_shared<Listener>([received, once] {
+      std::call_once(*once, [&received] { received->set_value(); });
+    });
+  std::string address = listen(*listener, port);
+  std::vector<std::shared_ptr<Connection>> connections;
+  for (int index = 0; index < CONNECTIONS; ++index) {
+    connections.push_back(
+      std::make_shared<Connection>(address, [](std::uint64_t, bool) {}));
+    connections.back()->send(std::string(MESSAGE_BYTES, 'x'));
+  }
+  BOOST_REQUIRE(received->get_future().wait_for(BOUND) ==
+                std::future_status::ready);
+  bool listener_closed =
+    returns([listener = std::move(listener)]() mutable { listener.reset(); });
+  bool connections_closed = returns(
+    [connections = std::move(connections)]() mutable { connections.clear(); });
+  BOOST_REQUIRE(listener_closed);
+  BOOST_REQUIRE(connections_closed);
+}
+
 } // namespace
 
 // nng_close may block forever while messages arrive.
@@ -55,29 +83,9 @@
 {
   int port = FIRST_PORT;
   for (int round = 0; round < ROUNDS; ++round) {
-    std::shared_ptr<std::promise<void>> received =
-      std::make_shared<std::promise<void>>();
-    std::shared_ptr<std::once_flag> once = std::make_shared<std::once_flag>();
-    std::shared_ptr<Listener> listener =
-      std::make_shared<Listener>([received, once] {
-        std::call_once(*once, [&received] { received->set_value(); });
-      });
-    std::string address = listen(*listener, port);
-    std::vector<std::shared_ptr<Connection>> connections;
-    for (int index = 0; index < CONNECTIONS; ++index) {
-      connections.push_back(
-        std::make_shared<Connection>(address, [](std::uint64_t, bool) {}));
-      connections.back()->send(std::string(MESSAGE_BYTES, 'x'));
+    BOOST_TEST_CONTEXT("round " << round)
+    {
+      close_while_receiving(port);
     }
-    BOOST_REQUIRE(received->get_future().wait_for(BOUND) ==
-                  std::future_status::ready);
-    BOOST_REQUIRE_MESSAGE(
-      returns([listener = std::move(listener)]() mutable { listener.reset(); }),
-      "the listener did not close in round " << round);
-    BOOST_REQUIRE_MESSAGE(
-      returns([connections = std::move(connections)]() mutable {
-        connections.clear();
-      }),
-      "a connection did not close in round " << round);
   }
 }
