Count the age of a server's clock reading from the response, not the request

To decide that a silent server's leases have expired, the agent estimates how far the server's clock has moved at least. It counted from the time at which the last answered call was sent; a poll waits up to 700 ms at the server before the clock is read, so the estimate was up to 700 ms too far, less 2% of the lease and 200 ms of slack. It now counts from the arrival of the response.

agent.lease_clock_test: lease_expires_early_after_a_long_poll failed before and passes.

--- a/agent/lease_clock.cpp
+++ b/agent/lease_clock.cpp
@@ -58,8 +58,10 @@
     return false;
   if (!this->clock_known)
     return true;
+  // The server read its clock before the response arrived, possibly long after
+  // the request was sent.
   std::int64_t min_server_now_ms =
-    this->server_time_ms + slowest_clock_ms(now_ms - this->sent_ms);
+    this->server_time_ms + slowest_clock_ms(now_ms - this->received_ms);
   return min_server_now_ms > this->granted_until_ms + EXPIRY_SLACK_MS;
 }
 
--- a/tests/agent/lease_clock_test.cpp
+++ b/tests/agent/lease_clock_test.cpp
@@ -56,3 +56,15 @@
   clock.record_response(9'000, 10'500, 4'000);
   BOOST_TEST(clock.grant(10'002, 0) == 5'000);
 }
+
+// A poll waits at the server, so its response is much newer than its request.
+BOOST_AUTO_TEST_CASE(lease_expires_early_after_a_long_poll)
+{
+  LeaseClock clock;
+  clock.reset(0, 0);
+  clock.record_response(10'000, 10'700, 700);
+  std::int64_t end = 10'700 + LEASE_MS;
+  BOOST_TEST(clock.grant(10'700, LEASE_MS) == 700 + LEASE_MS);
+  BOOST_TEST(!clock.expired(end));
+  BOOST_TEST(clock.expired(end + LEASE_MS * 2 / 98 + 400));
+}
