Count crashes of servers that happen while their agent restarts

The owner knows both facts, though: the earlier process had reported the instance, and the new one reports another, or none until all leases have expired. It now counts such an end as a crash, unless the server had announced that it leaves. The runs lasted at least until the last report of the earlier process.

system.crashing_task_test: crashes_go_uncounted_when_the_agents_restart failed before (6 starts of 5 allowed, job not given up) and passes; entry.server_table_test covers adopted and departed servers. A crash beside a restart of the agent and a change of the owner at once is still not counted.

--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -69,6 +69,34 @@
   return { round_workflow.definition->id, task.occurrence, task.step };
 }
 
+/// The crash of a server that no agent has reported. The runs lasted until
+/// the last report about the server or longer; the start of a run that an
+/// earlier owner placed is unknown and counts as long ago.
+core::ServerCrash
+unreported_crash(const FormerServer& server,
+                 const std::vector<core::RoundWorkflow>& workflows,
+                 const core::StepHistory& history)
+{
+  core::ServerCrash crash{ server.instance, {} };
+  for (const core::RoundWorkflow& round_workflow : workflows) {
+    core::for_each_run(
+      round_workflow.progress,
+      [&](const core::TaskRef& ref, const core::TaskState& task) {
+        if (task.run->server != server.instance)
+          return;
+        std::map<core::TaskKey, std::int64_t>::const_iterator placed =
+          history.placed_ms.find({ step_key(round_workflow, ref), ref.index });
+        std::int64_t placed_ms =
+          placed == history.placed_ms.end() ? 0 : placed->second;
+        crash.runs.push_back(
+          { core::task_name(round_workflow.definition->id, ref),
+            task.run->attempt,
+            std::max<std::int64_t>(server.last_seen_ms - placed_ms, 0) });
+      });
+  }
+  return crash;
+}
+
 } // namespace
 
 RunTracker::RunTracker(const kernel::Log& log,
@@ -143,13 +171,15 @@
 }
 
 void
-RunTracker::apply_crashes(std::vector<core::RoundWorkflow>& workflows)
+RunTracker::apply_crashes(std::vector<core::RoundWorkflow>& workflows,
+                          const core::StepHistory& history,
+                          std::int64_t now_ms)
 {
   WorkflowIndex by_id = index_by_id(workflows);
   for (const std::pair<const std::string, AgentView>& entry :
        this->servers.all()) {
-    for (const v1::CrashReport& row : entry.second.report.crashes()) {
-      core::ServerCrash crash = decode_crash(row);
+    for (const core::ServerCrash& crash :
+         this->crashes_of(entry.second, workflows, history, now_ms)) {
       for (const core::BlamedRun& blamed : core::blamed_runs(crash)) {
         std::optional<std::pair<std::string, core::TaskRef>> name =
           core::parse_task_name(blamed.run.task);
@@ -163,6 +193,22 @@
   }
 }
 
+std::vector<core::ServerCrash>
+RunTracker::crashes_of(const AgentView& agent,
+                       const std::vector<core::RoundWorkflow>& workflows,
+                       const core::StepHistory& history,
+                       std::int64_t now_ms) const
+{
+  std::vector<core::ServerCrash> crashes;
+  for (const v1::CrashReport& row : agent.report.crashes())
+    crashes.push_back(decode_crash(row));
+  const FormerServer* former =
+    this->servers.crashed_former_server(agent, now_ms);
+  if (former)
+    crashes.push_back(unreported_crash(*former, workflows, history));
+  return crashes;
+}
+
 void
 RunTracker::apply_blame(core::RoundWorkflow& round_workflow,
                         const core::ServerInstance& server,
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -47,9 +47,11 @@
     std::vector<core::RoundWorkflow>& workflows,
     std::int64_t now_ms);
 
-  /// Counts the crashes of servers that agents have reported against the tasks
-  /// that may have caused them.
-  void apply_crashes(std::vector<core::RoundWorkflow>& workflows);
+  /// Counts crashes of servers against the tasks that may have caused them:
+  /// those that agents have reported, and those during a restart of the agent.
+  void apply_crashes(std::vector<core::RoundWorkflow>& workflows,
+                     const core::StepHistory& history,
+                     std::int64_t now_ms);
 
   /// Applies ends that no agent has reported, of runs that must have ended.
   void apply_lost_runs(core::RoundWorkflow& round_workflow,
@@ -79,6 +81,12 @@
     bool cause_known = false; ///< A member ended for another reason.
   };
 
+  /// The crashes of the agent's servers that are known to the owner.
+  std::vector<core::ServerCrash> crashes_of(
+    const AgentView& agent,
+    const std::vector<core::RoundWorkflow>& workflows,
+    const core::StepHistory& history,
+    std::int64_t now_ms) const;
   void apply_blame(core::RoundWorkflow& round_workflow,
                    const core::ServerInstance& server,
                    const core::TaskRef& task,
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -27,6 +27,20 @@
   return report.SerializeAsString();
 }
 
+/// Records the server of the process that the reporting one has replaced.
+void
+update_former_server(AgentView& agent, const v1::Envelope& envelope)
+{
+  core::ServerInstance before = instance_of(agent.report.life());
+  core::ServerInstance now = instance_of(envelope.server_report().life());
+  bool same_process = agent.incarnation == envelope.sender_incarnation();
+  bool known = agent.former_server && agent.former_server->instance == before;
+  if (!same_process && !known && !before.id.empty() && !agent.report.leaving())
+    agent.former_server = FormerServer{ before, agent.last_seen_ms };
+  if (agent.former_server && agent.former_server->instance == now)
+    agent.former_server.reset();
+}
+
 } // namespace
 
 std::int64_t
@@ -57,6 +71,7 @@
   bool same_process = agent.incarnation == envelope.sender_incarnation();
   if (same_process && report.sequence() <= agent.report.sequence())
     return nullptr;
+  update_former_server(agent, envelope);
   // An agent that has just started does not know its server yet; the instance
   // that was reported before stays.
   agent.incarnation = envelope.sender_incarnation();
@@ -126,6 +141,19 @@
   return std::nullopt;
 }
 
+const FormerServer*
+ServerTable::crashed_former_server(const AgentView& agent,
+                                   std::int64_t now_ms) const
+{
+  if (!agent.former_server)
+    return nullptr;
+  std::optional<LossCause> cause =
+    this->loss_cause(agent.former_server->instance, agent.node, now_ms);
+  bool ended =
+    cause == LossCause::InstanceReplaced || cause == LossCause::ServerUnknown;
+  return ended ? &*agent.former_server : nullptr;
+}
+
 bool
 ServerTable::agent_silent(const std::string& node, std::int64_t now_ms) const
 {
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -47,6 +47,14 @@
   { LossCause::GangBroken, "gang_broken" },
 };
 
+/// The backend server that an earlier process of an agent had reported. If it
+/// has crashed since, no agent reports the crash.
+struct FormerServer
+{
+  core::ServerInstance instance;
+  std::int64_t last_seen_ms = 0; ///< Boot time of its process's last report.
+};
+
 /// The last report of an agent, and what was sent to this agent.
 struct AgentView
 {
@@ -60,6 +68,8 @@
   /// Boot time of the first report of an agent process that does not know its
   /// backend server yet, 0 if the process knows it.
   std::int64_t no_server_since_ms = 0;
+  /// Set until this process of the agent reports the same instance.
+  std::optional<FormerServer> former_server;
   std::int64_t last_seen_ms = 0;   ///< Boot time of the last report, 0 if none.
   std::int64_t orders_sent_ms = 0; ///< Boot time of the last orders sent.
   std::uint64_t orders_sequence = 0;
@@ -90,6 +100,11 @@
                                       const std::string& node,
                                       std::int64_t now_ms) const;
 
+  /// The former server of an agent if it has ended without announcing it;
+  /// null if there is none.
+  const FormerServer* crashed_former_server(const AgentView& agent,
+                                            std::int64_t now_ms) const;
+
   /// Whether two reports of the agent in a row are missing.
   bool agent_silent(const std::string& node, std::int64_t now_ms) const;
 
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -157,7 +157,7 @@
     round.workflows.push_back(std::move(round_workflow));
   }
   round.applied_ends = this->tracker.apply_ends(round.workflows, now_ms);
-  this->tracker.apply_crashes(round.workflows);
+  this->tracker.apply_crashes(round.workflows, this->history, now_ms);
   for (core::RoundWorkflow& round_workflow : round.workflows) {
     this->tracker.apply_lost_runs(round_workflow, now_ms);
     this->apply_caller_changes(round_workflow);
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -34,6 +34,22 @@
   }
 };
 
+/// An agent process that reported `i-1` and was replaced by another process.
+struct RestartedAgent : Fixture
+{
+  RestartedAgent()
+  {
+    changes();
+    envelope.set_sender_incarnation(2);
+  }
+
+  bool crash_is_known()
+  {
+    return servers.crashed_former_server(*servers.find("node-1"), NOW_MS) !=
+           nullptr;
+  }
+};
+
 } // namespace
 
 // Guards against a scheduling round for each report, which takes most of the
@@ -57,3 +73,36 @@
   envelope.set_sender_incarnation(2);
   BOOST_TEST(changes());
 }
+
+// The new process of the agent never saw the instance that crashed.
+BOOST_FIXTURE_TEST_CASE(restart_of_the_agent_hides_a_crash, RestartedAgent)
+{
+  report.mutable_life()->clear_id();
+  changes();
+  BOOST_TEST(!crash_is_known());
+  report.mutable_life()->set_id("i-2");
+  changes();
+  BOOST_TEST_REQUIRE(crash_is_known());
+  BOOST_TEST(servers.find("node-1")->former_server->instance.id == "i-1");
+}
+
+BOOST_FIXTURE_TEST_CASE(adopted_server_counts_as_crashed, RestartedAgent)
+{
+  changes();
+  BOOST_TEST(!crash_is_known());
+  report.mutable_life()->set_id("i-2");
+  changes();
+  BOOST_TEST(!crash_is_known());
+}
+
+BOOST_FIXTURE_TEST_CASE(departure_during_a_restart_counts_as_a_crash, Fixture)
+{
+  report.set_leaving(true);
+  changes();
+  envelope.set_sender_incarnation(2);
+  report.mutable_life()->set_id("i-2");
+  report.set_leaving(false);
+  changes();
+  const entry::AgentView& agent = *servers.find("node-1");
+  BOOST_TEST(servers.crashed_former_server(agent, NOW_MS) == nullptr);
+}
--- a/tests/system/crashing_task_test.cpp
+++ b/tests/system/crashing_task_test.cpp
@@ -16,6 +16,7 @@
 struct CrashFixture : PlatformFixture
 {
   std::size_t crashing_starts = 0;
+  bool agents_restart = false; ///< When their server crashes.
   std::vector<kernel::Subscription> events;
 
   CrashFixture()
@@ -26,6 +27,8 @@
       servers[index]->on_start = [this, index](const ServerStandin::Run& run) {
         if (run.first.starts_with(JOB))
           crash(index);
+        if (run.first.starts_with(JOB) && agents_restart)
+          restart_agent(index);
       };
     }
     wait_ready();
@@ -41,6 +44,18 @@
     }));
   }
 
+  /// Restarts the agent of a server shortly after the server has crashed.
+  void restart_agent(std::size_t index)
+  {
+    events.push_back(
+      timers.after(CRASH_DELAY, [this, index] { agents[index].reset(); }));
+    events.push_back(timers.after(CRASH_DELAY * 10, [this, index] {
+      agents[index] = std::make_unique<agent::PlatformProgram>(
+        loop, timers, log, agent_settings[index]);
+      BOOST_REQUIRE(agents[index]->start());
+    }));
+  }
+
   void submit(const std::string& id, const std::string& body)
   {
     BOOST_REQUIRE(call("POST", PREFIX + id, body).status == 200);
@@ -91,6 +106,14 @@
   wait_failed(MAX_STARTS, 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(crashes_go_uncounted_when_the_agents_restart,
+                        CrashFixture)
+{
+  agents_restart = true;
+  submit(JOB, submission(1, 1, false));
+  wait_failed(MAX_STARTS);
+}
+
 // A job that was on a crashing server must run again, and must not fail.
 BOOST_FIXTURE_TEST_CASE(neighbour_of_a_crashing_task_is_given_up, CrashFixture)
 {
