--- /dev/null
+++ b/entry/crash_tracker.cpp
@@ -0,0 +1,128 @@
+#include "entry/crash_tracker.h"
+
+#include "entry/events.h"
+#include "entry/workflow_index.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace geraniumhinge::entry {
+
+namespace {
+
+core::ServerCrash
+decode_crash(const v1::CrashReport& row)
+{
+  core::ServerCrash crash{ instance_of(row.life()), {} };
+  for (const v1::CrashedRun& run : row.runs())
+    crash.runs.push_back({ run.task(), run.attempt(), run.ran_ms() });
+  return crash;
+}
+
+/// The crash of a server that no agent has reported. The runs lasted until
+/// the last report about the server or longer; the start of a run that an
+/// earlier owner placed is unknown and counts as long ago.
+core::ServerCrash
+unreported_crash(const FormerServer& server,
+                 const std::vector<core::RoundWorkflow>& workflows,
+                 const core::StepHistory& history)
+{
+  core::ServerCrash crash{ server.instance, {} };
+  for (const core::RoundWorkflow& round_workflow : workflows) {
+    core::for_each_run(
+      round_workflow.progress,
+      [&](const core::TaskRef& ref, const core::TaskState& task) {
+        if (task.run->server != server.instance)
+          return;
+        std::map<core::TaskKey, std::int64_t>::const_iterator placed =
+          history.placed_ms.find({ step_key(round_workflow, ref), ref.index });
+        std::int64_t placed_ms =
+          placed == history.placed_ms.end() ? 0 : placed->second;
+        crash.runs.push_back(
+          { core::task_name(round_workflow.definition->id, ref),
+            task.run->attempt,
+            std::max<std::int64_t>(server.last_seen_ms - placed_ms, 0) });
+      });
+  }
+  return crash;
+}
+
+} // namespace
+
+CrashTracker::CrashTracker(const kernel::Log& log,
+                           kernel::Metrics& metrics,
+                           const ServerTable& servers)
+  : log(log)
+  , metrics(metrics)
+  , servers(servers)
+{
+}
+
+void
+CrashTracker::apply(std::vector<core::RoundWorkflow>& workflows,
+                    const core::StepHistory& history,
+                    std::int64_t now_ms)
+{
+  WorkflowIndex by_id = index_by_id(workflows);
+  for (const std::pair<const std::string, AgentView>& entry :
+       this->servers.all()) {
+    for (const core::ServerCrash& crash :
+         this->crashes_of(entry.second, workflows, history, now_ms)) {
+      for (const core::BlamedRun& blamed : core::blamed_runs(crash)) {
+        std::optional<std::pair<std::string, core::TaskRef>> name =
+          core::parse_task_name(blamed.run.task);
+        WorkflowIndex::iterator found =
+          name ? by_id.find(name->first) : by_id.end();
+        if (found != by_id.end())
+          this->apply_blame(
+            *found->second, crash.instance, name->second, blamed);
+      }
+    }
+  }
+}
+
+std::vector<core::ServerCrash>
+CrashTracker::crashes_of(const AgentView& agent,
+                         const std::vector<core::RoundWorkflow>& workflows,
+                         const core::StepHistory& history,
+                         std::int64_t now_ms) const
+{
+  std::vector<core::ServerCrash> crashes;
+  for (const v1::CrashReport& row : agent.report.crashes())
+    crashes.push_back(decode_crash(row));
+  const FormerServer* former =
+    this->servers.crashed_former_server(agent, now_ms);
+  if (former)
+    crashes.push_back(unreported_crash(*former, workflows, history));
+  return crashes;
+}
+
+void
+CrashTracker::apply_blame(core::RoundWorkflow& round_workflow,
+                          const core::ServerInstance& server,
+                          const core::TaskRef& task,
+                          const core::BlamedRun& blamed)
+{
+  const core::Workflow& workflow = *round_workflow.definition;
+  if (!core::apply_crash(workflow, round_workflow.progress, task, blamed))
+    return;
+  round_workflow.changed = true;
+  const core::TaskState& primary =
+    core::primary_task(workflow, round_workflow.progress, task);
+  bool given_up = round_workflow.progress.outcome == core::Outcome::Failed;
+  this->metrics.counter("entry_crashes_counted_total").add();
+  if (given_up)
+    this->metrics.counter("entry_crashing_tasks_given_up_total").add();
+  this->log.write(CRASH_COUNTED,
+                  { { "task", blamed.run.task },
+                    { "attempt", blamed.run.attempt },
+                    { "server", server.id },
+                    { "ran_ms", blamed.run.ran_ms },
+                    { "early_crashes", primary.early_crashes },
+                    { "crashes", primary.crashes },
+                    { "given_up", given_up } });
+}
+
+} // namespace geraniumhinge::entry
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "core/crash.h"
 #include "core/names.h"
 #include "core/progress_watch.h"
 #include "core/quarantine.h"
@@ -47,12 +46,6 @@
     std::vector<core::RoundWorkflow>& workflows,
     std::int64_t now_ms);
 
-  /// Counts crashes of servers against the tasks that may have caused them:
-  /// those that agents have reported, and those during a restart of the agent.
-  void apply_crashes(std::vector<core::RoundWorkflow>& workflows,
-                     const core::StepHistory& history,
-                     std::int64_t now_ms);
-
   /// Applies ends that no agent has reported, of runs that must have ended.
   void apply_lost_runs(core::RoundWorkflow& round_workflow,
                        std::int64_t now_ms);
@@ -81,16 +74,6 @@
     bool cause_known = false; ///< A member ended for another reason.
   };
 
-  /// The crashes of the agent's servers that are known to the owner.
-  std::vector<core::ServerCrash> crashes_of(
-    const AgentView& agent,
-    const std::vector<core::RoundWorkflow>& workflows,
-    const core::StepHistory& history,
-    std::int64_t now_ms) const;
-  void apply_blame(core::RoundWorkflow& round_workflow,
-                   const core::ServerInstance& server,
-                   const core::TaskRef& task,
-                   const core::BlamedRun& blamed);
   void apply_reported_end(core::RoundWorkflow& round_workflow,
                           const AgentView& agent,
                           const v1::EndReport& end,
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -93,6 +93,7 @@
 
   AgentView* find(const std::string& node);
   std::map<std::string, AgentView>& all() { return this->agents; }
+  const std::map<std::string, AgentView>& all() const { return this->agents; }
 
   /// Why the instance and all runs in it must have ended; empty if they may
   /// not have ended.
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -51,6 +51,7 @@
             },
              [this](bool still_owner) { this->handle_conflict(still_owner); } })
   , tracker(log, metrics, servers)
+  , crash_tracker(log, metrics, servers)
 {
 }
 
@@ -157,7 +158,7 @@
     round.workflows.push_back(std::move(round_workflow));
   }
   round.applied_ends = this->tracker.apply_ends(round.workflows, now_ms);
-  this->tracker.apply_crashes(round.workflows, this->history, now_ms);
+  this->crash_tracker.apply(round.workflows, this->history, now_ms);
   for (core::RoundWorkflow& round_workflow : round.workflows) {
     this->tracker.apply_lost_runs(round_workflow, now_ms);
     this->apply_caller_changes(round_workflow);
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -2,6 +2,7 @@
 
 #include "core/operator_config.h"
 #include "core/round.h"
+#include "entry/crash_tracker.h"
 #include "entry/orders.h"
 #include "entry/run_tracker.h"
 #include "entry/server_table.h"
@@ -134,6 +135,7 @@
   std::set<RunName> pending_ends; ///< Runs whose end `writer` is storing.
   core::StepHistory history;
   RunTracker tracker;
+  CrashTracker crash_tracker;
   std::uint64_t orders_sequence = 0;
   kernel::Subscription round_timer;
   kernel::Subscription expiry_timer;
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE run_tracker
+#include "entry/crash_tracker.h"
 #include "entry/run_tracker.h"
 #include "entry/work_rows.h"
 
@@ -205,8 +206,9 @@
   run.set_task(core::task_name(JOB, { 0, 0, 0 }));
   run.set_attempt(2);
   BOOST_REQUIRE(servers.apply_report(envelope, NOW_MS) != nullptr);
-  tracker.apply_crashes(workflows, {}, NOW_MS);
-  tracker.apply_crashes(workflows, {}, NOW_MS);
+  entry::CrashTracker crash_tracker{ log, metrics, servers };
+  crash_tracker.apply(workflows, {}, NOW_MS);
+  crash_tracker.apply(workflows, {}, NOW_MS);
   BOOST_TEST(workflows[0].changed);
   std::optional<core::Progress> stored =
     entry::decode_progress(entry::encode_progress(workflows[0].progress));
