Ignore delayed reports of an agent process that has been replaced

Found by reading, while the crashes beside restarts were traced: a report of an earlier process of an agent, held up on another connection, replaced the report of the present one. If the server had restarted too, the owner took its new instance for replaced and its runs for lost, and started them again elsewhere while they ran on. Incarnations are random and have no order, so the owner now remembers those that were replaced, and ignores their reports while the present process reports. If the present one is silent, its report may itself have been the delayed one, and the other is accepted again.

entry.server_table_test: delayed_report_of_an_earlier_agent_loses_runs failed before and passes; agent_stays_ignored_after_a_delayed_report covers a new owner that sees the reports in the wrong order. Without a thread, a socket is now closed inline.

--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -27,6 +27,17 @@
   return report.SerializeAsString();
 }
 
+/// Whether an earlier process of the agent sent the report. If the last one is
+/// silent, it may itself have been known only by a delayed report.
+bool
+is_delayed(const AgentView& agent,
+           const v1::Envelope& envelope,
+           std::int64_t now_ms)
+{
+  return agent.former_incarnations.contains(envelope.sender_incarnation()) &&
+         now_ms - agent.last_seen_ms < SILENCE_LIMIT_MS;
+}
+
 /// Records the server of the process that the reporting one has replaced.
 void
 update_former_server(AgentView& agent, const v1::Envelope& envelope)
@@ -71,6 +82,12 @@
   bool same_process = agent.incarnation == envelope.sender_incarnation();
   if (same_process && report.sequence() <= agent.report.sequence())
     return nullptr;
+  if (is_delayed(agent, envelope, now_ms))
+    return nullptr;
+  if (!same_process) {
+    agent.former_incarnations.erase(envelope.sender_incarnation());
+    agent.former_incarnations.insert(agent.incarnation);
+  }
   update_former_server(agent, envelope);
   // An agent that has just started does not know its server yet; the instance
   // that was reported before stays.
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace geraniumhinge::entry {
@@ -61,6 +62,8 @@
   std::string node;
   std::string address;
   std::uint64_t incarnation = 0; ///< Of the agent's process.
+  /// Of its earlier processes, whose reports may still arrive.
+  std::set<std::uint64_t> former_incarnations;
   v1::ServerReport report;
   /// The last report differs from the one before in what a scheduling round
   /// depends on.
@@ -85,7 +88,8 @@
   /// Drops all agents; called when ownership begins.
   void reset(std::int64_t now_ms);
 
-  /// Applies a report. An older report changes nothing and returns null.
+  /// Applies a report. An older report changes nothing and returns null, and
+  /// so does one of an earlier process of the agent while the last one reports.
   AgentView* apply_report(const v1::Envelope& envelope, std::int64_t now_ms);
 
   /// Sets the address of an agent, which may not have reported yet.
--- a/peer/close_socket.cpp
+++ b/peer/close_socket.cpp
@@ -15,7 +15,8 @@
   try {
     std::thread(std::move(task)).detach();
   } catch (const std::system_error&) {
-    // Without a thread, the socket stays open until the process ends.
+    // No thread could be started.
+    nng_close(socket);
     return;
   }
   closed.wait_for(max_wait);
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -74,6 +74,30 @@
   BOOST_TEST(changes());
 }
 
+// Messages on different connections may overtake each other.
+BOOST_FIXTURE_TEST_CASE(delayed_report_of_an_earlier_agent_loses_runs,
+                        RestartedAgent)
+{
+  report.mutable_life()->set_id("i-2");
+  changes();
+  envelope.set_sender_incarnation(1);
+  report.mutable_life()->set_id("i-1");
+  report.set_sequence(report.sequence() + 1);
+  BOOST_TEST(servers.apply_report(envelope, NOW_MS) == nullptr);
+  BOOST_TEST(!servers.loss_cause({ "i-2", 1 }, "node-1", NOW_MS).has_value());
+}
+
+// A new owner may see the reports of two processes in the wrong order.
+BOOST_FIXTURE_TEST_CASE(agent_stays_ignored_after_a_delayed_report,
+                        RestartedAgent)
+{
+  changes();
+  envelope.set_sender_incarnation(1);
+  report.set_sequence(report.sequence() + 1);
+  BOOST_TEST(servers.apply_report(envelope, NOW_MS + 1'000) == nullptr);
+  BOOST_TEST(servers.apply_report(envelope, NOW_MS + 3'000) != nullptr);
+}
+
 // The new process of the agent never saw the instance that crashed.
 BOOST_FIXTURE_TEST_CASE(restart_of_the_agent_hides_a_crash, RestartedAgent)
 {
