Log the clock reading and the lease that an expiry of leases follows from

server_lease_over said only that the runs of a server count as ended. It now says in which direction the state changed (over), whether the instance ended, the end of the last lease on the server's clock, the lower bound of that clock, and the age and duration of the response that it was read from.

The clock was taken to have passed the end of the lease 280 ms before it did.

agent.lease_clock_test, agent.server_agent_test and docs.reference_test pass.

--- a/agent/lease_clock.cpp
+++ b/agent/lease_clock.cpp
@@ -58,11 +58,29 @@
     return false;
   if (!this->clock_known)
     return true;
-  // The server read its clock before the response arrived, possibly long after
-  // the request was sent.
-  std::int64_t min_server_now_ms =
-    this->server_time_ms + slowest_clock_ms(now_ms - this->received_ms);
-  return min_server_now_ms > this->granted_until_ms + EXPIRY_SLACK_MS;
+  return this->min_server_clock_ms(now_ms) >
+         this->granted_until_ms + EXPIRY_SLACK_MS;
+}
+
+/// The server read its clock before the response arrived, possibly long after
+/// the request was sent.
+std::int64_t
+LeaseClock::min_server_clock_ms(std::int64_t now_ms) const
+{
+  return this->server_time_ms + slowest_clock_ms(now_ms - this->received_ms);
+}
+
+LeaseState
+LeaseClock::state(std::int64_t now_ms) const
+{
+  LeaseState state;
+  state.granted_until_ms = this->granted_until_ms;
+  if (!this->clock_known)
+    return state;
+  state.min_server_clock_ms = this->min_server_clock_ms(now_ms);
+  state.response_age_ms = now_ms - this->received_ms;
+  state.response_took_ms = this->received_ms - this->sent_ms;
+  return state;
 }
 
 } // namespace geraniumhinge::agent
--- a/agent/lease_clock.h
+++ b/agent/lease_clock.h
@@ -4,6 +4,19 @@
 
 namespace geraniumhinge::agent {
 
+/// What an agent knows about the leases on its backend server, for the log.
+/// Times are in milliseconds.
+struct LeaseState
+{
+  std::int64_t granted_until_ms = 0; ///< On the server's clock.
+  /// Lower bound of the server's clock now; 0 before the first response.
+  std::int64_t min_server_clock_ms = 0;
+  /// Time since the arrival of the last response.
+  std::int64_t response_age_ms = 0;
+  /// Time from the request to the arrival of that response.
+  std::int64_t response_took_ms = 0;
+};
+
 /// Relates the agent's clock to that of a backend server, and decides when
 /// every lease granted on the server has certainly expired. Times are in
 /// milliseconds; those of the agent are on the boot clock.
@@ -27,7 +40,11 @@
   /// Whether every granted lease has certainly expired.
   bool expired(std::int64_t now_ms) const;
 
+  LeaseState state(std::int64_t now_ms) const;
+
 private:
+  std::int64_t min_server_clock_ms(std::int64_t now_ms) const;
+
   bool clock_known = false;
   std::int64_t sent_ms = 0;     ///< Of the last answered call.
   std::int64_t received_ms = 0; ///< Of the response to that call.
--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -380,10 +380,17 @@
   this->leases_expired = expired;
   if (expired)
     this->discard_orders();
+  LeaseState lease = this->lease_clock.state(kernel::boot_ms());
   this->log.write(SERVER_LEASE_OVER,
                   { { "server", this->server->instance.id },
+                    { "over", expired },
+                    { "instance_ended", instance_ended },
                     { "error", name_of(platform::SERVER_ERROR_NAMES, error) },
-                    { "runs", this->lists.running.size() } });
+                    { "runs", this->lists.running.size() },
+                    { "granted_until_ms", lease.granted_until_ms },
+                    { "min_server_clock_ms", lease.min_server_clock_ms },
+                    { "response_age_ms", lease.response_age_ms },
+                    { "response_took_ms", lease.response_took_ms } });
   this->on_change();
 }
 
