Take runs of a restarted agent for lost by the agent's own time without a lease

A task could be started again while its first run was alive (TWICE). An agent that restarts does not know its backend server until the next announcement. The owner counted from the first report of such a process until now, and after the length of a lease it took all runs on the server for ended. If the agent found its server and then lost its connection to the owner, it had renewed the lease for up to the orphan timeout after its last report, several seconds longer.

The report now says for how long the agent's process has run without granting a lease. If that is longer than a lease, all leases are from before its start and have expired, however late the report arrives.

entry.server_table_test: silence_of_a_restarted_agent_loses_runs failed before. agent.server_agent_test: agent_that_granted_a_lease_reports_none fails if the process's lease is not counted.

--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -42,6 +42,7 @@
   // began with their own start times.
   , fencing_token(static_cast<std::uint64_t>(kernel::unix_ms()))
   , fencing_token_step(FENCING_TOKEN_STEP)
+  , started_ms(kernel::boot_ms())
 {
   this->reconcile_timer =
     this->timers.every(RECONCILE_PERIOD, [this] { this->reconcile(); });
@@ -76,6 +77,22 @@
   return this->answering && this->owner_seen_lately();
 }
 
+/// Returns the end, on the server's clock, of a lease that begins now.
+std::int64_t
+ServerAgent::grant_lease(std::int64_t now_ms)
+{
+  this->has_granted_lease = true;
+  return this->lease_clock.grant(now_ms, this->options.lease.count());
+}
+
+/// For how long this process has run without granting a lease; 0 if it has
+/// granted one.
+std::int64_t
+ServerAgent::no_lease_ms(std::int64_t now_ms) const
+{
+  return this->has_granted_lease ? 0 : now_ms - this->started_ms;
+}
+
 /// Records that the owner has replied to a report. The time of the report
 /// counts: the reply may have been under way for long, or this process paused.
 void
@@ -207,8 +224,7 @@
   std::int64_t now = kernel::boot_ms();
   platform::LeaseRequest request;
   if (this->may_renew_lease())
-    request.lease_until_ms =
-      this->lease_clock.grant(now, this->options.lease.count());
+    request.lease_until_ms = this->grant_lease(now);
   request.acknowledged_ends = this->acknowledged_ends();
   this->log_acknowledgement(request.acknowledged_ends);
   // The first poll of an instance and a poll after a confirmed stop return at
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -99,6 +99,8 @@
   bool state_is_known() const;
   bool owner_seen_lately() const;
   bool may_renew_lease() const;
+  std::int64_t grant_lease(std::int64_t now_ms);
+  std::int64_t no_lease_ms(std::int64_t now_ms) const;
   void record_owner_reply(const v1::ServerOrders& orders);
   void discard_orders();
   std::set<RunKey> unconfirmed_starts() const;
@@ -145,6 +147,8 @@
   /// another number are dropped.
   std::uint64_t instance_number = 0;
   LeaseClock lease_clock;
+  std::int64_t started_ms = 0;    ///< Boot time of the start of this process.
+  bool has_granted_lease = false; ///< This process has, to any instance.
   platform::ServerTaskLists lists;
   bool lists_known = false; ///< `lists` are from the current instance.
   bool poll_in_flight = false;
--- a/agent/server_report.cpp
+++ b/agent/server_report.cpp
@@ -36,8 +36,10 @@
   for (const core::ServerCrash& crash :
        this->crash_log.recent(kernel::boot_ms()))
     add_crash(crash, report);
-  if (!this->state_is_known())
+  if (!this->state_is_known()) {
+    report.set_no_lease_ms(this->no_lease_ms(kernel::boot_ms()));
     return report;
+  }
   report.mutable_life()->set_id(this->server->instance.id);
   report.mutable_life()->set_born_ms(this->server->instance.started_ms);
   report.mutable_life()->set_node(this->options.node);
--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -258,8 +258,7 @@
   request.payload = run.order.payload();
   request.checkpoint = run.order.checkpoint();
   request.ticket = run.order.ticket();
-  request.lease_until_ms =
-    this->lease_clock.grant(kernel::boot_ms(), this->options.lease.count());
+  request.lease_until_ms = this->grant_lease(kernel::boot_ms());
   this->server_client.start(
     this->target(),
     request,
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -96,15 +96,14 @@
   bool same_instance =
     instance_of(agent.report.life()) == instance_of(report.life());
   if (report.life().id().empty()) {
-    if (!same_process)
-      agent.no_server_since_ms = now_ms;
+    agent.no_lease_ms = report.no_lease_ms();
     agent.report.set_sequence(report.sequence());
     *agent.report.mutable_crashes() = report.crashes();
     agent.report.set_ready(false);
     agent.report_changed = true;
     return &agent;
   }
-  agent.no_server_since_ms = 0;
+  agent.no_lease_ms = 0;
   if (!same_instance)
     agent.stored_ends = 0;
   agent.report_changed =
@@ -146,9 +145,8 @@
       return LossCause::InstanceReplaced;
     if (reported && agent.report.lease_over())
       return LossCause::LeasesExpired;
-    // An agent process that does not know its server renews no lease.
-    if (agent.no_server_since_ms != 0 &&
-        now_ms - agent.no_server_since_ms > this->bounds.lease_ms())
+    // All leases are from before the agent's process started.
+    if (agent.no_lease_ms > this->bounds.lease_ms())
       return LossCause::ServerUnknown;
     if (agent.last_seen_ms != 0)
       orders_sent_ms = std::max(agent.last_seen_ms, agent.orders_sent_ms);
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -35,7 +35,7 @@
 {
   InstanceReplaced, ///< Its agent reported another instance.
   LeasesExpired,    ///< Its agent reported that no run is left.
-  ServerUnknown,    ///< Its agent restarted and does not know the server.
+  ServerUnknown,    ///< Its agent restarted, and older leases have expired.
   AgentSilent,      ///< Its agent sent no report for too long.
   GangBroken,       ///< All other members of the gang ended because of it.
 };
@@ -68,9 +68,9 @@
   /// The last report differs from the one before in what a scheduling round
   /// depends on.
   bool report_changed = false;
-  /// Boot time of the first report of an agent process that does not know its
-  /// backend server yet, 0 if the process knows it.
-  std::int64_t no_server_since_ms = 0;
+  /// For how long the agent's process had granted no lease when it sent its
+  /// last report, 0 if it knew its backend server then.
+  std::int64_t no_lease_ms = 0;
   /// Set until this process of the agent reports the same instance.
   std::optional<FormerServer> former_server;
   std::int64_t last_seen_ms = 0;   ///< Boot time of the last report, 0 if none.
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -134,6 +134,20 @@
   BOOST_TEST(!agent->report().ready());
 }
 
+// An owner takes runs for ended if no lease was granted for long enough.
+BOOST_FIXTURE_TEST_CASE(agent_that_granted_a_lease_reports_none, Fixture)
+{
+  run_until([this] { return agent->report().no_lease_ms() > 20; });
+  announce();
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  send_orders_until(ordered, [this] { return server.running.size() == 1; });
+  server.restart();
+  send_orders_until(ordered,
+                    [this] { return agent->report().life().id().empty(); });
+  BOOST_TEST(agent->report().no_lease_ms() == 0);
+}
+
 // Guards against orders for an earlier instance that start a run on a server
 // which has restarted under the same identifier.
 BOOST_FIXTURE_TEST_CASE(new_instance_gets_no_orders_for_the_old_one, Fixture)
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -130,3 +130,25 @@
   const entry::AgentView& agent = *servers.find("node-1");
   BOOST_TEST(servers.crashed_former_server(agent, NOW_MS) == nullptr);
 }
+
+// The agent may have found its server and renewed leases after that report.
+BOOST_FIXTURE_TEST_CASE(silence_of_a_restarted_agent_loses_runs, RestartedAgent)
+{
+  report.mutable_life()->clear_id();
+  changes();
+  std::int64_t lease_over_ms = NOW_MS + entry::LeaseBounds{}.lease_ms() + 1;
+  BOOST_TEST(
+    !servers.loss_cause({ "i-1", 1 }, "node-1", lease_over_ms).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(runs_without_a_lease_are_not_restarted, RestartedAgent)
+{
+  report.mutable_life()->clear_id();
+  report.set_no_lease_ms(entry::LeaseBounds{}.lease_ms());
+  changes();
+  BOOST_TEST(!servers.loss_cause({ "i-1", 1 }, "node-1", NOW_MS).has_value());
+  report.set_no_lease_ms(report.no_lease_ms() + 1);
+  changes();
+  BOOST_TEST((servers.loss_cause({ "i-1", 1 }, "node-1", NOW_MS) ==
+              entry::LossCause::ServerUnknown));
+}
