Test a second run after a held poll with the programs

Until now only agent.lease_clock_test guarded against the cause, an age of the server's clock that counted from the request of a poll that the server had held.

system.lease_expiry_test runs an entry, two agents and stand-ins of their servers. The first server, whose clock is 2% slow, answers a poll after its full wait; then a run starts and no response to a poll arrives any more. Stops, and in one case the start, are carried out late without a response. The intervals of the runs as the servers see them must not overlap.

The stand-in of a server now limits leases to the longest one, refuses starts whose lease has expired, and can lose responses to polls, carry out calls late and have a slow clock.

--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -51,7 +51,18 @@
 
   std::int64_t clock_ms() const
   {
-    return kernel::boot_ms() - this->clock_start_ms;
+    return (kernel::boot_ms() - this->clock_start_ms) *
+           (PERCENT - this->clock_slowness_percent) / PERCENT;
+  }
+
+  /// Ends all runs if their lease has expired. Also done periodically.
+  void expire()
+  {
+    if (this->running.empty() || this->clock_ms() < this->lease_until_ms)
+      return;
+    std::map<Run, std::string> expired_runs = this->running;
+    for (const std::pair<const Run, std::string>& item : expired_runs)
+      this->end(item.first, "lapsed");
   }
 
   /// Ends a run as if the task had ended by itself, with the end kind
@@ -128,8 +139,23 @@
              { "sequence", sequence } };
   }
 
+  enum class PollResponses
+  {
+    Delivered,
+    Closed,  ///< The connection ends instead of a response.
+    Missing, ///< No response arrives.
+  };
+
   bool listening = false;
   bool silent = false; ///< Requests are read and never answered.
+  PollResponses poll_responses = PollResponses::Delivered;
+  /// If not 0, starts and stops are executed this much later, without a
+  /// response.
+  kernel::Milliseconds call_delay{ 0 };
+  int clock_slowness_percent = 0; ///< To be set before the first poll.
+  kernel::Milliseconds max_lease{ 6'000 };
+  /// Boot time of the last response to a poll that waited its whole time.
+  std::int64_t last_full_wait_ms = 0;
   /// Number of starts to execute without a response.
   int unanswered_starts = 0;
   int ignored_starts = 0;      ///< Number of starts to drop without a response.
@@ -196,15 +222,6 @@
     this->waiting.clear();
   }
 
-  void expire()
-  {
-    if (this->running.empty() || this->clock_ms() < this->lease_until_ms)
-      return;
-    std::map<Run, std::string> expired_runs = this->running;
-    for (const std::pair<const Run, std::string>& item : expired_runs)
-      this->end(item.first, "lapsed");
-  }
-
   void handle(const gateway::HttpRequest& request,
               gateway::HttpServer::ResponseCallback respond)
   {
@@ -213,6 +230,40 @@
       return;
     }
     Json body = Json::parse(request.body, nullptr, false);
+    if (request.path == POLL_PATH)
+      respond = this->poll_response(std::move(respond));
+    bool delayable = request.path == START_PATH || request.path == STOP_PATH;
+    if (delayable && this->call_delay.count() > 0) {
+      this->unanswered.push_back(std::move(respond));
+      this->late_calls.push_back(
+        this->timers.after(this->call_delay, [this, path = request.path, body] {
+          if (this->listening)
+            this->execute(path, body, [](const gateway::HttpResponse&) {});
+        }));
+      return;
+    }
+    this->execute(request.path, body, std::move(respond));
+  }
+
+  /// Sends the response to a poll unless it is to be lost.
+  gateway::HttpServer::ResponseCallback poll_response(
+    gateway::HttpServer::ResponseCallback respond)
+  {
+    return [this, respond = std::move(respond)](
+             gateway::HttpResponse response) mutable {
+      if (this->poll_responses == PollResponses::Delivered)
+        respond(std::move(response));
+      else if (this->poll_responses == PollResponses::Closed)
+        respond({ gateway::CLOSE_CONNECTION, "", "", {} });
+      else
+        this->unanswered.push_back(std::move(respond));
+    };
+  }
+
+  void execute(const std::string& path,
+               const Json& body,
+               gateway::HttpServer::ResponseCallback respond)
+  {
     std::uint64_t token = body.value("fence_token", std::uint64_t{ 0 });
     if (token < this->fencing_token) {
       ++this->stale_requests;
@@ -220,21 +271,29 @@
       return;
     }
     this->fencing_token = token;
+    this->expire();
     if (body.contains("deadline_ms"))
-      this->lease_until_ms =
-        std::max(this->lease_until_ms, body["deadline_ms"].get<std::int64_t>());
-    if (request.path == "/geraniumhinge/run-start")
+      this->extend_lease(body["deadline_ms"].get<std::int64_t>());
+    if (path == START_PATH)
       this->start(body, respond);
-    else if (request.path == "/geraniumhinge/run-stop")
+    else if (path == STOP_PATH)
       this->stop(body, respond);
-    else if (request.path == "/geraniumhinge/pace")
+    else if (path == "/geraniumhinge/pace")
       this->pace(body, respond);
-    else if (request.path == "/geraniumhinge/hold")
+    else if (path == POLL_PATH)
       this->renew_lease(body, std::move(respond));
     else
       respond({ 404, "application/json", "{}", {} });
   }
 
+  /// The lease is never shortened, and never longer than the longest one.
+  void extend_lease(std::int64_t deadline_ms)
+  {
+    std::int64_t until_ms =
+      std::min(deadline_ms, this->clock_ms() + this->max_lease.count());
+    this->lease_until_ms = std::max(this->lease_until_ms, until_ms);
+  }
+
   void refuse(const gateway::HttpServer::ResponseCallback& respond,
               const std::string& reason) const
   {
@@ -265,6 +324,10 @@
         this->refuse(respond, "old");
         return;
       }
+      if (this->clock_ms() >= this->lease_until_ms) {
+        this->refuse(respond, "late");
+        return;
+      }
       this->running[run] = body.value("task_spec", "");
       this->on_start(run);
     }
@@ -322,6 +385,7 @@
     item->respond = std::move(respond);
     item->timeout =
       this->timers.after(kernel::Milliseconds(wait_ms), [this, item] {
+        this->last_full_wait_ms = kernel::boot_ms();
         this->respond_with_lists(item->respond);
         this->waiting.erase(item);
       });
@@ -353,6 +417,11 @@
     respond({ 200, "application/json", response.dump(), {} });
   }
 
+  static constexpr char START_PATH[] = "/geraniumhinge/run-start";
+  static constexpr char STOP_PATH[] = "/geraniumhinge/run-stop";
+  static constexpr char POLL_PATH[] = "/geraniumhinge/hold";
+  static constexpr std::int64_t PERCENT = 100;
+
   kernel::Loop& loop;
   kernel::TimerService& timers;
   std::unique_ptr<gateway::HttpServer> server;
@@ -361,6 +430,7 @@
     last_attempts; ///< Highest stopped or ended attempt, by task.
   std::list<Waiting> waiting;
   std::vector<gateway::HttpServer::ResponseCallback> unanswered;
+  std::vector<kernel::Subscription> late_calls;
   std::uint64_t next_end = 1;
   std::int64_t lease_until_ms = 0;
   std::int64_t clock_start_ms = kernel::boot_ms();
--- a/tests/system/platform_fixture.h
+++ b/tests/system/platform_fixture.h
@@ -118,6 +118,7 @@
     settings.max_lease = kernel::Milliseconds(2'000);
     settings.lease = kernel::Milliseconds(2'000);
     settings.orphan_timeout = kernel::Milliseconds(1'500);
+    servers.back()->max_lease = settings.max_lease;
     settings.report_period = kernel::Milliseconds(200);
     settings.heartbeat_period = HEARTBEAT_PERIOD;
     agent_settings.push_back(settings);
