Count the retention of an outcome from when it is stored

What callers see: the state of a job that ended during an outage of the store can be gone (410) long before the retention period has passed since its outcome was first shown.

Cause: the time of an outcome is that of the owner's decision, and the row with it may be stored as much later as an outage lasts. It was also compared with the Unix time of the owner at the removal, which may be another machine.

Each entry now counts from the boot time at which it first read the stored outcome. A process that has just started counts the period anew, so a removal may be late but not early.

system.platform_path_test: outcome_stored_late_is_removed_too_early, with an outage of 7 s and a retention of 6 s, failed before in both of two runs:

check kernel::boot_ms() - shown_ms >= retention.count() has failed [1983064 - 1980134 < 6000]

and passes now in both of two runs, as does the rest of that program.

--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -479,14 +479,17 @@
     return;
   platform::RowChange removal;
   removal.conditions.push_back({ owner_row(), this->term });
-  std::int64_t limit = kernel::unix_ms() - this->limits.retention_ms;
+  // Callers see an outcome only once it is stored, which may take as long as an
+  // outage of the store. A process that has just started keeps all outcomes for
+  // the whole period.
+  std::int64_t limit = kernel::boot_ms() - this->limits.retention_ms;
   for (const std::pair<const std::string, WorkItem>& entry :
        this->view.items()) {
     const WorkItem& item = entry.second;
     if (item.workflow_version != 0 && !item.usable)
       this->log.write(ROW_MALFORMED, { { "key", entry.first } });
-    bool expired = item.workflow && item.progress.ended_ms != 0 &&
-                   item.progress.ended_ms < limit &&
+    bool expired = item.workflow && item.outcome_read_ms != 0 &&
+                   item.outcome_read_ms < limit &&
                    !core::has_runs(item.progress);
     if (!expired || removal.removals.size() >= MAX_REMOVALS_PER_COMMIT)
       continue;
--- a/entry/work_view.cpp
+++ b/entry/work_view.cpp
@@ -1,6 +1,7 @@
 #include "entry/work_view.h"
 
 #include "entry/work_rows.h"
+#include "kernel/clock.h"
 
 #include <algorithm>
 
@@ -46,6 +47,9 @@
       item.progress_readable = progress.has_value();
       if (progress)
         item.progress = std::move(*progress);
+      if (item.progress.outcome != core::Outcome::Open &&
+          item.outcome_read_ms == 0)
+        item.outcome_read_ms = kernel::boot_ms();
       item.progress_version = row.version;
       item.check();
       return;
--- a/entry/work_view.h
+++ b/entry/work_view.h
@@ -18,6 +18,8 @@
   std::uint64_t workflow_version = 0;
   core::Progress progress;
   std::uint64_t progress_version = 0; ///< 0 until the owner wrote the row.
+  /// Boot time at which the stored outcome was first read, 0 while open.
+  std::int64_t outcome_read_ms = 0;
   bool progress_readable = true;
   /// The rows were read and fit each other. The owner leaves other items alone.
   bool usable = false;
--- a/tests/system/platform_fixture.h
+++ b/tests/system/platform_fixture.h
@@ -68,6 +68,8 @@
   std::string advice_address;
   /// Store address for the next entries; empty for the address of `store`.
   std::string store_address;
+  /// Time for which the next entries keep ended workflows.
+  kernel::Milliseconds retention{ 60'000 };
   kernel::Subscription heartbeats;
 
   PlatformFixture()
@@ -95,7 +97,7 @@
     settings.lease = kernel::Milliseconds(2'000);
     settings.orphan_timeout = kernel::Milliseconds(1'500);
     settings.max_early = kernel::Milliseconds(250);
-    settings.retention = kernel::Milliseconds(60'000);
+    settings.retention = retention;
     settings.max_config_age = kernel::Milliseconds(1'800);
     entry_settings.push_back(settings);
     entries.push_back(
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -313,6 +313,31 @@
   BOOST_TEST(servers[0]->starts.size() == 2U);
 }
 
+// The time of an outcome is that of the decision, but callers see it only once
+// it is stored.
+BOOST_FIXTURE_TEST_CASE(outcome_stored_late_is_removed_too_early, Fixture)
+{
+  constexpr std::int64_t OUTAGE_MS = 7'000;
+  retention = kernel::Milliseconds(6'000);
+  add_entry();
+  add_agent();
+  wait_ready();
+  std::string path = std::string(PREFIX) + JOB;
+  BOOST_TEST(call("POST", path, submission(1, 1, false)).status == 200);
+  run_until([this] { return running() == 1; });
+  store.refusing = true;
+  finish_all("done");
+  std::int64_t recovery_ms = kernel::boot_ms() + OUTAGE_MS;
+  run_until([recovery_ms] { return kernel::boot_ms() >= recovery_ms; });
+  store.refusing = false;
+  wait_state(JOB, "completed");
+  std::int64_t shown_ms = kernel::boot_ms();
+  run_until([this] {
+    return !store.has({ "work", "main", std::string("r/") + JOB });
+  });
+  BOOST_TEST(kernel::boot_ms() - shown_ms >= retention.count());
+}
+
 // Guards against a job of a queue with advice that never starts, or starts on a
 // server that the advice excludes. The first advice request is refused.
 BOOST_FIXTURE_TEST_CASE(advised_job_starts_with_its_ticket, Fixture)
