--- a/tests/platform/row_store_standin.h
+++ b/tests/platform/row_store_standin.h
@@ -82,6 +82,10 @@
   /// Number of writes to delay until `apply_delayed_writes`.
   int delayed_writes = 0;
   int commits = 0; ///< Transactions applied.
+  /// Responses with changes list a row that can't be read instead of them.
+  bool malformed_changes = false;
+  /// Delay of the responses with changes on their way.
+  kernel::Milliseconds changes_delay{ 0 };
   std::map<Name, Row> rows;
 
   /// Applies the delayed writes whose conditions hold.
@@ -244,11 +248,26 @@
     }
     if (rows.empty() && !allow_empty)
       return false;
+    if (this->malformed_changes && !rows.empty())
+      rows = Json::array({ "mistyped" });
     Json response{ { "rows", rows }, { "schema_ver", this->version } };
-    waiting.respond({ 200, "application/json", response.dump(), {} });
+    this->send_changes(waiting.respond, response.dump());
     return true;
   }
 
+  void send_changes(const gateway::HttpServer::ResponseCallback& respond,
+                    const std::string& body)
+  {
+    if (this->changes_delay.count() == 0) {
+      respond({ 200, "application/json", body, {} });
+      return;
+    }
+    this->delayed_responses.push_back(
+      this->timers.after(this->changes_delay, [respond, body] {
+        respond({ 200, "application/json", body, {} });
+      }));
+  }
+
   void wait_for_changes(const gateway::HttpRequest& request,
                         gateway::HttpServer::ResponseCallback respond)
   {
@@ -285,6 +304,7 @@
   std::vector<std::uint64_t> changed_versions;
   std::list<Waiting> waiting;
   std::vector<Json> delayed;
+  std::vector<kernel::Subscription> delayed_responses;
 };
 
 } // namespace geraniumhinge::tests
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -155,6 +155,34 @@
   BOOST_TEST(watcher.confirmed_ms() == last);
 }
 
+// A response whose only row can't be read has not waited, and it was under way
+// for long.
+BOOST_FIXTURE_TEST_CASE(malformed_change_confirms_a_time_without_response,
+                        Fixture)
+{
+  TableWatchOptions options;
+  options.table = "work";
+  options.part = "main";
+  options.wait = kernel::Milliseconds(1'000);
+  TableWatcher watcher(loop,
+                       timers,
+                       log,
+                       store,
+                       options,
+                       { [](const RowPage&) {}, [](const RowPage&) {} });
+  watcher.start();
+  run_until([&] { return watcher.loaded(); });
+  std::int64_t loaded_ms = watcher.confirmed_ms();
+  run_until([&] { return watcher.confirmed_ms() > loaded_ms; });
+  standin.malformed_changes = true;
+  standin.changes_delay = kernel::Milliseconds(500);
+  standin.put({ "work", "main", "a" }, "one");
+  std::int64_t read_by_store_ms = kernel::boot_ms();
+  run_until(
+    [&] { return metrics.counter("store_malformed_total").value() == 1; });
+  BOOST_TEST(watcher.confirmed_ms() <= read_by_store_ms);
+}
+
 // Guards against malformed responses and rows that crash the process.
 BOOST_AUTO_TEST_CASE(malformed_responses_are_rejected)
 {
