Test a crashing task whose owner is killed before the crash is reported

The existing case changes the owner once, long after a crash. Now each owner ends between the start that it ordered and the crash that follows, so none of them lives to see a report; the crashes must count for the next owner, and the job beside it must complete.

With the crashes left out of the agent's reports it fails:

check crashing_starts <= max_starts has failed [6 > 5] check failed has failed

--- a/tests/system/crashing_task_test.cpp
+++ b/tests/system/crashing_task_test.cpp
@@ -17,6 +17,7 @@
 {
   std::size_t crashing_starts = 0;
   bool agents_restart = false; ///< When their server crashes.
+  bool owners_end = false;     ///< When a server crashes by their order.
   std::vector<kernel::Subscription> events;
 
   CrashFixture()
@@ -29,6 +30,8 @@
           crash(index);
         if (run.first.starts_with(JOB) && agents_restart)
           restart_agent(index);
+        if (run.first.starts_with(JOB) && owners_end)
+          replace_owner();
       };
     }
     wait_ready();
@@ -56,6 +59,14 @@
     }));
   }
 
+  /// Replaces the only entry before the crash can be reported.
+  void replace_owner()
+  {
+    events.push_back(
+      timers.after(CRASH_DELAY / 2, [this] { entries.back().reset(); }));
+    events.push_back(timers.after(CRASH_DELAY * 10, [this] { add_entry(); }));
+  }
+
   void submit(const std::string& id, const std::string& body)
   {
     BOOST_REQUIRE(call("POST", PREFIX + id, body).status == 200);
@@ -63,7 +74,7 @@
 
   /// Waits until the job is shown as failed, or started more often than
   /// allowed.
-  void wait_failed(std::size_t max_starts, std::size_t entry = 0)
+  void wait_failed(std::size_t max_starts)
   {
     bool failed = false;
     std::int64_t end_ms = kernel::boot_ms() + BOUND.count();
@@ -71,7 +82,7 @@
            kernel::boot_ms() < end_ms) {
       std::int64_t begin_ms = kernel::boot_ms();
       run_until([begin_ms] { return kernel::boot_ms() - begin_ms > 20; });
-      failed = state(JOB, entry) == "{\"state\":\"failed\"}";
+      failed = state(JOB, entries.size() - 1) == "{\"state\":\"failed\"}";
     }
     BOOST_TEST(crashing_starts <= max_starts);
     BOOST_TEST(failed);
@@ -103,7 +114,22 @@
   entries[0].reset();
   add_entry();
   wait_ready(1);
-  wait_failed(MAX_STARTS, 1);
+  wait_failed(MAX_STARTS);
+}
+
+// No owner that ordered a start lives to see the crash.
+BOOST_FIXTURE_TEST_CASE(crash_goes_uncounted_when_its_owner_is_killed,
+                        CrashFixture)
+{
+  submit(OTHER_JOB, submission(3, 1, false));
+  run_until([this] { return running() == 3; });
+  owners_end = true;
+  submit(JOB, submission(1, 1, false));
+  wait_failed(MAX_STARTS);
+  owners_end = false;
+  run_until([this] { return running() == 3; });
+  finish_all("done");
+  wait_state(OTHER_JOB, "completed", entries.size() - 1);
 }
 
 BOOST_FIXTURE_TEST_CASE(crashes_go_uncounted_when_the_agents_restart,
