Don't give a task up for servers that were silent while their agents restarted

Callers saw `failed` for a job whose servers had not crashed. A server that is cut off while its agent restarts announces itself to no one, so the new process of the agent reports no server. When all leases had expired the owner counted that as a crash, soon after the run's start if it had just started, and gave the task up after three.

Only another instance at the node now shows that the former one crashed. A server that is merely not found counts as one of the 5 crashes of any kind, not as one of the 3 soon after a start, so long-running tasks are not given up for it, and the count is taken back when the agent finds the instance again (event crash_withdrawn). Not counting it at all would start a task without end whose servers crash and stay away while agents restart. The same holds for an instance that no process reported to this owner.

--- a/core/crash.cpp
+++ b/core/crash.cpp
@@ -47,4 +47,18 @@
   return true;
 }
 
+bool
+withdraw_crash(const Workflow& workflow,
+               Progress& progress,
+               const TaskRef& task)
+{
+  if (!find_task(progress, task) || progress.outcome != Outcome::Open)
+    return false;
+  TaskState& primary = primary_task(workflow, progress, task);
+  if (primary.crashes <= primary.early_crashes)
+    return false;
+  --primary.crashes;
+  return true;
+}
+
 } // namespace geraniumhinge::core
--- a/core/crash.h
+++ b/core/crash.h
@@ -53,4 +53,11 @@
             const TaskRef& task,
             const BlamedRun& blamed);
 
+/// Takes back a crash that counted against a task, but not as one soon after a
+/// start, since the server runs on. Returns whether anything changed.
+bool
+withdraw_crash(const Workflow& workflow,
+               Progress& progress,
+               const TaskRef& task);
+
 } // namespace geraniumhinge::core
--- a/entry/crash_tracker.cpp
+++ b/entry/crash_tracker.cpp
@@ -3,6 +3,7 @@
 #include "entry/events.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <optional>
 #include <utility>
@@ -52,21 +53,20 @@
 /// this owner knows.
 constexpr std::int64_t UNKNOWN_RUN_TIME_MS = core::EARLY_CRASH_MS + 1;
 
-/// The crashes that no agent could report to this owner, since agent and owner
-/// changed at the same time. A run that was to be stopped is left out: its
-/// server may have left.
+/// The crashes of the servers whose runs the condition selects, with those
+/// runs. The times of their starts are unknown.
 std::vector<core::ServerCrash>
-unseen_crashes(const ServerTable& servers,
-               const std::vector<core::RoundWorkflow>& workflows)
+crashes_of_runs(const std::vector<core::RoundWorkflow>& workflows,
+                const std::function<bool(const core::Run&)>& crashed)
 {
   std::map<std::pair<std::string, std::int64_t>, core::ServerCrash> crashes;
   for (const core::RoundWorkflow& round_workflow : workflows) {
     core::for_each_run(
       round_workflow.progress,
       [&](const core::TaskRef& ref, const core::TaskState& task) {
-        const core::ServerInstance& server = task.run->server;
-        if (task.run->stopping || !servers.ended_unseen(server, task.run->node))
+        if (!crashed(*task.run))
           return;
+        const core::ServerInstance& server = task.run->server;
         core::ServerCrash& crash = crashes[{ server.id, server.started_ms }];
         crash.instance = server;
         crash.runs.push_back(
@@ -75,12 +75,12 @@
             UNKNOWN_RUN_TIME_MS });
       });
   }
-  std::vector<core::ServerCrash> unseen;
-  unseen.reserve(crashes.size());
+  std::vector<core::ServerCrash> list;
+  list.reserve(crashes.size());
   for (std::pair<const std::pair<std::string, std::int64_t>, core::ServerCrash>&
          item : crashes)
-    unseen.push_back(std::move(item.second));
-  return unseen;
+    list.push_back(std::move(item.second));
+  return list;
 }
 
 } // namespace
@@ -100,20 +100,60 @@
                     std::int64_t now_ms)
 {
   WorkflowIndex by_id = index_by_id(workflows);
+  this->withdraw_crashes(by_id);
   for (const std::pair<const std::string, AgentView>& entry :
        this->servers.all()) {
     for (const core::ServerCrash& crash :
          this->crashes_of(entry.second, workflows, history, now_ms))
-      this->apply_crash(by_id, crash);
+      this->apply_crash(by_id, crash, Certainty::Known);
   }
-  for (const core::ServerCrash& crash :
-       unseen_crashes(this->servers, workflows))
-    this->apply_crash(by_id, crash);
+  // No agent could report these crashes, since agent and owner changed at the
+  // same time. The server of a run that was to be stopped may have left.
+  std::vector<core::ServerCrash> unseen =
+    crashes_of_runs(workflows, [this](const core::Run& run) {
+      return !run.stopping && this->servers.ended_unseen(run.server, run.node);
+    });
+  for (const core::ServerCrash& crash : unseen)
+    this->apply_crash(by_id, crash, Certainty::Known);
+  std::vector<core::ServerCrash> doubtful =
+    crashes_of_runs(workflows, [this, now_ms](const core::Run& run) {
+      return !run.stopping &&
+             this->servers.may_have_crashed(run.server, run.node, now_ms);
+    });
+  for (const core::ServerCrash& crash : doubtful)
+    this->apply_crash(by_id, crash, Certainty::Doubtful);
+}
+
+/// Takes back the doubtful crashes of servers that were only silent.
+void
+CrashTracker::withdraw_crashes(const WorkflowIndex& by_id)
+{
+  std::erase_if(this->doubts, [&](const std::pair<const RunKey, Doubt>& item) {
+    const Doubt& doubt = item.second;
+    std::optional<std::pair<std::string, core::TaskRef>> name =
+      core::parse_task_name(item.first.first);
+    WorkflowIndex::const_iterator found = by_id.find(name->first);
+    if (found == by_id.end())
+      return true;
+    if (!this->servers.is_found(doubt.server, doubt.node))
+      return false;
+    core::RoundWorkflow& round_workflow = *found->second;
+    if (!core::withdraw_crash(
+          *round_workflow.definition, round_workflow.progress, name->second))
+      return true;
+    round_workflow.changed = true;
+    this->log.write(CRASH_WITHDRAWN,
+                    { { "task", item.first.first },
+                      { "attempt", item.first.second },
+                      { "server", doubt.server.id } });
+    return true;
+  });
 }
 
 void
 CrashTracker::apply_crash(const WorkflowIndex& by_id,
-                          const core::ServerCrash& crash)
+                          const core::ServerCrash& crash,
+                          Certainty certainty)
 {
   for (const core::BlamedRun& blamed : core::blamed_runs(crash)) {
     std::optional<std::pair<std::string, core::TaskRef>> name =
@@ -121,7 +161,8 @@
     WorkflowIndex::const_iterator found =
       name ? by_id.find(name->first) : by_id.end();
     if (found != by_id.end())
-      this->apply_blame(*found->second, crash.instance, name->second, blamed);
+      this->apply_blame(
+        *found->second, crash.instance, name->second, blamed, certainty);
   }
 }
 
@@ -145,12 +186,17 @@
 CrashTracker::apply_blame(core::RoundWorkflow& round_workflow,
                           const core::ServerInstance& server,
                           const core::TaskRef& task,
-                          const core::BlamedRun& blamed)
+                          const core::BlamedRun& blamed,
+                          Certainty certainty)
 {
   const core::Workflow& workflow = *round_workflow.definition;
   if (!core::apply_crash(workflow, round_workflow.progress, task, blamed))
     return;
   round_workflow.changed = true;
+  if (certainty == Certainty::Doubtful)
+    this->doubts[{ blamed.run.task, blamed.run.attempt }] = {
+      server, core::find_task(round_workflow.progress, task)->run->node
+    };
   const core::TaskState& primary =
     core::primary_task(workflow, round_workflow.progress, task);
   bool given_up = round_workflow.progress.outcome == core::Outcome::Failed;
@@ -164,6 +210,7 @@
                     { "ran_ms", blamed.run.ran_ms },
                     { "early_crashes", primary.early_crashes },
                     { "crashes", primary.crashes },
+                    { "doubtful", certainty == Certainty::Doubtful },
                     { "given_up", given_up } });
 }
 
--- a/entry/crash_tracker.h
+++ b/entry/crash_tracker.h
@@ -8,6 +8,9 @@
 #include "kernel/metrics.h"
 
 #include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace geraniumhinge::entry {
@@ -22,28 +25,53 @@
                kernel::Metrics& metrics,
                const ServerTable& servers);
 
+  /// Drops what an earlier term of this entry has counted.
+  void reset() { this->doubts.clear(); }
+
   /// Counts each crash once for each attempt. Must come before the runs of
-  /// ended servers are recorded as lost.
+  /// ended servers are recorded as lost. A crash that may only have been a
+  /// silence counts like one long after the start, until the server is found.
   void apply(std::vector<core::RoundWorkflow>& workflows,
              const core::StepHistory& history,
              std::int64_t now_ms);
 
 private:
+  /// A run whose server may have crashed or may be silent, and its node.
+  struct Doubt
+  {
+    core::ServerInstance server;
+    std::string node;
+  };
+
+  /// A task and its attempt.
+  using RunKey = std::pair<std::string, std::uint32_t>;
+
+  enum class Certainty
+  {
+    Known,
+    Doubtful, ///< The server may only be silent.
+  };
+
   /// The crashes of the agent's servers that are known to the owner.
   std::vector<core::ServerCrash> crashes_of(
     const AgentView& agent,
     const std::vector<core::RoundWorkflow>& workflows,
     const core::StepHistory& history,
     std::int64_t now_ms) const;
-  void apply_crash(const WorkflowIndex& by_id, const core::ServerCrash& crash);
+  void withdraw_crashes(const WorkflowIndex& by_id);
+  void apply_crash(const WorkflowIndex& by_id,
+                   const core::ServerCrash& crash,
+                   Certainty certainty);
   void apply_blame(core::RoundWorkflow& round_workflow,
                    const core::ServerInstance& server,
                    const core::TaskRef& task,
-                   const core::BlamedRun& blamed);
+                   const core::BlamedRun& blamed,
+                   Certainty certainty);
 
   const kernel::Log& log;
   kernel::Metrics& metrics;
   const ServerTable& servers;
+  std::map<RunKey, Doubt> doubts; ///< Runs of doubtful crashes.
 };
 
 } // namespace geraniumhinge::entry
--- a/entry/events.h
+++ b/entry/events.h
@@ -220,6 +220,14 @@
   "caused it. At a limit the task is given up and its job fails.",
   "If given_up is true, look into the job's task; it crashes its servers."
 };
+inline constexpr kernel::EventInfo CRASH_WITHDRAWN{
+  639,
+  kernel::Severity::Info,
+  "crash_withdrawn",
+  "A backend server was found again that may have crashed while its agent "
+  "restarted; the crash no longer counts against the task.",
+  "Check why the backend server was silent for longer than its lease."
+};
 inline constexpr kernel::EventInfo WORKFLOW_CANCELLED{
   626,
   kernel::Severity::Info,
@@ -324,6 +332,7 @@
   LATE_SUCCESS,
   ROW_OVERSIZED,
   CRASH_COUNTED,
+  CRASH_WITHDRAWN,
   WORKFLOW_CANCELLED,
   WORKFLOW_ENDED,
   STEP_PLACED,
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -175,11 +175,10 @@
 {
   if (!agent.former_server)
     return nullptr;
-  std::optional<LossCause> cause =
-    this->loss_cause(agent.former_server->instance, agent.node, now_ms);
-  bool ended =
-    cause == LossCause::InstanceReplaced || cause == LossCause::ServerUnknown;
-  return ended ? &*agent.former_server : nullptr;
+  bool replaced =
+    this->loss_cause(agent.former_server->instance, agent.node, now_ms) ==
+    LossCause::InstanceReplaced;
+  return replaced ? &*agent.former_server : nullptr;
 }
 
 bool
@@ -201,6 +200,36 @@
          !reported;
 }
 
+bool
+ServerTable::may_have_crashed(const core::ServerInstance& instance,
+                              const std::string& node,
+                              std::int64_t now_ms) const
+{
+  std::map<std::string, AgentView>::const_iterator found =
+    this->agents.find(node);
+  if (found == this->agents.end())
+    return false;
+  const AgentView& agent = found->second;
+  bool reported_before =
+    agent.former_server && agent.former_server->instance == instance;
+  bool never_reported = agent.process_is_new && agent.first_instance.id.empty();
+  return (reported_before || never_reported) &&
+         this->loss_cause(instance, node, now_ms) == LossCause::ServerUnknown;
+}
+
+bool
+ServerTable::is_found(const core::ServerInstance& instance,
+                      const std::string& node) const
+{
+  std::map<std::string, AgentView>::const_iterator found =
+    this->agents.find(node);
+  if (found == this->agents.end())
+    return false;
+  const AgentView& agent = found->second;
+  return instance_of(agent.report.life()) == instance &&
+         (!agent.former_server || agent.former_server->instance != instance);
+}
+
 bool
 ServerTable::agent_silent(const std::string& node, std::int64_t now_ms) const
 {
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -110,8 +110,8 @@
                                       const std::string& node,
                                       std::int64_t now_ms) const;
 
-  /// The former server of an agent if it has ended without announcing it;
-  /// null if there is none.
+  /// The former server of an agent if another instance shows that it has ended
+  /// without announcing it; null otherwise.
   const FormerServer* crashed_former_server(const AgentView& agent,
                                             std::int64_t now_ms) const;
 
@@ -121,6 +121,16 @@
   bool ended_unseen(const core::ServerInstance& instance,
                     const std::string& node) const;
 
+  /// Whether the instance counts as ended only since a new process of its agent
+  /// did not find it in time. It has crashed, or is cut off and silent.
+  bool may_have_crashed(const core::ServerInstance& instance,
+                        const std::string& node,
+                        std::int64_t now_ms) const;
+
+  /// Whether the agent's present process has found the instance.
+  bool is_found(const core::ServerInstance& instance,
+                const std::string& node) const;
+
   /// Whether two reports of the agent in a row are missing.
   bool agent_silent(const std::string& node, std::int64_t now_ms) const;
 
--- a/tests/entry/crash_tracker_test.cpp
+++ b/tests/entry/crash_tracker_test.cpp
@@ -68,6 +68,17 @@
     tracker.apply(workflows, history, now_ms);
   }
 
+  /// The agent restarts, and its new process does not find the server while
+  /// leases may last.
+  void lose_server()
+  {
+    envelope.set_sender_incarnation(envelope.sender_incarnation() + 1);
+    report.set_leaving(false);
+    send("");
+    now_ms += entry::LeaseBounds{}.lease_ms() + 1;
+    tracker.apply(workflows, history, now_ms);
+  }
+
   void add_crash(const std::string& server)
   {
     v1::CrashReport& crash = *report.add_crashes();
@@ -168,3 +179,72 @@
   BOOST_TEST(task(0).crashes == 0U);
   BOOST_TEST(task(1).crashes == 1U);
 }
+
+// The server runs on, but is cut off while its agent restarts.
+BOOST_FIXTURE_TEST_CASE(silent_server_counts_as_crashed, Fixture)
+{
+  send("i-1");
+  history.placed_ms[{ { JOB, 0, 0 }, 0 }] = now_ms;
+  lose_server();
+  BOOST_TEST(task().early_crashes == 0U);
+  BOOST_TEST(task().crashes == 1U);
+  send("i-1");
+  BOOST_TEST(task().crashes == 0U);
+  BOOST_TEST(workflows.front().changed);
+}
+
+BOOST_FIXTURE_TEST_CASE(task_fails_by_three_silent_servers, Fixture)
+{
+  for (std::uint32_t count = 0; count < core::MAX_CRASHES + 1; ++count) {
+    send("i-1");
+    lose_server();
+    BOOST_TEST((workflows.front().progress.outcome == core::Outcome::Open));
+    send("i-1");
+    place("i-1");
+  }
+  BOOST_TEST(task().crashes == 0U);
+}
+
+// A server may crash and never return.
+BOOST_FIXTURE_TEST_CASE(servers_that_stay_away_are_not_counted, Fixture)
+{
+  for (std::uint32_t count = 1; count <= core::MAX_CRASHES; ++count) {
+    std::string server = "i-" + std::to_string(count);
+    envelope.set_sender("node-" + std::to_string(count));
+    if (count > 1)
+      place(server);
+    task(0).run->node = envelope.sender();
+    task(1).run.reset();
+    report.clear_sequence();
+    send(server);
+    lose_server();
+    BOOST_TEST(task().crashes == count);
+  }
+  BOOST_TEST((workflows.front().progress.outcome == core::Outcome::Failed));
+}
+
+BOOST_FIXTURE_TEST_CASE(doubtful_crash_is_withdrawn_for_another_instance,
+                        Fixture)
+{
+  send("i-1");
+  lose_server();
+  send("i-2");
+  send("i-2");
+  BOOST_TEST(task().crashes == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(unseen_server_that_stays_away_is_not_counted, Fixture)
+{
+  lose_server();
+  BOOST_TEST(task().crashes == 1U);
+  send("i-1");
+  BOOST_TEST(task().crashes == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(departure_during_a_restart_counts_as_doubtful, Fixture)
+{
+  report.set_leaving(true);
+  send("i-1");
+  lose_server();
+  BOOST_TEST(task().crashes == 0U);
+}
--- a/tests/system/crashing_task_test.cpp
+++ b/tests/system/crashing_task_test.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t MAX_STARTS = 5;
 constexpr kernel::Milliseconds CRASH_DELAY{ 5 };
 constexpr kernel::Milliseconds RECOVERY_TIME{ 1'000 };
+/// Longer than any lease.
+constexpr kernel::Milliseconds SILENCE_TIME{ 4'000 };
 
 /// Three servers that crash when they start a task of `JOB`.
 struct CrashFixture : PlatformFixture
@@ -133,6 +135,39 @@
   wait_failed(MAX_STARTS);
 }
 
+// The servers run on, but neither answer nor announce themselves for a while.
+BOOST_FIXTURE_TEST_CASE(task_on_silent_servers_is_given_up, PlatformFixture)
+{
+  std::size_t starts = 0;
+  std::vector<kernel::Subscription> events;
+  add_entry();
+  for (std::size_t index = 0; index < 3; ++index) {
+    add_agent();
+    servers[index]->on_start = [&, index](const ServerStandin::Run&) {
+      if (++starts > 3)
+        return;
+      events.push_back(timers.after(CRASH_DELAY, [&, index] {
+        servers[index]->silent = true;
+        agents[index].reset();
+      }));
+      events.push_back(
+        timers.after(CRASH_DELAY * 10, [&, index] { start_agent(index); }));
+      events.push_back(timers.after(
+        SILENCE_TIME, [&, index] { servers[index]->silent = false; }));
+    };
+  }
+  wait_ready();
+  BOOST_REQUIRE(
+    call("POST", std::string(PREFIX) + JOB, submission(1, 1, false)).status ==
+    200);
+  run_until([&] { return starts == 3; });
+  std::int64_t begin_ms = kernel::boot_ms();
+  run_until(
+    [begin_ms] { return kernel::boot_ms() - begin_ms > SILENCE_TIME.count(); });
+  wait_state(JOB, "running");
+  BOOST_TEST(starts == 4U);
+}
+
 // A job that was on a crashing server must run again, and must not fail.
 BOOST_FIXTURE_TEST_CASE(neighbour_of_a_crashing_task_is_given_up, CrashFixture)
 {
