--- a/entry/crash_tracker.cpp
+++ b/entry/crash_tracker.cpp
@@ -1,9 +1,9 @@
 #include "entry/crash_tracker.h"
 
 #include "entry/events.h"
-#include "entry/workflow_index.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <optional>
 #include <utility>
@@ -49,6 +49,40 @@
   return crash;
 }
 
+/// A run that had certainly started long before its server crashed, as far as
+/// this owner knows.
+constexpr std::int64_t UNKNOWN_RUN_TIME_MS = core::EARLY_CRASH_MS + 1;
+
+/// The crashes of the servers whose runs the condition selects, with those
+/// runs. The times of their starts are unknown.
+std::vector<core::ServerCrash>
+crashes_of_runs(const std::vector<core::RoundWorkflow>& workflows,
+                const std::function<bool(const core::Run&)>& crashed)
+{
+  std::map<std::pair<std::string, std::int64_t>, core::ServerCrash> crashes;
+  for (const core::RoundWorkflow& round_workflow : workflows) {
+    core::for_each_run(
+      round_workflow.progress,
+      [&](const core::TaskRef& ref, const core::TaskState& task) {
+        if (!crashed(*task.run))
+          return;
+        const core::ServerInstance& server = task.run->server;
+        core::ServerCrash& crash = crashes[{ server.id, server.started_ms }];
+        crash.instance = server;
+        crash.runs.push_back(
+          { core::task_name(round_workflow.definition->id, ref),
+            task.run->attempt,
+            UNKNOWN_RUN_TIME_MS });
+      });
+  }
+  std::vector<core::ServerCrash> list;
+  list.reserve(crashes.size());
+  for (std::pair<const std::pair<std::string, std::int64_t>, core::ServerCrash>&
+         item : crashes)
+    list.push_back(std::move(item.second));
+  return list;
+}
+
 } // namespace
 
 CrashTracker::CrashTracker(const kernel::Log& log,
@@ -66,20 +100,69 @@
                     std::int64_t now_ms)
 {
   WorkflowIndex by_id = index_by_id(workflows);
+  this->withdraw_crashes(by_id);
   for (const std::pair<const std::string, AgentView>& entry :
        this->servers.all()) {
     for (const core::ServerCrash& crash :
-         this->crashes_of(entry.second, workflows, history, now_ms)) {
-      for (const core::BlamedRun& blamed : core::blamed_runs(crash)) {
-        std::optional<std::pair<std::string, core::TaskRef>> name =
-          core::parse_task_name(blamed.run.task);
-        WorkflowIndex::iterator found =
-          name ? by_id.find(name->first) : by_id.end();
-        if (found != by_id.end())
-          this->apply_blame(
-            *found->second, crash.instance, name->second, blamed);
-      }
-    }
+         this->crashes_of(entry.second, workflows, history, now_ms))
+      this->apply_crash(by_id, crash, Certainty::Known);
+  }
+  // No agent could report these crashes, since agent and owner changed at the
+  // same time. The server of a run that was to be stopped may have left.
+  std::vector<core::ServerCrash> unseen =
+    crashes_of_runs(workflows, [this](const core::Run& run) {
+      return !run.stopping && this->servers.ended_unseen(run.server, run.node);
+    });
+  for (const core::ServerCrash& crash : unseen)
+    this->apply_crash(by_id, crash, Certainty::Known);
+  std::vector<core::ServerCrash> doubtful =
+    crashes_of_runs(workflows, [this, now_ms](const core::Run& run) {
+      return !run.stopping &&
+             this->servers.may_have_crashed(run.server, run.node, now_ms);
+    });
+  for (const core::ServerCrash& crash : doubtful)
+    this->apply_crash(by_id, crash, Certainty::Doubtful);
+}
+
+/// Takes back the doubtful crashes of servers that were only silent.
+void
+CrashTracker::withdraw_crashes(const WorkflowIndex& by_id)
+{
+  std::erase_if(this->doubts, [&](const std::pair<const RunKey, Doubt>& item) {
+    const Doubt& doubt = item.second;
+    std::optional<std::pair<std::string, core::TaskRef>> name =
+      core::parse_task_name(item.first.first);
+    WorkflowIndex::const_iterator found = by_id.find(name->first);
+    if (found == by_id.end())
+      return true;
+    if (!this->servers.is_found(doubt.server, doubt.node))
+      return false;
+    core::RoundWorkflow& round_workflow = *found->second;
+    if (!core::withdraw_crash(
+          *round_workflow.definition, round_workflow.progress, name->second))
+      return true;
+    round_workflow.changed = true;
+    this->log.write(CRASH_WITHDRAWN,
+                    { { "task", item.first.first },
+                      { "attempt", item.first.second },
+                      { "server", doubt.server.id } });
+    return true;
+  });
+}
+
+void
+CrashTracker::apply_crash(const WorkflowIndex& by_id,
+                          const core::ServerCrash& crash,
+                          Certainty certainty)
+{
+  for (const core::BlamedRun& blamed : core::blamed_runs(crash)) {
+    std::optional<std::pair<std::string, core::TaskRef>> name =
+      core::parse_task_name(blamed.run.task);
+    WorkflowIndex::const_iterator found =
+      name ? by_id.find(name->first) : by_id.end();
+    if (found != by_id.end())
+      this->apply_blame(
+        *found->second, crash.instance, name->second, blamed, certainty);
   }
 }
 
@@ -103,12 +186,17 @@
 CrashTracker::apply_blame(core::RoundWorkflow& round_workflow,
                           const core::ServerInstance& server,
                           const core::TaskRef& task,
-                          const core::BlamedRun& blamed)
+                          const core::BlamedRun& blamed,
+                          Certainty certainty)
 {
   const core::Workflow& workflow = *round_workflow.definition;
   if (!core::apply_crash(workflow, round_workflow.progress, task, blamed))
     return;
   round_workflow.changed = true;
+  if (certainty == Certainty::Doubtful)
+    this->doubts[{ blamed.run.task, blamed.run.attempt }] = {
+      server, core::find_task(round_workflow.progress, task)->run->node
+    };
   const core::TaskState& primary =
     core::primary_task(workflow, round_workflow.progress, task);
   bool given_up = round_workflow.progress.outcome == core::Outcome::Failed;
@@ -122,6 +210,7 @@
                     { "ran_ms", blamed.run.ran_ms },
                     { "early_crashes", primary.early_crashes },
                     { "crashes", primary.crashes },
+                    { "doubtful", certainty == Certainty::Doubtful },
                     { "given_up", given_up } });
 }
 
--- a/tests/system/crashing_task_test.cpp
+++ b/tests/system/crashing_task_test.cpp
@@ -11,13 +11,16 @@
 constexpr std::size_t MAX_STARTS = 5;
 constexpr kernel::Milliseconds CRASH_DELAY{ 5 };
 constexpr kernel::Milliseconds RECOVERY_TIME{ 1'000 };
+/// Longer than any lease.
+constexpr kernel::Milliseconds SILENCE_TIME{ 4'000 };
 
 /// Three servers that crash when they start a task of `JOB`.
 struct CrashFixture : PlatformFixture
 {
   std::size_t crashing_starts = 0;
   bool agents_restart = false; ///< When their server crashes.
-  bool owners_end = false;     ///< When a server crashes by their order.
+  /// Starts at which the owner is replaced when the server crashes.
+  std::size_t owner_changes = 0;
   std::vector<kernel::Subscription> events;
 
   CrashFixture()
@@ -30,7 +33,7 @@
           crash(index);
         if (run.first.starts_with(JOB) && agents_restart)
           restart_agent(index);
-        if (run.first.starts_with(JOB) && owners_end)
+        if (run.first.starts_with(JOB) && crashing_starts <= owner_changes)
           replace_owner();
       };
     }
@@ -52,11 +55,8 @@
   {
     events.push_back(
       timers.after(CRASH_DELAY, [this, index] { agents[index].reset(); }));
-    events.push_back(timers.after(CRASH_DELAY * 10, [this, index] {
-      agents[index] = std::make_unique<agent::PlatformProgram>(
-        loop, timers, log, agent_settings[index]);
-      BOOST_REQUIRE(agents[index]->start());
-    }));
+    events.push_back(
+      timers.after(CRASH_DELAY * 10, [this, index] { start_agent(index); }));
   }
 
   /// Replaces the only entry before the crash can be reported.
@@ -123,10 +123,10 @@
 {
   submit(OTHER_JOB, submission(3, 1, false));
   run_until([this] { return running() == 3; });
-  owners_end = true;
+  owner_changes = crashing_starts + MAX_STARTS;
   submit(JOB, submission(1, 1, false));
   wait_failed(MAX_STARTS);
-  owners_end = false;
+  owner_changes = 0;
   run_until([this] { return running() == 3; });
   finish_all("done");
   wait_state(OTHER_JOB, "completed", entries.size() - 1);
@@ -140,6 +140,49 @@
   wait_failed(MAX_STARTS);
 }
 
+// The new owner does not know what the earlier process of the agent reported.
+BOOST_FIXTURE_TEST_CASE(crashes_go_uncounted_when_agent_and_owner_change,
+                        CrashFixture)
+{
+  agents_restart = true;
+  owner_changes = 3;
+  submit(JOB, submission(1, 1, false));
+  wait_failed(MAX_STARTS);
+}
+
+// The servers run on, but neither answer nor announce themselves for a while.
+BOOST_FIXTURE_TEST_CASE(task_on_silent_servers_is_given_up, PlatformFixture)
+{
+  std::size_t starts = 0;
+  std::vector<kernel::Subscription> events;
+  add_entry();
+  for (std::size_t index = 0; index < 3; ++index) {
+    add_agent();
+    servers[index]->on_start = [&, index](const ServerStandin::Run&) {
+      if (++starts > 3)
+        return;
+      events.push_back(timers.after(CRASH_DELAY, [&, index] {
+        servers[index]->silent = true;
+        agents[index].reset();
+      }));
+      events.push_back(
+        timers.after(CRASH_DELAY * 10, [&, index] { start_agent(index); }));
+      events.push_back(timers.after(
+        SILENCE_TIME, [&, index] { servers[index]->silent = false; }));
+    };
+  }
+  wait_ready();
+  BOOST_REQUIRE(
+    call("POST", std::string(PREFIX) + JOB, submission(1, 1, false)).status ==
+    200);
+  run_until([&] { return starts == 3; });
+  std::int64_t begin_ms = kernel::boot_ms();
+  run_until(
+    [begin_ms] { return kernel::boot_ms() - begin_ms > SILENCE_TIME.count(); });
+  wait_state(JOB, "running");
+  BOOST_TEST(starts == 4U);
+}
+
 // A job that was on a crashing server must run again, and must not fail.
 BOOST_FIXTURE_TEST_CASE(neighbour_of_a_crashing_task_is_given_up, CrashFixture)
 {
