Wait for the lease of a silent gang member after a change of owner

Two runs of one member of a gang were possible: if an owner had recorded why a gang was broken, say the failure of one member, and another owner took over, the new owner saw only ends of kind "broken" and took the last, silent member for the cause. It counted this member as ended 2.5 s after its last report, although it might run until its lease expired, and placed the next attempt.

The owner remembered for each attempt whether any member had ended for another reason, and forgot this with its term. It now keeps the members that it has seen end as broken, and concludes that the last one has ended only if these are all others. An end that an earlier owner recorded is missing from them, so the lease is waited for.

entry.run_tracker_test: new_owner_gives_up_a_member_that_may_run failed before ("check runs() == 1U has failed [0 != 1]") and passes.

--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -61,7 +61,7 @@
 {
   this->progress = {};
   this->checkpoints.clear();
-  this->gang_ends.clear();
+  this->broken_members.clear();
 }
 
 void
@@ -203,33 +203,28 @@
                             std::uint32_t attempt,
                             core::RunEndKind kind)
 {
-  if (!round_workflow.definition->steps[task.step].gang)
-    return;
-  GangEnd& end = this->gang_ends[{ step_key(round_workflow, task), attempt }];
   if (kind == core::RunEndKind::GangBroken)
-    end.gang_broken = true;
-  else
-    end.cause_known = true;
+    this->broken_members[{ step_key(round_workflow, task), attempt }].insert(
+      task.index);
 }
 
 /// Whether the end of this run must have broken its gang: all other members of
-/// the attempt have ended, each of them only because the gang was broken.
+/// the attempt ended only because the gang was broken. An earlier owner may
+/// have recorded another end, so ends that this owner did not see don't count.
 bool
 RunTracker::must_have_broken_gang(const core::RoundWorkflow& round_workflow,
                                   const core::TaskRef& task,
                                   const core::Run& run) const
 {
-  std::map<std::pair<core::StepKey, std::uint32_t>, GangEnd>::const_iterator
-    end = this->gang_ends.find({ step_key(round_workflow, task), run.attempt });
-  if (end == this->gang_ends.end() || !end->second.gang_broken ||
-      end->second.cause_known)
+  std::map<std::pair<core::StepKey, std::uint32_t>,
+           std::set<std::uint32_t>>::const_iterator broken =
+    this->broken_members.find({ step_key(round_workflow, task), run.attempt });
+  if (broken == this->broken_members.end() ||
+      broken->second.contains(task.index))
     return false;
   const core::StepState& members =
     round_workflow.progress.open_occurrences.at(task.occurrence)[task.step];
-  return std::count_if(
-           members.begin(), members.end(), [](const core::TaskState& member) {
-             return member.run.has_value();
-           }) == 1;
+  return broken->second.size() + 1 == members.size();
 }
 
 std::optional<LossCause>
@@ -275,8 +270,6 @@
                         core::RunEndKind::Lost,
                         this->checkpoint_of(name),
                         round_workflow.max_failures);
-    this->record_gang_end(
-      round_workflow, item.task, item.run.attempt, core::RunEndKind::Lost);
     this->count_run_end(core::RunEndKind::Lost);
     round_workflow.changed = true;
     const AgentView* agent = this->servers.find(item.run.node);
@@ -359,10 +352,11 @@
 {
   this->failures_by_workflow.erase(workflow.id);
   std::erase_if(
-    this->gang_ends,
-    [&workflow](
-      const std::pair<const std::pair<core::StepKey, std::uint32_t>, GangEnd>&
-        item) { return item.first.first.workflow == workflow.id; });
+    this->broken_members,
+    [&workflow](const std::pair<const std::pair<core::StepKey, std::uint32_t>,
+                                std::set<std::uint32_t>>& item) {
+      return item.first.first.workflow == workflow.id;
+    });
   this->progress.forget_workflow(workflow.id);
   // Task names begin with the workflow's identifier and a dot.
   std::string prefix = workflow.id + '.';
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -34,7 +34,8 @@
              kernel::Metrics& metrics,
              ServerTable& servers);
 
-  /// Drops progress, checkpoints and gang ends; called when ownership begins.
+  /// Drops progress, checkpoints and ends of gangs; called when ownership
+  /// begins.
   void reset();
 
   /// Records progress and checkpoints of a report.
@@ -67,13 +68,6 @@
   void forget(const core::Workflow& workflow);
 
 private:
-  /// How the members of one attempt of a gang have ended so far.
-  struct GangEnd
-  {
-    bool gang_broken = false; ///< A member ended because another one had.
-    bool cause_known = false; ///< A member ended for another reason.
-  };
-
   void apply_reported_end(core::RoundWorkflow& round_workflow,
                           const AgentView& agent,
                           const v1::EndReport& end,
@@ -106,7 +100,9 @@
   core::ProgressWatch progress;
   std::map<std::string, std::set<std::string>> failures_by_workflow;
   std::map<std::string, std::string> checkpoints; ///< By task name.
-  std::map<std::pair<core::StepKey, std::uint32_t>, GangEnd> gang_ends;
+  /// Members of one attempt of a gang that ended because another one had.
+  std::map<std::pair<core::StepKey, std::uint32_t>, std::set<std::uint32_t>>
+    broken_members;
 };
 
 } // namespace geraniumhinge::entry
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -134,6 +134,16 @@
   BOOST_TEST(runs() == 1U);
 }
 
+// Guards against two runs of a member: the former owner recorded why the gang
+// was broken, and the new owner takes the silent member for the cause.
+BOOST_FIXTURE_TEST_CASE(new_owner_gives_up_a_member_that_may_run, Fixture)
+{
+  workflows[0].progress.open_occurrences[0][0][0].run.reset();
+  report(1, NOW_MS, core::RunEndKind::GangBroken);
+  apply(NOW_MS + 2'000);
+  BOOST_TEST(runs() == 1U);
+}
+
 // Guards against runs on a silent server that are never treated as lost, or
 // before the longest possible lease has expired.
 BOOST_FIXTURE_TEST_CASE(silent_server_is_lost_after_its_lease, Fixture)
