Keep a run that a new instance of its server lists until it has ended

Two runs of one task were possible: a start that got no response may be carried out seconds later, by the next instance of the server, which has the same identifier. An agent stops such runs before it reports the new instance, but a restarted agent does not know which starts its predecessor sent. It reported the new instance together with the run; the owner counted the run as lost, since the instance that it was placed on had been replaced, and placed the next attempt while the agent was still stopping the first.

The owner now takes a run that the new instance lists as one of that instance: it has ended once it is no longer listed, or all leases of that instance have expired. A start that arrives after the first poll of the restarted agent is refused for its lower fencing token.

Found by reading; no play or log shows it.

--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -227,6 +227,22 @@
   return broken->second.size() + 1 == members.size();
 }
 
+/// Whether a server lists a run that was ordered for its previous instance. An
+/// earlier process of the agent sent the start, which arrived late; the agent
+/// stops the run. Until then it may run as long as the new instance.
+bool
+RunTracker::runs_on_new_instance(const std::string& task,
+                                 const core::Run& run) const
+{
+  const AgentView* agent = this->servers.find(run.node);
+  return agent && std::any_of(agent->report.running().begin(),
+                              agent->report.running().end(),
+                              [&task, &run](const v1::RunReport& running) {
+                                return running.task() == task &&
+                                       running.attempt() == run.attempt;
+                              });
+}
+
 std::optional<LossCause>
 RunTracker::loss_cause(const core::RoundWorkflow& round_workflow,
                        const core::TaskRef& task,
@@ -235,6 +251,13 @@
 {
   std::optional<LossCause> cause =
     this->servers.loss_cause(run.server, run.node, now_ms);
+  if (cause == LossCause::InstanceReplaced &&
+      this->runs_on_new_instance(
+        core::task_name(round_workflow.definition->id, task), run))
+    cause = this->servers.loss_cause(
+      instance_of(this->servers.find(run.node)->report.life()),
+      run.node,
+      now_ms);
   if (!cause && this->servers.agent_silent(run.node, now_ms) &&
       this->must_have_broken_gang(round_workflow, task, run))
     return LossCause::GangBroken;
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -84,6 +84,8 @@
   bool must_have_broken_gang(const core::RoundWorkflow& round_workflow,
                              const core::TaskRef& task,
                              const core::Run& run) const;
+  bool runs_on_new_instance(const std::string& task,
+                            const core::Run& run) const;
   /// Why a run must have ended although no end was reported; empty if it may
   /// not have ended.
   std::optional<LossCause> loss_cause(const core::RoundWorkflow& round_workflow,
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -82,6 +82,31 @@
     return count;
   }
 
+  bool has_run(std::uint32_t index)
+  {
+    return workflows[0]
+      .progress.open_occurrences.at(0)[0][index]
+      .run.has_value();
+  }
+
+  /// A new process of agent 0 reports a new instance of its server, which lists
+  /// the run that was ordered for the previous one.
+  v1::Envelope report_stray_run()
+  {
+    v1::Envelope envelope;
+    envelope.set_sender(node(0));
+    envelope.set_sender_incarnation(2);
+    v1::ServerReport& report = *envelope.mutable_server_report();
+    report.set_sequence(1);
+    report.mutable_life()->set_id(instance(0).id);
+    report.mutable_life()->set_born_ms(2);
+    v1::RunReport& stray = *report.add_running();
+    stray.set_task(core::task_name(JOB, { 0, 0, 0 }));
+    stray.set_attempt(1);
+    BOOST_REQUIRE(servers.apply_report(envelope, NOW_MS) != nullptr);
+    return envelope;
+  }
+
   void apply(std::int64_t now_ms)
   {
     tracker.apply_ends(workflows, now_ms);
@@ -156,6 +181,30 @@
   BOOST_TEST(runs() == 0U);
 }
 
+// A start that an earlier process of the agent had sent has reached the new
+// instance, and the agent still has to stop the run.
+BOOST_FIXTURE_TEST_CASE(run_on_a_new_instance_counts_as_lost, Fixture)
+{
+  v1::Envelope envelope = report_stray_run();
+  apply(NOW_MS);
+  BOOST_TEST(has_run(0));
+  envelope.mutable_server_report()->set_sequence(2);
+  envelope.mutable_server_report()->clear_running();
+  BOOST_REQUIRE(servers.apply_report(envelope, NOW_MS) != nullptr);
+  apply(NOW_MS);
+  BOOST_TEST(!has_run(0));
+}
+
+// The agent may be lost before it reports that the run has ended.
+BOOST_FIXTURE_TEST_CASE(run_on_a_new_instance_is_never_lost, Fixture)
+{
+  report_stray_run();
+  apply(NOW_MS + entry::LeaseBounds{}.expiry_ms());
+  BOOST_TEST(has_run(0));
+  apply(NOW_MS + entry::LeaseBounds{}.expiry_ms() + 1);
+  BOOST_TEST(!has_run(0));
+}
+
 // Guards against ends of a new server instance that count as stored because
 // the previous instance had used the same numbers.
 BOOST_FIXTURE_TEST_CASE(applied_ends_name_their_instance, Fixture)
