Acknowledge the late success of a gang after all later attempts have ended

The success of one member of a gang is that of all. If it came after its run had counted as lost, it was acknowledged as soon as that member had no later run, while later attempts of other members could still run or start: a start after a success was acknowledged breaks TWICE. The end now stays unacknowledged until no member of the gang has a later attempt.

entry.run_tracker_test: success_is_acknowledged_while_another_member_may_start failed before ("check applied.at(node(0)).number == 0U has failed [1 != 0]") and passes.

--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -29,9 +29,9 @@
            : core::RunEndKind::Stopped;
 }
 
-/// Whether the end is a success and a later attempt of its task has not ended.
-/// The end must stay unacknowledged until then: no run may start after the
-/// success of its task was acknowledged.
+/// Whether the end is a success and a later attempt of its task has not ended;
+/// of a gang, a later attempt of any member. The end must stay unacknowledged
+/// until then: no run may start after the success of its task was acknowledged.
 bool
 must_stop_later_attempt(core::RoundWorkflow& round_workflow,
                         const core::TaskRef& task,
@@ -40,8 +40,16 @@
   if (end_kind(end.kind()) != core::RunEndKind::Done)
     return false;
   const core::TaskState* state = core::find_task(round_workflow.progress, task);
-  return state && state->done && state->run &&
-         state->run->attempt > end.attempt();
+  if (!state || !state->done)
+    return false;
+  auto later = [&end](const core::TaskState& other) {
+    return other.run && other.run->attempt > end.attempt();
+  };
+  const core::StepState& members =
+    round_workflow.progress.open_occurrences.at(task.occurrence)[task.step];
+  return round_workflow.definition->steps[task.step].gang
+           ? std::any_of(members.begin(), members.end(), later)
+           : later(*state);
 }
 
 } // namespace
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -243,6 +243,27 @@
   BOOST_TEST(applied.at(node(0)).number == 1U);
 }
 
+// The success of one member is that of the whole gang, so no other member may
+// start after it is acknowledged.
+BOOST_FIXTURE_TEST_CASE(success_is_acknowledged_while_another_member_may_start,
+                        Fixture)
+{
+  core::StepState& members = workflows[0].progress.open_occurrences.at(0)[0];
+  for (core::TaskState& member : members)
+    member.last_attempt = 2;
+  members[0].run.reset();
+  members[1].run->attempt = 2;
+  members[2].run.reset();
+  report(0, NOW_MS, core::RunEndKind::Done);
+  std::map<std::string, entry::AppliedEnds> applied =
+    tracker.apply_ends(workflows, NOW_MS);
+  BOOST_TEST(members[1].run->stopping);
+  BOOST_TEST(applied.at(node(0)).number == 0U);
+  members[1].run.reset();
+  applied = tracker.apply_ends(workflows, NOW_MS);
+  BOOST_TEST(applied.at(node(0)).number == 1U);
+}
+
 // Guards against a task that counts as done by an attempt that was never made.
 BOOST_FIXTURE_TEST_CASE(success_of_an_unknown_attempt_is_ignored, SingleTask)
 {
