Renew a lease that may have expired with a higher fencing token

Two runs of one task were possible: a start gets no response, and the server or the owner is then silent until all leases have expired, so that the owner places the next attempt on another server. Once the lease was renewed, the first start could still be carried out, until a stop of this run was confirmed. It had the same fencing token as the renewal, and the contract does not say whether a start whose own lease has passed is refused while the server has a later one.

After a poll that did not renew the lease, the next renewal has a higher token. The server takes both from one call: a start that was sent before is carried out before the renewal, when no lease is left, or refused. A refusal now raises the token only if the refused call had the newest one.

The stand-in server can now delay starts and lose stops. Found by reading; no play or log shows it.

--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -76,6 +76,17 @@
   return this->answering && this->owner_seen_lately();
 }
 
+/// Returns the end of a new lease. If the lease may have expired before, the
+/// owner may have placed the runs on other servers: the lease then comes with a
+/// higher token, so that the server refuses delayed starts from before.
+std::int64_t
+ServerAgent::grant_lease(std::int64_t now_ms)
+{
+  if (std::exchange(this->renewal_interrupted, false))
+    ++this->fencing_token;
+  return this->lease_clock.grant(now_ms, this->options.lease.count());
+}
+
 /// Records that the owner has replied to a report. The time of the report
 /// counts: the reply may have been under way for long, or this process paused.
 void
@@ -207,8 +218,9 @@
   std::int64_t now = kernel::boot_ms();
   platform::LeaseRequest request;
   if (this->may_renew_lease())
-    request.lease_until_ms =
-      this->lease_clock.grant(now, this->options.lease.count());
+    request.lease_until_ms = this->grant_lease(now);
+  else
+    this->renewal_interrupted = true;
   request.acknowledged_ends = this->acknowledged_ends();
   this->log_acknowledgement(request.acknowledged_ends);
   // The first poll of an instance and a poll after a confirmed stop return at
@@ -225,10 +237,16 @@
     request,
     request.wait + POLL_TIMEOUT_SLACK,
     this->guarded(
-      [this, now, instance = this->instance_number](
+      [this,
+       now,
+       token = this->fencing_token,
+       instance = this->instance_number](
         tl::expected<platform::ServerTaskLists, platform::ServerError> result) {
-        if (instance == this->instance_number)
-          this->poll_answered(now, std::move(result));
+        if (instance != this->instance_number)
+          return;
+        if (!result && result.error() == platform::ServerError::Fenced)
+          this->handle_refused_token(token);
+        this->poll_answered(now, std::move(result));
       }));
 }
 
@@ -352,8 +370,6 @@
 ServerAgent::poll_failed(platform::ServerError error)
 {
   this->metrics.counter("agent_looks_failed_total").add();
-  if (error == platform::ServerError::Fenced)
-    this->raise_fencing_token();
   bool was_answering = std::exchange(this->answering, false);
   if (was_answering)
     this->silent_since_ms = kernel::boot_ms();
@@ -434,9 +450,13 @@
                     { "runs", tasks } });
 }
 
+/// Raises the fencing token after a refusal. Calls that were overtaken by one
+/// with a higher token of this process are refused as well.
 void
-ServerAgent::raise_fencing_token()
+ServerAgent::handle_refused_token(std::uint64_t token)
 {
+  if (token != this->fencing_token)
+    return;
   this->fencing_token = std::max(this->fencing_token + this->fencing_token_step,
                                  static_cast<std::uint64_t>(kernel::unix_ms()));
   this->fencing_token_step *= 2;
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -99,6 +99,7 @@
   bool state_is_known() const;
   bool owner_seen_lately() const;
   bool may_renew_lease() const;
+  std::int64_t grant_lease(std::int64_t now_ms);
   void record_owner_reply(const v1::ServerOrders& orders);
   void discard_orders();
   std::set<RunKey> unconfirmed_starts() const;
@@ -114,7 +115,7 @@
     tl::expected<platform::ServerTaskLists, platform::ServerError> lists);
   void apply_lists(std::int64_t sent_ms, platform::ServerTaskLists lists);
   void poll_failed(platform::ServerError error);
-  void raise_fencing_token();
+  void handle_refused_token(std::uint64_t token);
   void track_orders();
   void track_unordered_runs();
   void reconcile();
@@ -148,7 +149,9 @@
   platform::ServerTaskLists lists;
   bool lists_known = false; ///< `lists` are from the current instance.
   bool poll_in_flight = false;
-  bool answering = false;         ///< The last poll was answered.
+  bool answering = false; ///< The last poll was answered.
+  /// A poll did not renew the lease, which may have expired since.
+  bool renewal_interrupted = false;
   bool leaving = false;           ///< The server announced its shutdown.
   bool instance_replaced = false; ///< Another instance answered at its address.
   /// No run is left: every lease has expired or the instance has ended.
--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -258,17 +258,21 @@
   request.payload = run.order.payload();
   request.checkpoint = run.order.checkpoint();
   request.ticket = run.order.ticket();
-  request.lease_until_ms =
-    this->lease_clock.grant(kernel::boot_ms(), this->options.lease.count());
-  this->server_client.start(
-    this->target(),
-    request,
-    CALL_TIMEOUT,
-    this->guarded([this, key, instance = this->instance_number](
-                    platform::StartResult result) {
-      if (instance == this->instance_number)
-        this->handle_start_result(key, result);
-    }));
+  request.lease_until_ms = this->grant_lease(kernel::boot_ms());
+  this->server_client.start(this->target(),
+                            request,
+                            CALL_TIMEOUT,
+                            this->guarded([this,
+                                           key,
+                                           token = this->fencing_token,
+                                           instance = this->instance_number](
+                                            platform::StartResult result) {
+                              if (instance != this->instance_number)
+                                return;
+                              if (result == platform::StartResult::Fenced)
+                                this->handle_refused_token(token);
+                              this->handle_start_result(key, result);
+                            }));
 }
 
 void
@@ -294,9 +298,6 @@
       set_phase(run, RunPhase::Started);
       this->on_change();
       break;
-    case platform::StartResult::Fenced:
-      this->raise_fencing_token();
-      break;
     case platform::StartResult::Ended:
     case platform::StartResult::NoCapacity:
     case platform::StartResult::NoTicket:
@@ -318,7 +319,10 @@
     key.first,
     key.second,
     CALL_TIMEOUT,
-    this->guarded([this, key, instance = this->instance_number](
+    this->guarded([this,
+                   key,
+                   token = this->fencing_token,
+                   instance = this->instance_number](
                     tl::expected<void, platform::ServerError> result) {
       if (instance != this->instance_number)
         return;
@@ -336,7 +340,7 @@
       if (result)
         set_phase(stopped, RunPhase::Stopped);
       else if (result.error() == platform::ServerError::Fenced)
-        this->raise_fencing_token();
+        this->handle_refused_token(token);
     }));
 }
 
@@ -402,7 +406,11 @@
     key.second,
     percent,
     CALL_TIMEOUT,
-    this->guarded([this, key, percent, instance = this->instance_number](
+    this->guarded([this,
+                   key,
+                   percent,
+                   token = this->fencing_token,
+                   instance = this->instance_number](
                     tl::expected<void, platform::ServerError> result) {
       std::map<RunKey, TrackedRun>::iterator found = this->runs.find(key);
       if (instance != this->instance_number || found == this->runs.end())
@@ -411,7 +419,7 @@
       if (result)
         found->second.pace_percent = percent;
       else if (result.error() == platform::ServerError::Fenced)
-        this->raise_fencing_token();
+        this->handle_refused_token(token);
     }));
 }
 
--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -108,6 +108,17 @@
     this->restart();
   }
 
+  /// Carries out the delayed starts. Their responses are lost.
+  void carry_out_delayed_starts()
+  {
+    std::vector<gateway::HttpRequest> requests = std::move(this->delayed);
+    this->delayed_starts = 0;
+    for (const gateway::HttpRequest& request : requests)
+      this->handle(request, [](const gateway::HttpResponse&) {});
+  }
+
+  bool has_lease() const { return this->clock_ms() < this->lease_until_ms; }
+
   Json announcement(const std::string& state, std::uint64_t sequence) const
   {
     return { { "remaining_ms", this->min_stay_ms },
@@ -132,7 +143,11 @@
   bool silent = false; ///< Requests are read and never answered.
   /// Number of starts to execute without a response.
   int unanswered_starts = 0;
-  int ignored_starts = 0;      ///< Number of starts to drop without a response.
+  int ignored_starts = 0; ///< Number of starts to drop without a response.
+  /// Number of starts to delay until `carry_out_delayed_starts`.
+  int delayed_starts = 0;
+  std::vector<gateway::HttpRequest> delayed; ///< The delayed starts.
+  bool ignoring_stops = false; ///< Stops are dropped without a response.
   bool malformed_rows = false; ///< Lists of tasks can't be read row by row.
   int accelerators = 8;        ///< Capacity in the announcement.
   std::string rack = "r1-1";
@@ -212,6 +227,18 @@
       this->unanswered.push_back(std::move(respond));
       return;
     }
+    bool is_start = request.path == "/geraniumhinge/run-start";
+    bool is_stop = request.path == "/geraniumhinge/run-stop";
+    if (is_start && this->delayed_starts > 0) {
+      --this->delayed_starts;
+      this->delayed.push_back(request);
+      respond({ gateway::CLOSE_CONNECTION, "", "", {} });
+      return;
+    }
+    if (is_stop && this->ignoring_stops) {
+      respond({ gateway::CLOSE_CONNECTION, "", "", {} });
+      return;
+    }
     Json body = Json::parse(request.body, nullptr, false);
     std::uint64_t token = body.value("fence_token", std::uint64_t{ 0 });
     if (token < this->fencing_token) {
@@ -223,9 +250,9 @@
     if (body.contains("deadline_ms"))
       this->lease_until_ms =
         std::max(this->lease_until_ms, body["deadline_ms"].get<std::int64_t>());
-    if (request.path == "/geraniumhinge/run-start")
+    if (is_start)
       this->start(body, respond);
-    else if (request.path == "/geraniumhinge/run-stop")
+    else if (is_stop)
       this->stop(body, respond);
     else if (request.path == "/geraniumhinge/pace")
       this->pace(body, respond);
