Don't conclude from a full list of ends that a run never started

A run counted as never started if it was in neither list of its server after a confirmed start and stop. A server lists at most 500 unacknowledged ends at once, so the end of the run, possibly a success, could be beyond them, and the owner started the task again. A list of 500 ends now shows nothing about runs that it lacks.

agent.server_agent_test: run_whose_end_is_not_listed_yet_is_not_absent failed before ("check !reports(core::RunEndKind::NeverStarted) has failed") and passes. The stand-in server now lists at most 500 ends. Found by reading; no play or log shows it.

--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -19,6 +19,8 @@
 constexpr kernel::Milliseconds PACING_POLL_WAIT{ 250 };
 /// Consecutive refused connections after which the instance counts as ended.
 constexpr int MAX_REFUSED_POLLS = 2;
+/// A server lists at most this many ends at once, the oldest ones.
+constexpr std::size_t MAX_LISTED_ENDS = 500;
 /// First increment of a refused fencing token; doubled at each refusal.
 constexpr std::uint64_t FENCING_TOKEN_STEP = 1'000;
 
@@ -335,6 +337,8 @@
   std::set<RunKey> ended;
   for (const platform::EndedTask& task : lists.ended)
     ended.insert({ task.task, task.attempt });
+  bool complete =
+    lists.malformed_rows == 0 && lists.ended.size() < MAX_LISTED_ENDS;
   for (std::pair<const RunKey, TrackedRun>& item : this->runs) {
     TrackedRun& run = item.second;
     bool on_server = running.contains(item.first);
@@ -343,9 +347,9 @@
       set_phase(run, RunPhase::Started);
     // The poll was sent after the server confirmed the start or stop, so a run
     // that is in neither list is not on the server.
-    bool certainly_absent = lists.malformed_rows == 0 &&
-                            sent_ms > run.phase_started_ms && !on_server &&
-                            !ended.contains(item.first) && !run.call_in_flight;
+    bool certainly_absent = complete && sent_ms > run.phase_started_ms &&
+                            !on_server && !ended.contains(item.first) &&
+                            !run.call_in_flight;
     if (certainly_absent && run.phase == RunPhase::Stopped) {
       set_phase(run, RunPhase::NeverStarted);
       changed = true;
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -349,6 +349,25 @@
   BOOST_TEST(!reports(core::RunEndKind::NeverStarted));
 }
 
+// Guards against a run that counts as never started, and is started elsewhere,
+// because its end is beyond the ends that the server lists at once.
+BOOST_FIXTURE_TEST_CASE(run_whose_end_is_not_listed_yet_is_not_absent, Fixture)
+{
+  announce();
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  send_orders_until(ordered,
+                    [this] { return agent->report().running_size() == 1; });
+  for (std::size_t end = 0; end < ServerStandin::MAX_LISTED_ENDS; ++end)
+    server.add_end({ OTHER_TASK, end + 1 }, "failed");
+  server.finish({ TASK, 1 }, "done");
+  send_orders_until(ordered, after_several_polls());
+  BOOST_TEST(!reports(core::RunEndKind::NeverStarted));
+  ordered.set_stored_ends(ServerStandin::MAX_LISTED_ENDS);
+  send_orders_until(ordered,
+                    [this] { return reports(core::RunEndKind::Done); });
+}
+
 // Guards against runs that count as lost while the leaving server still works
 // on them and is only slow to respond.
 BOOST_FIXTURE_TEST_CASE(slow_response_does_not_end_a_leaving_server, Fixture)
--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -24,6 +24,8 @@
 public:
   using Json = nlohmann::json;
   using Run = std::pair<std::string, std::uint32_t>;
+  /// One response lists at most this many ends, the oldest ones.
+  static constexpr std::size_t MAX_LISTED_ENDS = 500;
 
   struct End
   {
@@ -63,6 +65,12 @@
     this->end(run, end_kind);
   }
 
+  /// Lists an end of a run that the agent does not know.
+  void add_end(const Run& run, const std::string& end_kind)
+  {
+    this->ended.push_back({ this->next_end++, run, end_kind, "" });
+  }
+
   /// What a restart does to the calls that wait for a response.
   enum class Connections
   {
@@ -205,7 +213,7 @@
     this->last_attempts[run.first] =
       std::max(this->last_attempts[run.first], run.second);
     this->on_end(run, end_kind);
-    this->ended.push_back({ this->next_end++, run, end_kind, "" });
+    this->add_end(run, end_kind);
     for (Waiting& item : this->waiting)
       this->respond_with_lists(item.respond);
     this->waiting.clear();
@@ -367,12 +375,15 @@
                                             "",
                                             10,
                                             this->load_of(item.first.first) });
-    for (const End& item : this->ended)
+    for (const End& item : this->ended) {
+      if (response["ended"].size() == MAX_LISTED_ENDS)
+        break;
       response["ended"].push_back({ item.number,
                                     item.run.first,
                                     item.run.second,
                                     item.end_kind,
                                     item.checkpoint });
+    }
     if (this->malformed_rows) {
       for (Json& row : response["running_tasks"])
         row[1] = "mistyped";
