Begin fencing tokens with the boot time instead of the time of day

The fencing token of an agent was the time of day at its start. If the clock of a VM was set back between two starts, the next agent had a lower token than its predecessor. On the same instance of the server it was refused and raised its token; a new instance knows no token, so that a start of the predecessor which was carried out late was accepted, beside the task's next attempt.

Tokens now begin with the boot time in milliseconds, which is never set back. It begins anew at a reboot of the VM, which also ends the server.

agent.late_start_test: token_follows_the_time_of_day failed before ("check token <= static_cast<std::uint64_t>(kernel::boot_ms()) has failed [ > 1877853]") and passes.

--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -40,9 +40,10 @@
   , server_client(server_client)
   , options(std::move(options))
   , on_change(std::move(on_change))
-  // The start time exceeds the tokens of earlier agents on this VM, which
-  // began with their own start times.
-  , fencing_token(static_cast<std::uint64_t>(kernel::unix_ms()))
+  // The boot time exceeds the tokens of earlier agents, which began with it as
+  // well: the server runs on this VM and ends at its reboot. The time of day
+  // may be set back.
+  , fencing_token(static_cast<std::uint64_t>(kernel::boot_ms()))
   , fencing_token_step(FENCING_TOKEN_STEP)
 {
   this->reconcile_timer =
--- a/tests/agent/late_start_test.cpp
+++ b/tests/agent/late_start_test.cpp
@@ -70,6 +70,19 @@
   BOOST_TEST(server.running.empty());
 }
 
+// The new agent began with a lower token if the time of day had been set back.
+BOOST_FIXTURE_TEST_CASE(token_follows_the_time_of_day, Fixture)
+{
+  announce();
+  run_until([this] { return listed(); });
+  std::uint64_t token = server.fencing_token;
+  BOOST_TEST(token <= static_cast<std::uint64_t>(kernel::boot_ms()));
+  restart_agent();
+  announce();
+  run_until([this, token] { return server.fencing_token > token; });
+  BOOST_TEST(server.stale_requests == 0);
+}
+
 // An earlier agent has used a token that this one reaches only by raising its
 // own.
 BOOST_FIXTURE_TEST_CASE(agent_with_a_low_token_is_refused_for_ever, Fixture)
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -76,7 +76,7 @@
   send_orders_until(ordered, [this] { return server.running.size() == 1; });
   std::uint64_t token = server.fencing_token;
   agent.reset();
-  // The fencing token is the start time in ms, so the next agent must start
+  // The fencing token is the boot time in ms, so the next agent must start
   // later than this one.
   run_until([polls = 0]() mutable { return ++polls > 5; });
   agent = make_agent();
