--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -19,6 +19,8 @@
 constexpr kernel::Milliseconds PACING_POLL_WAIT{ 250 };
 /// Consecutive refused connections after which the instance counts as ended.
 constexpr int MAX_REFUSED_POLLS = 2;
+/// A server lists at most this many ends at once, the oldest ones.
+constexpr std::size_t MAX_LISTED_ENDS = 500;
 /// First increment of a refused fencing token; doubled at each refusal.
 constexpr std::uint64_t FENCING_TOKEN_STEP = 1'000;
 
@@ -38,9 +40,10 @@
   , server_client(server_client)
   , options(std::move(options))
   , on_change(std::move(on_change))
-  // The start time exceeds the tokens of earlier agents on this VM, which
-  // began with their own start times.
-  , fencing_token(static_cast<std::uint64_t>(kernel::unix_ms()))
+  // The boot time exceeds the tokens of earlier agents, which began with it as
+  // well: the server runs on this VM and ends at its reboot. The time of day
+  // may be set back.
+  , fencing_token(static_cast<std::uint64_t>(kernel::boot_ms()))
   , fencing_token_step(FENCING_TOKEN_STEP)
   , started_ms(kernel::boot_ms())
 {
@@ -77,11 +80,16 @@
   return this->answering && this->owner_seen_lately();
 }
 
-/// Returns the end, on the server's clock, of a lease that begins now.
+/// Returns the end, on the server's clock, of a lease that begins now. If the
+/// lease may have expired before, the owner may have placed the runs on other
+/// servers: the lease then comes with a higher token, so that the server
+/// refuses delayed starts from before.
 std::int64_t
 ServerAgent::grant_lease(std::int64_t now_ms)
 {
   this->has_granted_lease = true;
+  if (std::exchange(this->renewal_interrupted, false))
+    ++this->fencing_token;
   return this->lease_clock.grant(now_ms, this->options.lease.count());
 }
 
@@ -225,6 +233,8 @@
   platform::LeaseRequest request;
   if (this->may_renew_lease())
     request.lease_until_ms = this->grant_lease(now);
+  else
+    this->renewal_interrupted = true;
   request.acknowledged_ends = this->acknowledged_ends();
   this->log_acknowledgement(request.acknowledged_ends);
   // The first poll of an instance and a poll after a confirmed stop return at
@@ -241,10 +251,16 @@
     request,
     request.wait + POLL_TIMEOUT_SLACK,
     this->guarded(
-      [this, now, instance = this->instance_number](
+      [this,
+       now,
+       token = this->fencing_token,
+       instance = this->instance_number](
         tl::expected<platform::ServerTaskLists, platform::ServerError> result) {
-        if (instance == this->instance_number)
-          this->poll_answered(now, std::move(result));
+        if (instance != this->instance_number)
+          return;
+        if (!result && result.error() == platform::ServerError::Fenced)
+          this->handle_refused_token(token);
+        this->poll_answered(now, std::move(result));
       }));
 }
 
@@ -333,6 +349,8 @@
   std::set<RunKey> ended;
   for (const platform::EndedTask& task : lists.ended)
     ended.insert({ task.task, task.attempt });
+  bool complete =
+    lists.malformed_rows == 0 && lists.ended.size() < MAX_LISTED_ENDS;
   for (std::pair<const RunKey, TrackedRun>& item : this->runs) {
     TrackedRun& run = item.second;
     bool on_server = running.contains(item.first);
@@ -341,9 +359,9 @@
       set_phase(run, RunPhase::Started);
     // The poll was sent after the server confirmed the start or stop, so a run
     // that is in neither list is not on the server.
-    bool certainly_absent = lists.malformed_rows == 0 &&
-                            sent_ms > run.phase_started_ms && !on_server &&
-                            !ended.contains(item.first) && !run.call_in_flight;
+    bool certainly_absent = complete && sent_ms > run.phase_started_ms &&
+                            !on_server && !ended.contains(item.first) &&
+                            !run.call_in_flight;
     if (certainly_absent && run.phase == RunPhase::Stopped) {
       set_phase(run, RunPhase::NeverStarted);
       changed = true;
@@ -368,8 +386,6 @@
 ServerAgent::poll_failed(platform::ServerError error)
 {
   this->metrics.counter("agent_looks_failed_total").add();
-  if (error == platform::ServerError::Fenced)
-    this->raise_fencing_token();
   bool was_answering = std::exchange(this->answering, false);
   if (was_answering)
     this->silent_since_ms = kernel::boot_ms();
@@ -450,9 +466,13 @@
                     { "runs", tasks } });
 }
 
+/// Raises the fencing token after a refusal. Calls that were overtaken by one
+/// with a higher token of this process are refused as well.
 void
-ServerAgent::raise_fencing_token()
+ServerAgent::handle_refused_token(std::uint64_t token)
 {
+  if (token != this->fencing_token)
+    return;
   this->fencing_token = std::max(this->fencing_token + this->fencing_token_step,
                                  static_cast<std::uint64_t>(kernel::unix_ms()));
   this->fencing_token_step *= 2;
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -116,7 +116,7 @@
     tl::expected<platform::ServerTaskLists, platform::ServerError> lists);
   void apply_lists(std::int64_t sent_ms, platform::ServerTaskLists lists);
   void poll_failed(platform::ServerError error);
-  void raise_fencing_token();
+  void handle_refused_token(std::uint64_t token);
   void track_orders();
   void track_unordered_runs();
   void reconcile();
@@ -152,7 +152,9 @@
   platform::ServerTaskLists lists;
   bool lists_known = false; ///< `lists` are from the current instance.
   bool poll_in_flight = false;
-  bool answering = false;         ///< The last poll was answered.
+  bool answering = false; ///< The last poll was answered.
+  /// A poll did not renew the lease, which may have expired since.
+  bool renewal_interrupted = false;
   bool leaving = false;           ///< The server announced its shutdown.
   bool instance_replaced = false; ///< Another instance answered at its address.
   /// No run is left: every lease has expired or the instance has ended.
--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -29,9 +29,9 @@
            : core::RunEndKind::Stopped;
 }
 
-/// Whether the end is a success and a later attempt of its task has not ended.
-/// The end must stay unacknowledged until then: no run may start after the
-/// success of its task was acknowledged.
+/// Whether the end is a success and a later attempt of its task has not ended;
+/// of a gang, a later attempt of any member. The end must stay unacknowledged
+/// until then: no run may start after the success of its task was acknowledged.
 bool
 must_stop_later_attempt(core::RoundWorkflow& round_workflow,
                         const core::TaskRef& task,
@@ -40,8 +40,16 @@
   if (end_kind(end.kind()) != core::RunEndKind::Done)
     return false;
   const core::TaskState* state = core::find_task(round_workflow.progress, task);
-  return state && state->done && state->run &&
-         state->run->attempt > end.attempt();
+  if (!state || !state->done)
+    return false;
+  auto later = [&end](const core::TaskState& other) {
+    return other.run && other.run->attempt > end.attempt();
+  };
+  const core::StepState& members =
+    round_workflow.progress.open_occurrences.at(task.occurrence)[task.step];
+  return round_workflow.definition->steps[task.step].gang
+           ? std::any_of(members.begin(), members.end(), later)
+           : later(*state);
 }
 
 } // namespace
@@ -61,7 +69,7 @@
 {
   this->progress = {};
   this->checkpoints.clear();
-  this->gang_ends.clear();
+  this->broken_members.clear();
 }
 
 void
@@ -203,33 +211,44 @@
                             std::uint32_t attempt,
                             core::RunEndKind kind)
 {
-  if (!round_workflow.definition->steps[task.step].gang)
-    return;
-  GangEnd& end = this->gang_ends[{ step_key(round_workflow, task), attempt }];
   if (kind == core::RunEndKind::GangBroken)
-    end.gang_broken = true;
-  else
-    end.cause_known = true;
+    this->broken_members[{ step_key(round_workflow, task), attempt }].insert(
+      task.index);
 }
 
 /// Whether the end of this run must have broken its gang: all other members of
-/// the attempt have ended, each of them only because the gang was broken.
+/// the attempt ended only because the gang was broken. An earlier owner may
+/// have recorded another end, so ends that this owner did not see don't count.
 bool
 RunTracker::must_have_broken_gang(const core::RoundWorkflow& round_workflow,
                                   const core::TaskRef& task,
                                   const core::Run& run) const
 {
-  std::map<std::pair<core::StepKey, std::uint32_t>, GangEnd>::const_iterator
-    end = this->gang_ends.find({ step_key(round_workflow, task), run.attempt });
-  if (end == this->gang_ends.end() || !end->second.gang_broken ||
-      end->second.cause_known)
+  std::map<std::pair<core::StepKey, std::uint32_t>,
+           std::set<std::uint32_t>>::const_iterator broken =
+    this->broken_members.find({ step_key(round_workflow, task), run.attempt });
+  if (broken == this->broken_members.end() ||
+      broken->second.contains(task.index))
     return false;
   const core::StepState& members =
     round_workflow.progress.open_occurrences.at(task.occurrence)[task.step];
-  return std::count_if(
-           members.begin(), members.end(), [](const core::TaskState& member) {
-             return member.run.has_value();
-           }) == 1;
+  return broken->second.size() + 1 == members.size();
+}
+
+/// Whether a server lists a run that was ordered for its previous instance. An
+/// earlier process of the agent sent the start, which arrived late; the agent
+/// stops the run. Until then it may run as long as the new instance.
+bool
+RunTracker::runs_on_new_instance(const std::string& task,
+                                 const core::Run& run) const
+{
+  const AgentView* agent = this->servers.find(run.node);
+  return agent && std::any_of(agent->report.running().begin(),
+                              agent->report.running().end(),
+                              [&task, &run](const v1::RunReport& running) {
+                                return running.task() == task &&
+                                       running.attempt() == run.attempt;
+                              });
 }
 
 std::optional<LossCause>
@@ -240,6 +259,13 @@
 {
   std::optional<LossCause> cause =
     this->servers.loss_cause(run.server, run.node, now_ms);
+  if (cause == LossCause::InstanceReplaced &&
+      this->runs_on_new_instance(
+        core::task_name(round_workflow.definition->id, task), run))
+    cause = this->servers.loss_cause(
+      instance_of(this->servers.find(run.node)->report.life()),
+      run.node,
+      now_ms);
   if (!cause && this->servers.agent_silent(run.node, now_ms) &&
       this->must_have_broken_gang(round_workflow, task, run))
     return LossCause::GangBroken;
@@ -275,8 +301,6 @@
                         core::RunEndKind::Lost,
                         this->checkpoint_of(name),
                         round_workflow.max_failures);
-    this->record_gang_end(
-      round_workflow, item.task, item.run.attempt, core::RunEndKind::Lost);
     this->count_run_end(core::RunEndKind::Lost);
     round_workflow.changed = true;
     const AgentView* agent = this->servers.find(item.run.node);
@@ -359,10 +383,11 @@
 {
   this->failures_by_workflow.erase(workflow.id);
   std::erase_if(
-    this->gang_ends,
-    [&workflow](
-      const std::pair<const std::pair<core::StepKey, std::uint32_t>, GangEnd>&
-        item) { return item.first.first.workflow == workflow.id; });
+    this->broken_members,
+    [&workflow](const std::pair<const std::pair<core::StepKey, std::uint32_t>,
+                                std::set<std::uint32_t>>& item) {
+      return item.first.first.workflow == workflow.id;
+    });
   this->progress.forget_workflow(workflow.id);
   // Task names begin with the workflow's identifier and a dot.
   std::string prefix = workflow.id + '.';
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -34,7 +34,8 @@
              kernel::Metrics& metrics,
              ServerTable& servers);
 
-  /// Drops progress, checkpoints and gang ends; called when ownership begins.
+  /// Drops progress, checkpoints and ends of gangs; called when ownership
+  /// begins.
   void reset();
 
   /// Records progress and checkpoints of a report.
@@ -67,13 +68,6 @@
   void forget(const core::Workflow& workflow);
 
 private:
-  /// How the members of one attempt of a gang have ended so far.
-  struct GangEnd
-  {
-    bool gang_broken = false; ///< A member ended because another one had.
-    bool cause_known = false; ///< A member ended for another reason.
-  };
-
   void apply_reported_end(core::RoundWorkflow& round_workflow,
                           const AgentView& agent,
                           const v1::EndReport& end,
@@ -90,6 +84,8 @@
   bool must_have_broken_gang(const core::RoundWorkflow& round_workflow,
                              const core::TaskRef& task,
                              const core::Run& run) const;
+  bool runs_on_new_instance(const std::string& task,
+                            const core::Run& run) const;
   /// Why a run must have ended although no end was reported; empty if it may
   /// not have ended.
   std::optional<LossCause> loss_cause(const core::RoundWorkflow& round_workflow,
@@ -106,7 +102,9 @@
   core::ProgressWatch progress;
   std::map<std::string, std::set<std::string>> failures_by_workflow;
   std::map<std::string, std::string> checkpoints; ///< By task name.
-  std::map<std::pair<core::StepKey, std::uint32_t>, GangEnd> gang_ends;
+  /// Members of one attempt of a gang that ended because another one had.
+  std::map<std::pair<core::StepKey, std::uint32_t>, std::set<std::uint32_t>>
+    broken_members;
 };
 
 } // namespace geraniumhinge::entry
--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -24,6 +24,8 @@
 public:
   using Json = nlohmann::json;
   using Run = std::pair<std::string, std::uint32_t>;
+  /// One response lists at most this many ends, the oldest ones.
+  static constexpr std::size_t MAX_LISTED_ENDS = 500;
 
   struct End
   {
@@ -74,6 +76,12 @@
     this->end(run, end_kind);
   }
 
+  /// Lists an end of a run that the agent does not know.
+  void add_end(const Run& run, const std::string& end_kind)
+  {
+    this->ended.push_back({ this->next_end++, run, end_kind, "" });
+  }
+
   /// What a restart does to the calls that wait for a response.
   enum class Connections
   {
@@ -119,6 +127,17 @@
     this->restart();
   }
 
+  /// Carries out the delayed starts. Their responses are lost.
+  void carry_out_delayed_starts()
+  {
+    std::vector<gateway::HttpRequest> requests = std::move(this->delayed);
+    this->delayed_starts = 0;
+    for (const gateway::HttpRequest& request : requests)
+      this->handle(request, [](const gateway::HttpResponse&) {});
+  }
+
+  bool has_lease() const { return this->clock_ms() < this->lease_until_ms; }
+
   Json announcement(const std::string& state, std::uint64_t sequence) const
   {
     return { { "remaining_ms", this->min_stay_ms },
@@ -158,7 +177,11 @@
   std::int64_t last_full_wait_ms = 0;
   /// Number of starts to execute without a response.
   int unanswered_starts = 0;
-  int ignored_starts = 0;      ///< Number of starts to drop without a response.
+  int ignored_starts = 0; ///< Number of starts to drop without a response.
+  /// Number of starts to delay until `carry_out_delayed_starts`.
+  int delayed_starts = 0;
+  std::vector<gateway::HttpRequest> delayed; ///< The delayed starts.
+  bool ignoring_stops = false; ///< Stops are dropped without a response.
   bool malformed_rows = false; ///< Lists of tasks can't be read row by row.
   int accelerators = 8;        ///< Capacity in the announcement.
   std::string rack = "r1-1";
@@ -216,7 +239,7 @@
     this->last_attempts[run.first] =
       std::max(this->last_attempts[run.first], run.second);
     this->on_end(run, end_kind);
-    this->ended.push_back({ this->next_end++, run, end_kind, "" });
+    this->add_end(run, end_kind);
     for (Waiting& item : this->waiting)
       this->respond_with_lists(item.respond);
     this->waiting.clear();
@@ -229,11 +252,22 @@
       this->unanswered.push_back(std::move(respond));
       return;
     }
+    bool is_start = request.path == START_PATH;
+    bool is_stop = request.path == STOP_PATH;
+    if (is_start && this->delayed_starts > 0) {
+      --this->delayed_starts;
+      this->delayed.push_back(request);
+      respond({ gateway::CLOSE_CONNECTION, "", "", {} });
+      return;
+    }
+    if (is_stop && this->ignoring_stops) {
+      respond({ gateway::CLOSE_CONNECTION, "", "", {} });
+      return;
+    }
     Json body = Json::parse(request.body, nullptr, false);
     if (request.path == POLL_PATH)
       respond = this->poll_response(std::move(respond));
-    bool delayable = request.path == START_PATH || request.path == STOP_PATH;
-    if (delayable && this->call_delay.count() > 0) {
+    if ((is_start || is_stop) && this->call_delay.count() > 0) {
       this->unanswered.push_back(std::move(respond));
       this->late_calls.push_back(
         this->timers.after(this->call_delay, [this, path = request.path, body] {
@@ -404,12 +438,15 @@
                                             "",
                                             10,
                                             this->load_of(item.first.first) });
-    for (const End& item : this->ended)
+    for (const End& item : this->ended) {
+      if (response["ended"].size() == MAX_LISTED_ENDS)
+        break;
       response["ended"].push_back({ item.number,
                                     item.run.first,
                                     item.run.second,
                                     item.end_kind,
                                     item.checkpoint });
+    }
     if (this->malformed_rows) {
       for (Json& row : response["running_tasks"])
         row[1] = "mistyped";
