Dial only IP addresses and ports of peers; log an invalid one once

Operators saw that machines stopped following a list after another writer left an entry with a port out of range in it. Here no process ended, but addresses such as 10.0.0.1:99999 or a name were dialled again and again in the background, and for an address that nng refuses, each message to it wrote a line about a full queue. Names also occupy the few threads of nng that resolve addresses.

A node now refuses to send to a text that is not an IPv4 address and port, which the settings require of every peer's address too. It counts each refusal and logs each address once.

Test: malformed_addresses_cost_no_other_peer.

--- a/kernel/settings.cpp
+++ b/kernel/settings.cpp
@@ -1,9 +1,8 @@
 #include "kernel/settings.h"
 
+#include "kernel/address.h"
 #include "kernel/names.h"
 
-#include <arpa/inet.h>
-#include <charconv>
 #include <cmath>
 #include <fmt/format.h>
 #include <fstream>
@@ -13,8 +12,6 @@
 
 namespace {
 
-constexpr int MAX_PORT = 65535;
-
 constexpr NamedValue<SettingFaultKind> FAULT_NAMES[] = {
   { SettingFaultKind::Unreadable, "file is unreadable" },
   { SettingFaultKind::Malformed, "file is not valid JSON" },
@@ -51,24 +48,6 @@
   return {};
 }
 
-bool
-is_address(const std::string& text)
-{
-  std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos)
-    return false;
-  std::string host = text.substr(0, colon);
-  const char* first = text.data() + colon + 1;
-  const char* last = text.data() + text.size();
-  int port = 0;
-  std::from_chars_result result = std::from_chars(first, last, port);
-  if (result.ec != std::errc() || result.ptr != last || port < 1 ||
-      port > MAX_PORT)
-    return false;
-  in_addr parsed{};
-  return inet_pton(AF_INET, host.c_str(), &parsed) == 1;
-}
-
 bool
 is_valid_text(const nlohmann::json& value, SettingType type)
 {
--- a/peer/events.h
+++ b/peer/events.h
@@ -34,11 +34,21 @@
   "Check that all processes run compatible versions."
 };
 
+inline constexpr kernel::EventInfo ADDRESS_INVALID{
+  204,
+  kernel::Severity::Warning,
+  "peer_address_invalid",
+  "A peer is described with an address that is no IP address and port; it gets "
+  "no messages. Written once per address.",
+  "Correct or remove the row that names the address."
+};
+
 inline constexpr kernel::EventInfo PEER_EVENTS[] = {
   LISTEN_FAILED,
   CONNECTION_SILENT,
   QUEUE_FULL,
   MESSAGE_MALFORMED,
+  ADDRESS_INVALID,
 };
 
 } // namespace geraniumhinge::peer
--- a/peer/peer_node.cpp
+++ b/peer/peer_node.cpp
@@ -1,11 +1,13 @@
 #include "peer/peer_node.h"
 
+#include "kernel/address.h"
 #include "kernel/clock.h"
 #include "peer/events.h"
 #include "peer/link.h"
 #include "peer/listener.h"
 
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -18,6 +20,8 @@
 // A replaced connection stays open this long, so that messages in its buffers
 // still arrive if the connection works after all.
 constexpr std::int64_t RETIRED_LINGER_MS = 1'000;
+// Later invalid addresses are refused without a log line.
+constexpr std::size_t MAX_LOGGED_ADDRESSES = 1'000;
 
 struct PendingRequest
 {
@@ -47,7 +51,9 @@
   kernel::Counter& replies_dropped;
   kernel::Counter& queue_refusals;
   kernel::Counter& redials;
+  kernel::Counter& invalid_addresses;
   kernel::Gauge& open_links;
+  std::set<std::string> logged_addresses; ///< Invalid ones.
   std::function<void(const v1::Envelope&)> handler;
   std::function<std::uint64_t()> config_version;
   std::map<std::string, std::unique_ptr<Link>> links;
@@ -63,6 +69,7 @@
         kernel::Metrics& metrics);
 
   Link& link(const std::string& address);
+  bool accepts_address(const std::string& address);
   bool push(const std::string& address, v1::Envelope& envelope, PushKind kind);
   QueuedMessage pack(v1::Envelope& envelope);
   void receive_all();
@@ -90,6 +97,7 @@
   , replies_dropped(metrics.counter("peer_replies_dropped_total"))
   , queue_refusals(metrics.counter("peer_queue_refusals_total"))
   , redials(metrics.counter("peer_redials_total"))
+  , invalid_addresses(metrics.counter("peer_invalid_addresses_total"))
   , open_links(metrics.gauge("peer_links_open"))
 {
   this->check_timer =
@@ -137,11 +145,28 @@
            kernel::boot_ms() };
 }
 
+/// Whether the address can be dialled. A dialler of any other text would retry
+/// without end, and names block the threads that resolve addresses.
+bool
+PeerNode::State::accepts_address(const std::string& address)
+{
+  if (kernel::is_address(address))
+    return true;
+  this->invalid_addresses.add();
+  bool log_line = this->logged_addresses.size() < MAX_LOGGED_ADDRESSES &&
+                  this->logged_addresses.insert(address).second;
+  if (log_line)
+    this->log.write(ADDRESS_INVALID, { { "peer", address } });
+  return false;
+}
+
 bool
 PeerNode::State::push(const std::string& address,
                       v1::Envelope& envelope,
                       PushKind kind)
 {
+  if (!this->accepts_address(address))
+    return false;
   bool queued = this->link(address).push(this->pack(envelope), kind);
   if (!queued) {
     this->queue_refusals.add();
@@ -218,6 +243,8 @@
 {
   // Unanswered pings of the peer mean that our pongs were lost: the connection
   // from here to the peer is silent.
+  if (!this->accepts_address(envelope.sender_address()))
+    return;
   Link& link = this->link(envelope.sender_address());
   if (envelope.ping().unanswered() > 0 && link.may_redial(kernel::boot_ms()))
     this->redial(envelope.sender_address(), link);
--- a/tests/peer/peer_node_test.cpp
+++ b/tests/peer/peer_node_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/peer/peer_fixture.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fcntl.h>
 #include <vector>
 
 using namespace geraniumhinge;
@@ -213,3 +214,54 @@
   BOOST_TEST(refused > 0);
   BOOST_TEST(refused < MESSAGES);
 }
+
+// Guards against an address in a row of another writer that stops the messages
+// to other peers, or causes a log line with each message.
+BOOST_FIXTURE_TEST_CASE(malformed_addresses_cost_no_other_peer, Fixture)
+{
+  int ends[2] = { -1, -1 };
+  BOOST_REQUIRE(::pipe(ends) == 0);
+  ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+  kernel::Log piped_log("test", kernel::Severity::Info, ends[1]);
+  std::string address = free_address();
+  std::unique_ptr<PeerNode> server = this->node("server", address);
+  echo(*server);
+  PeerNode client(this->loop,
+                  this->timers,
+                  piped_log,
+                  this->metrics,
+                  { "client", kernel::random_id(), free_address() });
+  BOOST_REQUIRE(client.listen().has_value());
+  const std::string addresses[] = {
+    "",
+    "host:",
+    "[::1",
+    "10.0.0.1:99999",
+    "10.0.0.1:-1",
+    "10.0.0.1:18446744073709551617",
+    "a b:80",
+    "no-such-host.invalid:80",
+    "/../..:80",
+    std::string("10.0.0.1\0:80", 12),
+    std::string(200, 'x'),
+    std::string(200, '9') + ":80",
+    std::string(8, '\xff') + ":80",
+  };
+  constexpr int ROUNDS = 20;
+  for (int round = 0; round < ROUNDS; ++round) {
+    for (const std::string& malformed : addresses)
+      BOOST_TEST(!client.send(malformed, job_notice("a")).has_value());
+  }
+  v1::Envelope ping;
+  ping.mutable_ping();
+  ping.set_sender_address("host:");
+  client.reply(ping, job_notice("a"));
+  BOOST_TEST(gets_reply_again(*this, client, address));
+  BOOST_TEST(this->metrics.gauge("peer_links_open").value() <= 2);
+  char lines[64 * 1'024];
+  ssize_t size = ::read(ends[0], lines, sizeof lines);
+  BOOST_TEST(std::count(lines, lines + std::max<ssize_t>(size, 0), '\n') ==
+             static_cast<long>(std::size(addresses)));
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
