--- a/kernel/settings.cpp
+++ b/kernel/settings.cpp
@@ -1,11 +1,13 @@
 #include "kernel/settings.h"
 
 #include "kernel/address.h"
+#include "kernel/json_parse.h"
 #include "kernel/names.h"
 
 #include <cmath>
 #include <fmt/format.h>
 #include <fstream>
+#include <iterator>
 #include <utility>
 
 namespace geraniumhinge::kernel {
@@ -256,7 +258,8 @@
   if (!file)
     return tl::unexpected(
       SettingFault{ SettingFaultKind::Unreadable, path, "" });
-  nlohmann::json root = nlohmann::json::parse(file, nullptr, false);
+  std::string text(std::istreambuf_iterator<char>(file), {});
+  nlohmann::json root = parse_json(text);
   if (root.is_discarded())
     return tl::unexpected(
       SettingFault{ SettingFaultKind::Malformed, path, "" });
--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -4,11 +4,16 @@
 // leaves it would end the process.
 #include "entry/work_rows.h"
 #include "entry/work_view.h"
+#include "gateway/base64.h"
 #include "platform/advice.h"
+#include "platform/backend_http.h"
 #include "platform/caller.h"
 #include "platform/operator_config.h"
 #include "platform/server_client.h"
 #include "platform/store_codec.h"
+#include "platform/table_codec.h"
+
+#include "geraniumhinge/v1/state.pb.h"
 
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
@@ -27,6 +32,26 @@
 constexpr int DEFAULT_INPUTS = 3'000;
 constexpr std::uint64_t SEED = 20'261'204;
 constexpr char JOB[] = "5c0e7a21d94b36f8";
+constexpr std::size_t NESTING = 200'000;
+/// Numbers that fit no type of ours, or no plausible amount.
+constexpr const char* ODD_NUMBERS[] = {
+  "1e999",
+  "1e400",
+  "-1e999",
+  "1e308",
+  "18446744073709551616",
+  "18446744073709551615",
+  "9223372036854775808",
+  "9223372036854775807",
+  "-1",
+  "-9223372036854775809",
+  "1e-400",
+  "\"NaN\"",
+  "NaN",
+  "Infinity",
+  "00",
+  "0x10",
+};
 
 /// Inputs per decoder; FUZZ_INPUTS sets more for a longer run by hand.
 int
@@ -148,6 +173,68 @@
   return progress;
 }
 
+std::string
+repeat(const std::string& text, std::size_t count)
+{
+  std::string repeated;
+  for (std::size_t index = 0; index < count; ++index)
+    repeated += text;
+  return repeated;
+}
+
+std::string
+nested_list(std::size_t depth)
+{
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string
+nested_object(std::size_t depth)
+{
+  return repeat(R"({"rows":)", depth) + "7" + std::string(depth, '}');
+}
+
+/// Bodies that nest `item` in the fields that the decoders read.
+std::vector<std::string>
+bodies_with(const std::string& item)
+{
+  std::vector<std::string> bodies{ item, "[" + item + "]" };
+  for (const char* field : { "rows",          "schema_ver", "value",
+                             "free_capacity", "labels",     "born",
+                             "running_tasks", "ended",      "good",
+                             "routes",        "tenants",    "limits",
+                             "phases",        "task_spec",  "state",
+                             "num_waiting",   "versions",   "applied",
+                             "key",           "version" }) {
+    bodies.push_back(R"({"version":1,")" + std::string(field) + "\":" + item +
+                     "}");
+    bodies.push_back(R"({"version":1,")" + std::string(field) + "\":[" + item +
+                     "]}");
+  }
+  bodies.push_back(R"({"running_tasks":[],"ended":[],"x":)" + item + "}");
+  bodies.push_back(R"([{"job":"a","generation":)" + item + "}]");
+  bodies.push_back(R"({"rows":[{"table":"t","key":"k","version":1,"x":)" +
+                   item + "}]}");
+  return bodies;
+}
+
+void
+decode_everything(const std::string& body)
+{
+  platform::decode_rows(body);
+  platform::decode_announcement({ "i-1", false, body });
+  platform::decode_server_task_lists(body);
+  platform::decode_advice(body);
+  platform::decode_usage(body);
+  platform::decode_operator_config(body);
+  platform::decode_workflow(body);
+  platform::decode_caller_response(200, body);
+  platform::decode_rows(body, {});
+  platform::decode_versions(body);
+  platform::decode_refusal(body);
+  platform::decode_conflict(body);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(submissions)
@@ -304,3 +391,24 @@
     progress_row, entry::encode_progress(example_progress()), 4, false });
   BOOST_TEST(view.items().at(JOB).usable);
 }
+
+// Copies of a deeply nested value recurse and overflow the stack; 4 MiB of open
+// brackets would take more memory than a process may use.
+BOOST_AUTO_TEST_CASE(deeply_nested_bodies_are_rejected)
+{
+  for (const std::string& item :
+       { nested_list(NESTING), nested_object(NESTING) }) {
+    for (const std::string& body : bodies_with(item))
+      BOOST_REQUIRE_NO_THROW(decode_everything(body));
+  }
+  decode_everything(std::string(4UL * 1'024 * 1'024, '['));
+  decode_everything(repeat(R"({"rows":[)", NESTING));
+}
+
+BOOST_AUTO_TEST_CASE(odd_numbers_end_no_decoder)
+{
+  for (const char* number : ODD_NUMBERS) {
+    for (const std::string& body : bodies_with(number))
+      BOOST_REQUIRE_NO_THROW(decode_everything(body));
+  }
+}
--- a/tests/kernel/settings_test.cpp
+++ b/tests/kernel/settings_test.cpp
@@ -2,6 +2,9 @@
 #include "kernel/settings.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <fstream>
+#include <unistd.h>
 
 using namespace geraniumhinge::kernel;
 
@@ -32,3 +35,22 @@
   BOOST_TEST(faults[2].pointer == "/extra");
   BOOST_TEST(faults[3].pointer == "/http/prot");
 }
+
+// Guards against a process that ends when it reads changed settings: the reader
+// copies the values, which recurses.
+BOOST_AUTO_TEST_CASE(deeply_nested_settings_are_refused)
+{
+  constexpr std::size_t NESTING = 200'000;
+  char path[] = "/tmp/settings_test_XXXXXX";
+  int descriptor = ::mkstemp(path);
+  BOOST_REQUIRE(descriptor >= 0);
+  ::close(descriptor);
+  std::ofstream(path) << R"({"name":)" << std::string(NESTING, '[')
+                      << std::string(NESTING, ']') << "}";
+  tl::expected<nlohmann::json, SettingFault> root = load_settings_file(path);
+  std::remove(path);
+  if (root)
+    SettingsReader(*root).text(NAME);
+  BOOST_REQUIRE(!root.has_value());
+  BOOST_TEST((root.error().kind == SettingFaultKind::Malformed));
+}
