Let a row or task that can't be parsed cost no other one

An unreadable page of the store is read again without end, so the process no longer follows the table; an unreadable list of runs counts as no response of the server. The store encodes values in base64, but keys and parts are any texts of other writers, and a list of runs is written by the server.

If a page or list can't be parsed, its items are now parsed one by one, and those that can't be parsed count as malformed rows. Brackets and quotes of the body must be balanced; otherwise the body is rejected as before.

Tests: malformed_input_test, unparsable_row_costs_no_other_row and unparsable_task_costs_no_other_task. Before, both failed at the first malformed item: "critical check page.has_value() has failed", and the same for the lists.

--- a/kernel/json_parse.h
+++ b/kernel/json_parse.h
@@ -10,4 +10,10 @@
 nlohmann::json
 parse_json(std::string_view text);
 
+/// Like parse_json, but an item that can't be parsed, in a list that is a field
+/// of the outer object, becomes null. It costs no other item. Brackets and
+/// quotes must be balanced.
+nlohmann::json
+parse_json_lists(std::string_view text);
+
 } // namespace geraniumhinge::kernel
--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -412,3 +412,50 @@
       BOOST_REQUIRE_NO_THROW(decode_everything(body));
   }
 }
+
+// The parser refuses a whole body for one number, nesting or byte in it. The
+// reader of a table would then read the same page again without end.
+BOOST_AUTO_TEST_CASE(unparsable_row_costs_no_other_row)
+{
+  const std::string bad_rows[] = {
+    R"({"table":"t","key":"k","value":"b25l","schema_ver":1e999})",
+    R"({"table":"t","key":"k","schema_ver":2,"x":)" + nested_list(NESTING) +
+      "}",
+    nested_object(NESTING),
+    "{\"table\":\"t\",\"key\":\"\xff[\\\"\",\"schema_ver\":2}",
+    R"({"table":"t","key":"k","schema_ver":NaN})",
+    "",
+  };
+  for (const std::string& bad_row : bad_rows) {
+    std::optional<platform::RowPage> page = platform::decode_rows(
+      R"({"rows":[{"table":"t","key":"a","value":"b25l","schema_ver":1}, )" +
+      bad_row +
+      R"( ,{"table":"t","key":"l]","value":"b25l","schema_ver":3}],
+          "schema_ver":9,"has_more":true})");
+    BOOST_REQUIRE(page.has_value());
+    BOOST_REQUIRE(page->rows.size() == 2U);
+    BOOST_TEST(page->rows.back().name.key == "l]");
+    BOOST_TEST(page->malformed_rows == 1U);
+    BOOST_TEST(page->version == 9U);
+    BOOST_TEST(page->has_more);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(unparsable_task_costs_no_other_task)
+{
+  const std::string bad_rows[] = {
+    R"(["a.0.0.1",1,"",1e999])",
+    nested_list(NESTING),
+    "[\"\xff\",1,\"\",41]",
+  };
+  for (const std::string& bad_row : bad_rows) {
+    std::optional<platform::ServerTaskLists> lists =
+      platform::decode_server_task_lists(
+        R"({"clock_ms":1,"born":17,"ended":[],"running_tasks":[)" + bad_row +
+        R"(,["a.0.0.0",1,"",41]]})");
+    BOOST_REQUIRE(lists.has_value());
+    BOOST_REQUIRE(lists->running.size() == 1U);
+    BOOST_TEST(lists->running.front().task == "a.0.0.0");
+    BOOST_TEST(lists->malformed_rows == 1U);
+  }
+}
