Use no server whose announcement has an implausible number or address

An announcement may come from another writer. One with a capacity near 2^63, a sequence number near 2^63 or an address such as 10.0.0.1:99999 was taken for that of the server: sums over such capacities overflow, later announcements with smaller sequence numbers are ignored, and calls go nowhere. An identifier that is not UTF-8 got into the reports to the owner, whose parser refuses them.

Such announcements are now rejected: amounts above a million cores or a petabyte, sequence numbers above 2^53, start times that are no integer from 1970 to 2200, addresses that are no IP address and port, texts above 200 bytes, more than 64 labels. Attempts above 2^32 make their row malformed.

--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -52,6 +52,27 @@
   "00",
   "0x10",
 };
+constexpr const char* ODD_ADDRESSES[] = {
+  "",
+  "host:",
+  ":80",
+  "[::1",
+  "[::1]:80",
+  "10.0.0.1",
+  "10.0.0.1:",
+  "10.0.0.1:0",
+  "10.0.0.1:99999",
+  "10.0.0.1:65536",
+  "10.0.0.1:-1",
+  "10.0.0.1:18446744073709551617",
+  "10.0.0.1:80 ",
+  "10.0.0.1 :80",
+  " 10.0.0.1:80",
+  "10.0.0.1:80/x?y",
+  "user@10.0.0.1:80",
+  "10.0.0.256:80",
+  "no such host:80",
+};
 
 /// Inputs per decoder; FUZZ_INPUTS sets more for a longer run by hand.
 int
@@ -235,6 +256,19 @@
   platform::decode_conflict(body);
 }
 
+std::string
+announcement_with(const std::string& field, const std::string& value)
+{
+  Json body = Json::parse(
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"z",
+        "state":"ready","free_capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
+        "labels":["a","r1-3"],"clock_ms":482113,"born":1700000000123,
+        "sequence":4})");
+  body[Json::json_pointer(field)] = "PLACE";
+  std::string text = body.dump();
+  return text.replace(text.find("\"PLACE\""), 7, value);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(submissions)
@@ -459,3 +493,55 @@
     BOOST_TEST(lists->malformed_rows == 1U);
   }
 }
+
+// A smaller type would take the attempt for attempt 1.
+BOOST_AUTO_TEST_CASE(attempt_beyond_its_type_is_malformed)
+{
+  std::optional<platform::ServerTaskLists> lists =
+    platform::decode_server_task_lists(
+      R"({"clock_ms":1,"born":17,"ended":[[1,"a.0.0.0",4294967297,"done",""]],
+          "running_tasks":[["a.0.0.1",4294967297,"",41]]})");
+  BOOST_REQUIRE(lists.has_value());
+  BOOST_TEST(lists->running.empty());
+  BOOST_TEST(lists->ended.empty());
+  BOOST_TEST(lists->malformed_rows == 2U);
+}
+
+// Amounts near the largest integer overflow when they are summed.
+BOOST_AUTO_TEST_CASE(odd_announcements_name_no_server)
+{
+  std::vector<std::string> bodies;
+  for (const char* field : { "/free_capacity/cpu",
+                             "/free_capacity/mem_mb",
+                             "/free_capacity/gpu",
+                             "/sequence",
+                             "/born" }) {
+    for (const char* number : ODD_NUMBERS)
+      bodies.push_back(announcement_with(field, number));
+  }
+  for (const char* address : ODD_ADDRESSES)
+    bodies.push_back(
+      announcement_with("/address", '"' + std::string(address) + '"'));
+  std::string text(300, 'x');
+  for (const char* field : { "/address", "/service", "/zone", "/labels/0" })
+    bodies.push_back(announcement_with(field, '"' + text + '"'));
+  bodies.push_back(
+    announcement_with("/labels", "[" + repeat(R"("a",)", 999) + R"("a"])"));
+  for (const std::string& body : bodies)
+    BOOST_TEST(
+      !platform::decode_announcement({ "i-1", false, body }).has_value(), body);
+  std::string valid = announcement_with("/sequence", "5");
+  BOOST_TEST(
+    platform::decode_announcement({ "i-1", false, valid }).has_value());
+  for (const std::string& id :
+       { std::string("\xff"), text, std::string("a b") })
+    BOOST_TEST(
+      !platform::decode_announcement({ id, false, valid }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(repeated_keys_count_once)
+{
+  std::string body = announcement_with("/sequence", "5");
+  body.insert(1, R"("sequence":1e3,"address":"x","labels":[[]],)");
+  BOOST_TEST(platform::decode_announcement({ "i-1", false, body }).has_value());
+}
