--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -545,3 +545,18 @@
   body.insert(1, R"("sequence":1e3,"address":"x","labels":[[]],)");
   BOOST_TEST(platform::decode_announcement({ "i-1", false, body }).has_value());
 }
+
+BOOST_AUTO_TEST_CASE(submissions_of_implausible_amounts_are_rejected)
+{
+  for (const char* field : { "cpu", "mem_mb", "gpu" }) {
+    for (const char* number : { "9223372036854775807",
+                                "4611686018427387904",
+                                "18446744073709551615",
+                                "1e999",
+                                "-1" })
+      BOOST_TEST(!platform::decode_workflow(
+                    R"({"task_spec":"x","phases":[{"count":10000,")" +
+                    std::string(field) + "\":" + number + "}]}")
+                    .has_value());
+  }
+}
