--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -4,11 +4,16 @@
 // leaves it would end the process.
 #include "entry/work_rows.h"
 #include "entry/work_view.h"
+#include "gateway/base64.h"
 #include "platform/advice.h"
+#include "platform/backend_http.h"
 #include "platform/caller.h"
 #include "platform/operator_config.h"
 #include "platform/server_client.h"
 #include "platform/store_codec.h"
+#include "platform/table_codec.h"
+
+#include "geraniumhinge/v1/state.pb.h"
 
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
@@ -27,6 +32,47 @@
 constexpr int DEFAULT_INPUTS = 3'000;
 constexpr std::uint64_t SEED = 20'261'204;
 constexpr char JOB[] = "5c0e7a21d94b36f8";
+constexpr std::size_t NESTING = 200'000;
+/// Numbers that fit no type of ours, or no plausible amount.
+constexpr const char* ODD_NUMBERS[] = {
+  "1e999",
+  "1e400",
+  "-1e999",
+  "1e308",
+  "18446744073709551616",
+  "18446744073709551615",
+  "9223372036854775808",
+  "9223372036854775807",
+  "-1",
+  "-9223372036854775809",
+  "1e-400",
+  "\"NaN\"",
+  "NaN",
+  "Infinity",
+  "00",
+  "0x10",
+};
+constexpr const char* ODD_ADDRESSES[] = {
+  "",
+  "host:",
+  ":80",
+  "[::1",
+  "[::1]:80",
+  "10.0.0.1",
+  "10.0.0.1:",
+  "10.0.0.1:0",
+  "10.0.0.1:99999",
+  "10.0.0.1:65536",
+  "10.0.0.1:-1",
+  "10.0.0.1:18446744073709551617",
+  "10.0.0.1:80 ",
+  "10.0.0.1 :80",
+  " 10.0.0.1:80",
+  "10.0.0.1:80/x?y",
+  "user@10.0.0.1:80",
+  "10.0.0.256:80",
+  "no such host:80",
+};
 
 /// Inputs per decoder; FUZZ_INPUTS sets more for a longer run by hand.
 int
@@ -148,6 +194,97 @@
   return progress;
 }
 
+std::string
+repeat(const std::string& text, std::size_t count)
+{
+  std::string repeated;
+  for (std::size_t index = 0; index < count; ++index)
+    repeated += text;
+  return repeated;
+}
+
+std::string
+nested_list(std::size_t depth)
+{
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string
+nested_object(std::size_t depth)
+{
+  return repeat(R"({"rows":)", depth) + "7" + std::string(depth, '}');
+}
+
+/// Bodies that nest `item` in the fields that the decoders read.
+std::vector<std::string>
+bodies_with(const std::string& item)
+{
+  std::vector<std::string> bodies{ item, "[" + item + "]" };
+  for (const char* field : { "rows",          "schema_ver", "value",
+                             "free_capacity", "labels",     "born",
+                             "running_tasks", "ended",      "good",
+                             "routes",        "tenants",    "limits",
+                             "phases",        "task_spec",  "state",
+                             "num_waiting",   "versions",   "applied",
+                             "key",           "version" }) {
+    bodies.push_back(R"({"version":1,")" + std::string(field) + "\":" + item +
+                     "}");
+    bodies.push_back(R"({"version":1,")" + std::string(field) + "\":[" + item +
+                     "]}");
+  }
+  bodies.push_back(R"({"running_tasks":[],"ended":[],"x":)" + item + "}");
+  bodies.push_back(R"([{"job":"a","generation":)" + item + "}]");
+  bodies.push_back(R"({"rows":[{"table":"t","key":"k","version":1,"x":)" +
+                   item + "}]}");
+  return bodies;
+}
+
+void
+decode_everything(const std::string& body)
+{
+  platform::decode_rows(body);
+  platform::decode_announcement({ "i-1", false, body });
+  platform::decode_server_task_lists(body);
+  platform::decode_advice(body);
+  platform::decode_usage(body);
+  platform::decode_operator_config(body);
+  platform::decode_workflow(body);
+  platform::decode_caller_response(200, body);
+  platform::decode_rows(body, {});
+  platform::decode_versions(body);
+  platform::decode_refusal(body);
+  platform::decode_conflict(body);
+}
+
+std::string
+announcement_with(const std::string& field, const std::string& value)
+{
+  Json body = Json::parse(
+    R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"z",
+        "state":"ready","free_capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
+        "labels":["a","r1-3"],"clock_ms":482113,"born":1700000000123,
+        "sequence":4})");
+  body[Json::json_pointer(field)] = "PLACE";
+  std::string text = body.dump();
+  return text.replace(text.find("\"PLACE\""), 7, value);
+}
+
+platform::StoredRow
+stored(entry::WorkRowKind kind, const std::string& value, std::uint64_t version)
+{
+  return { entry::work_row(kind, JOB), value, version, false };
+}
+
+/// Whether a view uses the workflow, after the rows of another one.
+bool
+is_used(const core::Workflow& workflow)
+{
+  entry::WorkView view;
+  view.apply(
+    stored(entry::WorkRowKind::Workflow, entry::encode_workflow(workflow), 1));
+  return view.items().at(JOB).usable;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(submissions)
@@ -304,3 +441,311 @@
     progress_row, entry::encode_progress(example_progress()), 4, false });
   BOOST_TEST(view.items().at(JOB).usable);
 }
+
+// Copies of a deeply nested value recurse and overflow the stack; 4 MiB of open
+// brackets would take more memory than a process may use.
+BOOST_AUTO_TEST_CASE(deeply_nested_bodies_are_rejected)
+{
+  for (const std::string& item :
+       { nested_list(NESTING), nested_object(NESTING) }) {
+    for (const std::string& body : bodies_with(item))
+      BOOST_REQUIRE_NO_THROW(decode_everything(body));
+  }
+  decode_everything(std::string(4UL * 1'024 * 1'024, '['));
+  decode_everything(repeat(R"({"rows":[)", NESTING));
+}
+
+BOOST_AUTO_TEST_CASE(odd_numbers_end_no_decoder)
+{
+  for (const char* number : ODD_NUMBERS) {
+    for (const std::string& body : bodies_with(number))
+      BOOST_REQUIRE_NO_THROW(decode_everything(body));
+  }
+}
+
+// The parser refuses a whole body for one number, nesting or byte in it. The
+// reader of a table would then read the same page again without end.
+BOOST_AUTO_TEST_CASE(unparsable_row_costs_no_other_row)
+{
+  const std::string bad_rows[] = {
+    R"({"table":"t","key":"k","value":"b25l","schema_ver":1e999})",
+    R"({"table":"t","key":"k","schema_ver":2,"x":)" + nested_list(NESTING) +
+      "}",
+    nested_object(NESTING),
+    "{\"table\":\"t\",\"key\":\"\xff[\\\"\",\"schema_ver\":2}",
+    R"({"table":"t","key":"k","schema_ver":NaN})",
+    "",
+  };
+  for (const std::string& bad_row : bad_rows) {
+    std::optional<platform::RowPage> page = platform::decode_rows(
+      R"({"rows":[{"table":"t","key":"a","value":"b25l","schema_ver":1}, )" +
+      bad_row +
+      R"( ,{"table":"t","key":"l]","value":"b25l","schema_ver":3}],
+          "schema_ver":9,"has_more":true})");
+    BOOST_REQUIRE(page.has_value());
+    BOOST_REQUIRE(page->rows.size() == 2U);
+    BOOST_TEST(page->rows.back().name.key == "l]");
+    BOOST_TEST(page->malformed_rows == 1U);
+    BOOST_TEST(page->version == 9U);
+    BOOST_TEST(page->has_more);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(unparsable_task_costs_no_other_task)
+{
+  const std::string bad_rows[] = {
+    R"(["a.0.0.1",1,"",1e999])",
+    nested_list(NESTING),
+    "[\"\xff\",1,\"\",41]",
+  };
+  for (const std::string& bad_row : bad_rows) {
+    std::optional<platform::ServerTaskLists> lists =
+      platform::decode_server_task_lists(
+        R"({"clock_ms":1,"born":17,"ended":[],"running_tasks":[)" + bad_row +
+        R"(,["a.0.0.0",1,"",41]]})");
+    BOOST_REQUIRE(lists.has_value());
+    BOOST_REQUIRE(lists->running.size() == 1U);
+    BOOST_TEST(lists->running.front().task == "a.0.0.0");
+    BOOST_TEST(lists->malformed_rows == 1U);
+  }
+}
+
+// A smaller type would take the attempt for attempt 1.
+BOOST_AUTO_TEST_CASE(attempt_beyond_its_type_is_malformed)
+{
+  std::optional<platform::ServerTaskLists> lists =
+    platform::decode_server_task_lists(
+      R"({"clock_ms":1,"born":17,"ended":[[1,"a.0.0.0",4294967297,"done",""]],
+          "running_tasks":[["a.0.0.1",4294967297,"",41]]})");
+  BOOST_REQUIRE(lists.has_value());
+  BOOST_TEST(lists->running.empty());
+  BOOST_TEST(lists->ended.empty());
+  BOOST_TEST(lists->malformed_rows == 2U);
+}
+
+// The page after a row of which only the value can't be read starts behind it.
+BOOST_AUTO_TEST_CASE(value_that_is_not_base64_keeps_its_row)
+{
+  std::optional<platform::RowPage> page = platform::decode_rows(
+    R"({"rows":[{"table":"t","key":"a","value":"b25l","schema_ver":1},
+        {"table":"t","key":"k","value":"!!","schema_ver":2}],"schema_ver":9})");
+  BOOST_REQUIRE(page.has_value());
+  BOOST_TEST(page->rows.size() == 1U);
+  BOOST_TEST(page->last_key == "k");
+}
+
+// Amounts near the largest integer overflow when they are summed.
+BOOST_AUTO_TEST_CASE(odd_announcements_name_no_server)
+{
+  std::vector<std::string> bodies;
+  for (const char* field : { "/free_capacity/cpu",
+                             "/free_capacity/mem_mb",
+                             "/free_capacity/gpu",
+                             "/sequence",
+                             "/born" }) {
+    for (const char* number : ODD_NUMBERS)
+      bodies.push_back(announcement_with(field, number));
+  }
+  for (const char* address : ODD_ADDRESSES)
+    bodies.push_back(
+      announcement_with("/address", '"' + std::string(address) + '"'));
+  std::string text(300, 'x');
+  for (const char* field : { "/address", "/service", "/zone", "/labels/0" })
+    bodies.push_back(announcement_with(field, '"' + text + '"'));
+  bodies.push_back(
+    announcement_with("/labels", "[" + repeat(R"("a",)", 999) + R"("a"])"));
+  for (const std::string& body : bodies)
+    BOOST_TEST(
+      !platform::decode_announcement({ "i-1", false, body }).has_value(), body);
+  std::string valid = announcement_with("/sequence", "5");
+  BOOST_TEST(
+    platform::decode_announcement({ "i-1", false, valid }).has_value());
+  for (const std::string& id :
+       { std::string("\xff"), text, std::string("a b") })
+    BOOST_TEST(
+      !platform::decode_announcement({ id, false, valid }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(repeated_keys_count_once)
+{
+  std::string body = announcement_with("/sequence", "5");
+  body.insert(1, R"("sequence":1e3,"address":"x","labels":[[]],)");
+  BOOST_TEST(platform::decode_announcement({ "i-1", false, body }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(submissions_of_implausible_amounts_are_rejected)
+{
+  for (const char* field : { "cpu", "mem_mb", "gpu" }) {
+    for (const char* number : { "9223372036854775807",
+                                "4611686018427387904",
+                                "18446744073709551615",
+                                "1e999",
+                                "-1" })
+      BOOST_TEST(!platform::decode_workflow(
+                    R"({"task_spec":"x","phases":[{"count":10000,")" +
+                    std::string(field) + "\":" + number + "}]}")
+                    .has_value());
+  }
+}
+
+// A row of the work that another writer left: the owner would allocate the
+// tasks of all steps, or start tasks of a workflow with another row.
+BOOST_AUTO_TEST_CASE(implausible_workflows_are_left_alone)
+{
+  BOOST_TEST(is_used(example_workflow()));
+  using Change = std::function<void(core::Workflow&)>;
+  const Change changes[] = {
+    [](core::Workflow& workflow) { workflow.id = "5c0e7a21d94b36f9"; },
+    [](core::Workflow& workflow) { workflow.id.clear(); },
+    [](core::Workflow& workflow) { workflow.steps.clear(); },
+    [](core::Workflow& workflow) { workflow.steps.resize(100'000); },
+    [](core::Workflow& workflow) { workflow.steps[0].tasks = 4'294'967'295; },
+    [](core::Workflow& workflow) { workflow.steps[0].tasks = 0; },
+    [](core::Workflow& workflow) { workflow.steps[0].demand.millicores = -1; },
+    [](core::Workflow& workflow) {
+      workflow.steps[0].demand.memory_mb = 9'223'372'036'854'775'807;
+    },
+    [](core::Workflow& workflow) { workflow.occurrences = 4'294'967'295; },
+    [](core::Workflow& workflow) { workflow.occurrences = 2; },
+    [](core::Workflow& workflow) { workflow.period_ms = -1; },
+    [](core::Workflow& workflow) {
+      workflow.first_due_ms = 9'223'372'036'854'775'807;
+    },
+  };
+  for (std::size_t index = 0; index < std::size(changes); ++index) {
+    core::Workflow workflow = example_workflow();
+    changes[index](workflow);
+    BOOST_TEST(!is_used(workflow), "change " << index);
+  }
+}
+
+// Rows of other messages, and bytes that the parser would follow for long.
+BOOST_AUTO_TEST_CASE(odd_protobuf_rows_are_left_alone)
+{
+  std::string groups(NESTING, '\x7b'); // Field 15, start of a group.
+  std::string groups_closed = groups + std::string(NESTING, '\x7c');
+  std::string id_not_utf8 = std::string("\x0a\x02\xff\xfe", 4);
+  std::string huge_length("\x0a\xff\xff\xff\xff\x0f", 6);
+  std::string unknown_enum("\x08\xff\xff\xff\xff\x0f", 6);
+  for (const std::string& value : { groups,
+                                    groups_closed,
+                                    id_not_utf8,
+                                    huge_length,
+                                    std::string("\xff\xff\xff", 3) }) {
+    BOOST_TEST(!entry::decode_workflow(value).has_value());
+    BOOST_TEST(!v1::NodeRow().ParseFromString(value));
+  }
+  BOOST_TEST(!entry::decode_progress(unknown_enum).has_value());
+  BOOST_TEST(!entry::decode_progress(groups_closed).has_value());
+  // JSON of another writer in the base64 value of a row.
+  for (const std::string& json : { nested_list(NESTING), std::string("{}") }) {
+    entry::WorkView view;
+    view.apply(stored(entry::WorkRowKind::Workflow, json, 1));
+    BOOST_TEST(!view.items().at(JOB).usable);
+  }
+}
+
+// Otherwise the owner's next commit fails on the version of the removed row,
+// and the owner reads the whole table again after each such commit.
+BOOST_AUTO_TEST_CASE(workflow_without_its_progress_is_left_alone)
+{
+  entry::WorkView view;
+  view.apply(stored(entry::WorkRowKind::Workflow,
+                    entry::encode_workflow(example_workflow()),
+                    1));
+  view.apply(stored(entry::WorkRowKind::Progress,
+                    entry::encode_progress(example_progress()),
+                    2));
+  view.apply(platform::StoredRow{
+    entry::work_row(entry::WorkRowKind::Progress, JOB), "", 3, true });
+  BOOST_TEST(!view.items().at(JOB).usable);
+  view.apply(stored(entry::WorkRowKind::Progress,
+                    entry::encode_progress(example_progress()),
+                    4));
+  BOOST_TEST(view.items().at(JOB).usable);
+}
+
+// The same for rows that were removed while their changes were not read.
+BOOST_AUTO_TEST_CASE(rows_that_a_snapshot_lacks_are_dropped)
+{
+  entry::WorkView view;
+  view.apply(stored(entry::WorkRowKind::Workflow,
+                    entry::encode_workflow(example_workflow()),
+                    5));
+  platform::RowPage page;
+  page.version = 4;
+  view.replace(page);
+  BOOST_TEST(view.items().contains(JOB));
+  page.version = 6;
+  view.replace(page);
+  BOOST_TEST(!view.items().contains(JOB));
+}
+
+// The rows of an earlier workflow with the same identifier are removed in one
+// transaction, and arrive in any order before the new one.
+BOOST_AUTO_TEST_CASE(progress_of_a_removed_workflow_is_forgotten)
+{
+  platform::StoredRow removed_progress = {
+    entry::work_row(entry::WorkRowKind::Progress, JOB), "", 4, true
+  };
+  platform::StoredRow new_workflow =
+    stored(entry::WorkRowKind::Workflow,
+           entry::encode_workflow(example_workflow()),
+           5);
+  const std::vector<platform::StoredRow> orders[] = {
+    { removed_progress, new_workflow },
+    { new_workflow, removed_progress },
+    { new_workflow },
+  };
+  for (const std::vector<platform::StoredRow>& rows : orders) {
+    entry::WorkView view;
+    view.apply(stored(entry::WorkRowKind::Workflow,
+                      entry::encode_workflow(example_workflow()),
+                      1));
+    view.apply(stored(entry::WorkRowKind::Progress,
+                      entry::encode_progress(example_progress()),
+                      2));
+    view.apply(stored(entry::WorkRowKind::Cancel, "", 3));
+    for (const platform::StoredRow& row : rows)
+      view.apply(row);
+    const entry::WorkItem& item = view.items().at(JOB);
+    BOOST_TEST(item.usable);
+    BOOST_TEST(item.progress_version == 0U);
+    BOOST_TEST(item.progress.open_occurrences.empty());
+    BOOST_TEST(!item.cancelled);
+  }
+}
+
+// Rows without a workflow would be kept for good.
+BOOST_AUTO_TEST_CASE(removed_rows_without_a_workflow_are_dropped)
+{
+  entry::WorkView view;
+  for (entry::WorkRowKind kind :
+       { entry::WorkRowKind::Progress, entry::WorkRowKind::Cancel }) {
+    view.apply(stored(kind, "", 1));
+    view.apply(platform::StoredRow{ entry::work_row(kind, JOB), "", 2, true });
+    BOOST_TEST(!view.items().contains(JOB));
+  }
+}
+
+// A value that is not base64 would leave the former progress in use, whose
+// version no commit meets.
+BOOST_AUTO_TEST_CASE(progress_replaced_by_an_unreadable_value_is_not_used)
+{
+  entry::WorkView view;
+  view.apply(stored(entry::WorkRowKind::Workflow,
+                    entry::encode_workflow(example_workflow()),
+                    1));
+  view.apply(stored(entry::WorkRowKind::Progress,
+                    entry::encode_progress(example_progress()),
+                    2));
+  platform::RowPage page;
+  page.unreadable.push_back(stored(entry::WorkRowKind::Progress, "", 3));
+  page.malformed_rows = 1;
+  view.apply(page);
+  BOOST_TEST(!view.items().at(JOB).usable);
+  view.apply(stored(entry::WorkRowKind::Progress,
+                    entry::encode_progress(example_progress()),
+                    4));
+  BOOST_TEST(view.items().at(JOB).usable);
+}
