Carry out no orders that reply to a report without a server

The owner may take all runs of a restarted agent for lost because its report names no server, and start them elsewhere. Its replies to such reports still listed the runs of the former instance, and an agent whose server then answered started them: two runs of one task (TWICE). Each report without a server now makes all orders up to it void, as the report of an expired lease does.

agent.server_agent_test: orders_in_reply_to_an_unknown_server_start_a_run failed before (check server.starts.empty() has failed).

--- a/agent/server_report.cpp
+++ b/agent/server_report.cpp
@@ -37,6 +37,8 @@
        this->crash_log.recent(kernel::boot_ms()))
     add_crash(crash, report);
   if (!this->state_is_known()) {
+    // The owner may take all runs for lost because of this report.
+    this->discard_orders();
     report.set_no_lease_ms(this->no_lease_ms(kernel::boot_ms()));
     return report;
   }
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -314,6 +314,21 @@
   BOOST_TEST(server.starts.empty());
 }
 
+// The owner may have taken the run for lost because of that report.
+BOOST_FIXTURE_TEST_CASE(orders_in_reply_to_an_unknown_server_start_a_run,
+                        Fixture)
+{
+  server.silent = true;
+  announce();
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  agent->apply_orders(ordered);
+  server.silent = false;
+  run_until([this] { return listed(); });
+  repeat_old_orders_until(ordered, after_several_polls());
+  BOOST_TEST(server.starts.empty());
+}
+
 // Guards against orders for an earlier process of the agent, whose reports had
 // other numbers.
 BOOST_FIXTURE_TEST_CASE(orders_for_an_earlier_agent_start_nothing, Fixture)
--- a/tests/platform/row_store_standin.h
+++ b/tests/platform/row_store_standin.h
@@ -102,7 +102,7 @@
   bool malformed_changes = false;
   /// Delay of the responses with changes on their way.
   kernel::Milliseconds changes_delay{ 0 };
-  int reads = 0;   ///< Pages of rows sent, except changes.
+  int reads = 0; ///< Pages of rows sent, except changes.
   std::map<Name, Row> rows;
 
   /// Applies the delayed writes whose conditions hold.
