Count the age of an announcement from when the server sent it

What could happen: a run is started by a capacity that the server no longer has, although the agent starts nothing by an outdated announcement.

Cause: the age of an announcement counted from its arrival. An announcement may be under way for seconds; if no newer one has arrived, it counted as recent for another two periods.

The announcement carries the server's clock. Its age is now at least the difference to the lower bound of that clock that the polls give. Until the first poll is answered, and without a clock in the announcement, it counts from the arrival as before.

agent.server_capacity_test: delayed_announcement_counts_as_recent failed before in each of three runs:

check !agent->report().ready() has failed check server.starts.empty() has failed

and passes now in each of three runs. The other tests of the agent against the stand-in and system.capacity_test pass.

--- a/agent/lease_clock.h
+++ b/agent/lease_clock.h
@@ -4,7 +4,7 @@
 
 namespace geraniumhinge::agent {
 
-/// What an agent knows about the leases on its backend server, for the log.
+/// What an agent knows about the leases on its backend server and its clock.
 /// Times are in milliseconds.
 struct LeaseState
 {
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -119,6 +119,7 @@
   void track_unordered_runs();
   void reconcile();
   void advance_run(const RunKey& key, TrackedRun& run);
+  std::int64_t announcement_age_ms() const;
   bool announcement_is_recent() const;
   bool has_capacity(const RunKey& key, const TrackedRun& run) const;
   void start_run(const RunKey& key, TrackedRun& run);
@@ -158,7 +159,8 @@
   /// Boot time of the first failed poll after the last answer.
   std::int64_t silent_since_ms = 0;
   CrashLog crash_log;
-  std::int64_t announced_ms = 0; ///< Boot time of the last announcement.
+  /// Boot time at which the last announcement arrived.
+  std::int64_t announced_ms = 0;
   Pacer pacer;
   /// Ends up to this number are stored by the owner.
   std::uint64_t stored_ends = 0;
--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -209,6 +209,20 @@
     this->stop_run(key, run);
 }
 
+/// Time since the server sent its last announcement, which may have been under
+/// way for long, or since its arrival if the server's clock is not known.
+std::int64_t
+ServerAgent::announcement_age_ms() const
+{
+  std::int64_t now = kernel::boot_ms();
+  std::int64_t age_ms = now - this->announced_ms;
+  if (!this->server->clock_ms)
+    return age_ms;
+  std::int64_t server_clock_ms =
+    this->lease_clock.state(now).min_server_clock_ms;
+  return std::max(age_ms, server_clock_ms - *this->server->clock_ms);
+}
+
 /// Whether the announced capacity is recent enough for a start. After a pause
 /// of this process, or of the announcements, the server may have shrunk.
 bool
@@ -216,7 +230,7 @@
 {
   kernel::Milliseconds limit =
     this->options.heartbeat_period * MAX_MISSED_HEARTBEATS + HEARTBEAT_SLACK;
-  return kernel::boot_ms() - this->announced_ms <= limit.count();
+  return this->announcement_age_ms() <= limit.count();
 }
 
 /// Whether the run fits beside all other runs that were started and have not
--- a/tests/agent/server_agent_fixture.h
+++ b/tests/agent/server_agent_fixture.h
@@ -47,7 +47,8 @@
       });
   }
 
-  void announce(const std::string& state = "ready")
+  /// What the server announces now.
+  platform::Announcement announcement(const std::string& state = "ready")
   {
     platform::AnnouncementRequest request{
       SERVER_ID, false, server.announcement(state, ++announcements).dump()
@@ -55,7 +56,12 @@
     std::optional<platform::Announcement> read =
       platform::decode_announcement(request);
     BOOST_REQUIRE(read.has_value());
-    agent->apply_announcement(*read);
+    return *read;
+  }
+
+  void announce(const std::string& state = "ready")
+  {
+    agent->apply_announcement(announcement(state));
   }
 
   v1::ServerOrders orders(std::uint64_t term = 5)
--- a/tests/agent/server_capacity_test.cpp
+++ b/tests/agent/server_capacity_test.cpp
@@ -27,6 +27,26 @@
   send_orders_until(ordered, [this] { return server.running.size() == 1; });
 }
 
+// The capacity may have shrunk while the announcement was under way.
+BOOST_FIXTURE_TEST_CASE(delayed_announcement_counts_as_recent, Fixture)
+{
+  agent.reset();
+  heartbeat_period = kernel::Milliseconds(50);
+  agent = make_agent();
+  announce();
+  run_until([this] { return listed(); });
+  platform::Announcement delayed = announcement();
+  run_until(after_several_polls());
+  agent->apply_announcement(delayed);
+  BOOST_TEST(!agent->report().ready());
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  send_orders_until(ordered, after_several_polls());
+  BOOST_TEST(server.starts.empty());
+  announce();
+  send_orders_until(ordered, [this] { return server.running.size() == 1; });
+}
+
 BOOST_FIXTURE_TEST_CASE(owner_learns_late_that_a_server_shrank, Fixture)
 {
   announce();
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -139,6 +139,7 @@
   BOOST_TEST(decoded->instance.id == "i-7f3a91c2");
   BOOST_TEST(decoded->instance.started_ms == 1'700'000'000'123);
   BOOST_TEST(decoded->rack == "r1-3");
+  BOOST_TEST((decoded->clock_ms == std::int64_t{ 482'113 }));
   BOOST_TEST((decoded->capacity == core::Resources{ 16'000, 32'768, 4 }));
   for (const char* body :
        { "",
