Keep tickets for the instance that they were requested for

What could happen: the start of a run is refused for its ticket, again and again until the ticket has expired, on a server that restarted while the advice service was asked.

Cause: a ticket is valid for one instance of a server. The response named only the server, and the ticket was kept for the instance known when the response arrived, which may be later than the one it was requested for.

A request now names the instances as known when it is made, and the response is kept for these. If the server has restarted since, a new ticket is requested.

core.round_test: ticket_of_an_instance_is_used_for_the_next_one failed before:

check cache.tickets(step, pool, NOW_MS).empty() has failed check cache.should_request(step, pool.servers["s0"], NOW_MS) has failed

--- a/core/advice.cpp
+++ b/core/advice.cpp
@@ -14,30 +14,25 @@
 void
 AdviceCache::record_response(const AdviceRequest& advice_request,
                              const std::vector<AdviceTicket>& tickets,
-                             const Pool& pool,
                              std::int64_t requested_ms,
                              std::int64_t ticket_validity_ms)
 {
   std::int64_t margin_ms = std::min(START_MARGIN_MS, ticket_validity_ms / 2);
   std::map<std::string, CachedAdvice>& known =
     this->cached[advice_request.step];
-  for (const std::string& id : advice_request.servers) {
-    std::map<std::string, PoolServer>::const_iterator server =
-      pool.servers.find(id);
-    if (server == pool.servers.end())
-      continue;
+  for (const ServerInstance& server : advice_request.servers) {
     CachedAdvice advice;
-    advice.instance = server->second.instance;
+    advice.instance = server;
     std::vector<AdviceTicket>::const_iterator found = std::find_if(
-      tickets.begin(), tickets.end(), [&id](const AdviceTicket& ticket) {
-        return ticket.server == id;
+      tickets.begin(), tickets.end(), [&server](const AdviceTicket& ticket) {
+        return ticket.server == server.id;
       });
     if (found != tickets.end()) {
       advice.allowed = true;
       advice.ticket = found->ticket;
       advice.expires_ms = requested_ms + ticket_validity_ms - margin_ms;
     }
-    known[id] = std::move(advice);
+    known[server.id] = std::move(advice);
   }
 }
 
--- a/core/advice.h
+++ b/core/advice.h
@@ -20,7 +20,8 @@
 struct AdviceRequest
 {
   StepKey step;
-  std::vector<std::string> servers;
+  /// As known at the request. A ticket is valid for one instance.
+  std::vector<ServerInstance> servers;
   std::int64_t timeout_ms = 0;
 };
 
@@ -33,7 +34,6 @@
   /// a ticket in the response may not run the step.
   void record_response(const AdviceRequest& advice_request,
                        const std::vector<AdviceTicket>& tickets,
-                       const Pool& pool,
                        std::int64_t requested_ms,
                        std::int64_t ticket_validity_ms);
 
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -204,14 +204,16 @@
   AdviceRequest advice_request;
   advice_request.step = waiting.key;
   std::function<void(const std::string&)> add_server =
-    [this, &advice_request, &waiting](const std::string& server) {
-      std::vector<std::string>& requested = advice_request.servers;
-      bool listed = std::find(requested.begin(), requested.end(), server) !=
-                    requested.end();
+    [this, &advice_request, &waiting](const std::string& id) {
+      std::vector<ServerInstance>& requested = advice_request.servers;
+      const PoolServer& server = this->pool.servers.at(id);
+      bool listed =
+        std::find(requested.begin(), requested.end(), server.instance) !=
+        requested.end();
       if (requested.size() < MAX_ADVICE_REQUEST_SERVERS && !listed &&
           this->history.advice.should_request(
-            waiting.key, this->pool.servers.at(server), this->now_ms))
-        requested.push_back(server);
+            waiting.key, server, this->now_ms))
+        requested.push_back(server.instance);
     };
   for (const std::string& server : assign(this->pool, request))
     add_server(server);
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -464,11 +464,8 @@
       : nullptr;
   if (this->term == 0 || !queue || !queue->advice)
     return;
-  this->history.advice.record_response(advice_request,
-                                       tickets,
-                                       this->make_pool(kernel::boot_ms()),
-                                       requested_ms,
-                                       queue->advice->ticket_validity_ms);
+  this->history.advice.record_response(
+    advice_request, tickets, requested_ms, queue->advice->ticket_validity_ms);
   this->schedule_decision();
 }
 
