Take the sending of an unanswered poll for the time of a server's crash

A task whose servers crash without refusing connections was started more often than the operators allow (BUDGET: 5 starts), and its job failed late. The agent knows such a crash only when the next instance announces itself, and took the timeout of its poll, up to 1 s after the crash, for the moment at which the server fell silent. So the crash did not count as one soon after the start, the task was no suspect, and 5 crashes were needed instead of 3, while each attempt followed the last one's lease before its crash was counted.

The agent now takes the time at which the unanswered poll was sent, the last time at which the server was known to be alive. A poll whose connection is closed or refused keeps the time of its failure.

The stand-in gets hang(): with `silent` alone, a poll that waits still got its response.

--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -220,10 +220,11 @@
                  : this->must_pace()
                    ? std::min(PACING_POLL_WAIT, this->options.poll_wait)
                    : this->options.poll_wait;
+  this->poll_timeout = request.wait + POLL_TIMEOUT_SLACK;
   this->server_client.renew_lease(
     this->target(),
     request,
-    request.wait + POLL_TIMEOUT_SLACK,
+    this->poll_timeout,
     this->guarded(
       [this, now, instance = this->instance_number](
         tl::expected<platform::ServerTaskLists, platform::ServerError> result) {
@@ -281,8 +282,8 @@
                                             [this] { this->poll_server(); });
     return;
   }
-  this->poll_failed(replaced ? platform::ServerError::OtherInstance
-                             : result.error());
+  this->poll_failed(
+    replaced ? platform::ServerError::OtherInstance : result.error(), sent_ms);
   this->poll_retry =
     this->timers.after(POLL_RETRY, [this] { this->poll_server(); });
 }
@@ -349,14 +350,18 @@
 }
 
 void
-ServerAgent::poll_failed(platform::ServerError error)
+ServerAgent::poll_failed(platform::ServerError error, std::int64_t sent_ms)
 {
+  std::int64_t now = kernel::boot_ms();
   this->metrics.counter("agent_looks_failed_total").add();
   if (error == platform::ServerError::Fenced)
     this->raise_fencing_token();
   bool was_answering = std::exchange(this->answering, false);
-  if (was_answering)
-    this->silent_since_ms = kernel::boot_ms();
+  if (was_answering) {
+    // A server that hangs may have crashed as soon as the poll was sent.
+    bool timed_out = now - sent_ms >= this->poll_timeout.count();
+    this->silent_since_ms = timed_out ? sent_ms : now;
+  }
   this->refused_polls = error == platform::ServerError::ConnectionRefused
                           ? this->refused_polls + 1
                           : 0;
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -113,7 +113,7 @@
     std::int64_t sent_ms,
     tl::expected<platform::ServerTaskLists, platform::ServerError> lists);
   void apply_lists(std::int64_t sent_ms, platform::ServerTaskLists lists);
-  void poll_failed(platform::ServerError error);
+  void poll_failed(platform::ServerError error, std::int64_t sent_ms);
   void raise_fencing_token();
   void track_orders();
   void track_unordered_runs();
@@ -155,7 +155,10 @@
   bool leases_expired = false;
   /// Consecutive polls whose connection was refused.
   int refused_polls = 0;
-  /// Boot time of the first failed poll after the last answer.
+  /// Time limit of the last poll.
+  kernel::Milliseconds poll_timeout{ 0 };
+  /// Boot time from which the server may have been silent: of the first failed
+  /// poll after the last answer, or of its sending if it got no response.
   std::int64_t silent_since_ms = 0;
   CrashLog crash_log;
   std::int64_t announced_ms = 0; ///< Boot time of the last announcement.
--- a/tests/agent/server_crash_test.cpp
+++ b/tests/agent/server_crash_test.cpp
@@ -92,3 +92,24 @@
   run_until([this] { return agent->report().lease_over(); });
   BOOST_TEST(!crash_is_reported());
 }
+
+// The server accepts connections and never answers, until its next instance
+// announces itself.
+BOOST_FIXTURE_TEST_CASE(run_that_hung_its_server_counts_as_long_running,
+                        Fixture)
+{
+  announce();
+  run_until([this] { return listed(); });
+  server.on_start = [this](const ServerStandin::Run&) {
+    crash_timer =
+      timers.after(kernel::Milliseconds(0), [this] { server.hang(); });
+  };
+  start_run(TASK);
+  run_until([this] { return agent->report().lease_over(); });
+  server.restart();
+  server.silent = false;
+  announce();
+  run_until([this] { return crash_is_reported(); });
+  BOOST_TEST_REQUIRE(crashed_runs().size() == 1U);
+  BOOST_TEST(crashed_runs().front().ran_ms() < 100);
+}
--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -101,6 +101,17 @@
     this->drop_runs();
   }
 
+  /// Simulates a crash that leaves connections open: no request gets a
+  /// response any more, until `restart` ends `silent`.
+  void hang()
+  {
+    this->silent = true;
+    for (Waiting& item : this->waiting)
+      this->unanswered.push_back(std::move(item.respond));
+    this->waiting.clear();
+    this->drop_runs();
+  }
+
   /// Starts a new instance at the address of the one that crashed.
   void recover()
   {
--- a/tests/system/crashing_task_test.cpp
+++ b/tests/system/crashing_task_test.cpp
@@ -168,6 +168,55 @@
   BOOST_TEST(starts == 4U);
 }
 
+/// Servers that crash without refusing connections when they start a task:
+/// they never answer, until a new instance takes their place.
+struct HangFixture : PlatformFixture
+{
+  std::size_t starts = 0;
+  std::vector<kernel::Subscription> events;
+
+  explicit HangFixture(kernel::Milliseconds recovery_time)
+  {
+    add_entry();
+    for (std::size_t index = 0; index < SERVERS; ++index) {
+      add_agent();
+      servers[index]->on_start = [this, index, recovery_time](
+                                   const ServerStandin::Run&) {
+        ++starts;
+        events.push_back(
+          timers.after(CRASH_DELAY, [this, index] { servers[index]->hang(); }));
+        events.push_back(
+          timers.after(CRASH_DELAY + recovery_time, [this, index] {
+            servers[index]->restart();
+            servers[index]->silent = false;
+          }));
+      };
+    }
+    wait_ready();
+  }
+
+  static constexpr std::size_t SERVERS = 8;
+
+  /// Submits a job with one task and waits until it has failed.
+  void wait_failed()
+  {
+    BOOST_REQUIRE(
+      call("POST", std::string(PREFIX) + JOB, submission(1, 1, false)).status ==
+      200);
+    std::int64_t begin_ms = kernel::boot_ms();
+    std::int64_t end_ms = begin_ms + 3 * BOUND.count();
+    bool failed = false;
+    while (!failed && kernel::boot_ms() < end_ms) {
+      std::int64_t now_ms = kernel::boot_ms();
+      run_until([now_ms] { return kernel::boot_ms() - now_ms > 20; });
+      failed = state(JOB) == "{\"state\":\"failed\"}";
+    }
+    BOOST_TEST(failed);
+    BOOST_TEST_MESSAGE(starts << " starts, failed after "
+                              << kernel::boot_ms() - begin_ms << " ms");
+  }
+};
+
 // A job that was on a crashing server must run again, and must not fail.
 BOOST_FIXTURE_TEST_CASE(neighbour_of_a_crashing_task_is_given_up, CrashFixture)
 {
@@ -179,3 +228,13 @@
   finish_all("done");
   wait_state(OTHER_JOB, "completed");
 }
+
+BOOST_AUTO_TEST_CASE(hanging_servers_are_counted_too_late)
+{
+  for (std::int64_t recovery_ms : { 3'400, 6'000 }) {
+    HangFixture fixture{ kernel::Milliseconds(recovery_ms) };
+    BOOST_TEST_MESSAGE("recovery " << recovery_ms);
+    fixture.wait_failed();
+    BOOST_TEST(fixture.starts <= MAX_STARTS);
+  }
+}
