--- a/tests/agent/late_start_test.cpp
+++ b/tests/agent/late_start_test.cpp
@@ -70,6 +70,18 @@
   BOOST_TEST(server.running.empty());
 }
 
+// The agent gives the run up, and reports it as never started.
+BOOST_FIXTURE_TEST_CASE(run_that_was_given_up_starts_late, Fixture)
+{
+  delay_start();
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  send_orders_until(ordered,
+                    [this] { return reports(core::RunEndKind::NeverStarted); });
+  server.carry_out_delayed_starts();
+  BOOST_TEST(server.running.empty());
+}
+
 // The new agent began with a lower token if the time of day had been set back.
 BOOST_FIXTURE_TEST_CASE(token_follows_the_time_of_day, Fixture)
 {
--- a/tests/agent/lease_clock_test.cpp
+++ b/tests/agent/lease_clock_test.cpp
@@ -31,6 +31,8 @@
   BOOST_TEST(clock.grant(10'004, LEASE_MS) == 500 + LEASE_MS);
   std::int64_t slow_end = 10'000 + LEASE_MS * 100 / 98;
   BOOST_TEST(!clock.expired(slow_end));
+  // The runs need some time to end after the expiry, on any clock.
+  BOOST_TEST(!clock.expired(slow_end + 150));
   BOOST_TEST(clock.expired(slow_end + 400));
 }
 
--- a/tests/agent/server_agent_fixture.h
+++ b/tests/agent/server_agent_fixture.h
@@ -28,6 +28,7 @@
   std::uint64_t sequence = 0;
   std::uint64_t announcements = 0;
   kernel::Milliseconds heartbeat_period{ 1'500 };
+  kernel::Milliseconds orphan_timeout{ 600 };
   int changes = 0; ///< Calls of the agent's hook for changes.
   std::unique_ptr<agent::ServerAgent> agent = make_agent();
 
@@ -38,7 +39,7 @@
     options.incarnation = INCARNATION;
     options.lease = kernel::Milliseconds(900);
     options.max_lease = kernel::Milliseconds(1'000);
-    options.orphan_timeout = kernel::Milliseconds(600);
+    options.orphan_timeout = orphan_timeout;
     options.poll_wait = kernel::Milliseconds(100);
     options.heartbeat_period = heartbeat_period;
     return std::make_unique<agent::ServerAgent>(
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -84,6 +84,7 @@
   run_until([this] { return agent->report().running_size() == 1; });
   send_orders_until(ordered,
                     [this, token] { return server.fencing_token > token; });
+  send_orders_until(ordered, after_several_polls());
   BOOST_TEST(server.running.size() == 1U);
   BOOST_TEST(server.starts.size() == 1U);
   BOOST_TEST(server.stale_requests == 0);
@@ -262,6 +263,9 @@
 // report, and starts the next attempt on another server.
 BOOST_FIXTURE_TEST_CASE(orders_before_an_expired_lease_start_nothing, Fixture)
 {
+  // The report that the old orders reply to is recent enough for a lease.
+  orphan_timeout = kernel::Milliseconds(20'000);
+  agent = make_agent();
   announce();
   v1::ServerOrders ordered = orders();
   add(ordered.mutable_runs(), TASK, 1, 8);
@@ -309,6 +313,13 @@
   v1::ServerOrders earlier = orders();
   earlier.set_agent_incarnation(INCARNATION - 1);
   add(earlier.mutable_runs(), TASK, 1);
+  // The owner replies to this process as well, so that the lease is renewed.
+  kernel::Subscription reply_timer =
+    timers.every(kernel::Milliseconds(50), [this] {
+      v1::ServerOrders reply = orders();
+      reply.set_sequence(0);
+      agent->apply_orders(reply);
+    });
   repeat_old_orders_until(earlier, after_several_polls());
   BOOST_TEST(server.starts.empty());
 }
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -205,6 +205,55 @@
   BOOST_TEST(!has_run(0));
 }
 
+// Messages on different connections may overtake each other.
+BOOST_FIXTURE_TEST_CASE(run_is_lost_by_an_older_report, Fixture)
+{
+  v1::Envelope envelope;
+  envelope.set_sender(node(0));
+  envelope.set_sender_incarnation(1);
+  v1::ServerReport& older = *envelope.mutable_server_report();
+  older.set_sequence(sequence);
+  older.mutable_life()->set_id(instance(0).id);
+  older.mutable_life()->set_born_ms(1);
+  older.set_lease_over(true);
+  sequence += 1;
+  report(0, NOW_MS, std::nullopt);
+  BOOST_TEST(servers.apply_report(envelope, NOW_MS) == nullptr);
+  apply(NOW_MS);
+  BOOST_TEST(runs() == 3U);
+}
+
+// A restarted agent that does not know its server renews no lease, but the one
+// of the process before lasts on.
+BOOST_FIXTURE_TEST_CASE(restart_of_an_agent_loses_runs_too_early, Fixture)
+{
+  v1::Envelope envelope;
+  envelope.set_sender(node(0));
+  envelope.set_sender_incarnation(2);
+  std::int64_t lease_ms = entry::LeaseBounds{}.lease_ms();
+  std::uint64_t number = 0;
+  for (std::int64_t after_ms : { std::int64_t{ 0 }, lease_ms, lease_ms + 1 }) {
+    BOOST_TEST(has_run(0));
+    envelope.mutable_server_report()->set_sequence(++number);
+    BOOST_REQUIRE(servers.apply_report(envelope, NOW_MS + after_ms) != nullptr);
+    apply(NOW_MS + after_ms);
+  }
+  BOOST_TEST(!has_run(0));
+}
+
+// The former owner may have sent orders to an agent that the new owner has not
+// heard, for as long as an owner works without the store.
+BOOST_FIXTURE_TEST_CASE(new_owner_gives_up_unheard_agents_too_early, Fixture)
+{
+  servers.reset(NOW_MS);
+  entry::LeaseBounds bounds;
+  std::int64_t expiry_ms = bounds.owner_send_limit_ms + bounds.expiry_ms();
+  apply(NOW_MS + expiry_ms);
+  BOOST_TEST(runs() == 3U);
+  apply(NOW_MS + expiry_ms + 1);
+  BOOST_TEST(runs() == 0U);
+}
+
 // Guards against ends of a new server instance that count as stored because
 // the previous instance had used the same numbers.
 BOOST_FIXTURE_TEST_CASE(applied_ends_name_their_instance, Fixture)
--- a/tests/entry/work_scheduler_test.cpp
+++ b/tests/entry/work_scheduler_test.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr char JOB[] = "5c0e7a21d94b36f8";
-constexpr char TASK[] = "5c0e7a21d94b36f8.0.0.0";
 constexpr int ALL = 1'000;
 
 /// An owner, a store, the agent of one server, and a job of one task.
@@ -29,7 +28,9 @@
   entry::ServerTable servers{ entry::LeaseBounds{} };
   core::OperatorConfig operator_config;
   std::uint64_t term = 0;
-  v1::ServerOrders sent; ///< The last orders.
+  bool superseded = false;
+  bool acknowledged_early = false; ///< Not all ends were stored before.
+  v1::ServerOrders sent;           ///< The last orders.
   entry::WorkScheduler scheduler{ loop, timers,  log,      metrics, store,
                                   view, servers, limits(), hooks() };
   v1::Envelope envelope;
@@ -39,15 +40,7 @@
   {
     standin.put({ "owner", "main", "owner" }, "this entry");
     term = standin.rows.at({ "owner", "main", "owner" }).version;
-    core::Workflow workflow;
-    workflow.id = JOB;
-    workflow.service = "planner";
-    workflow.steps = { core::Step{} };
-    view.apply(
-      platform::StoredRow{ entry::work_row(entry::WorkRowKind::Workflow, JOB),
-                           entry::encode_workflow(workflow),
-                           term,
-                           false });
+    add_job(JOB);
     envelope.set_sender("node-1");
     envelope.set_sender_incarnation(1);
     report.mutable_life()->set_id("i-1");
@@ -59,6 +52,21 @@
     report.set_listed(true);
     report.set_answering(true);
     scheduler.start_term(term);
+    // The first transaction opens the job.
+    run_until([this] { return view.find(JOB)->progress_version != 0; });
+  }
+
+  void add_job(const std::string& id)
+  {
+    core::Workflow workflow;
+    workflow.id = id;
+    workflow.service = "planner";
+    workflow.steps = { core::Step{} };
+    view.apply(
+      platform::StoredRow{ entry::work_row(entry::WorkRowKind::Workflow, id),
+                           entry::encode_workflow(workflow),
+                           term,
+                           false });
   }
 
   static entry::WorkSchedulerLimits limits()
@@ -76,9 +84,11 @@
     };
     hooks.may_send_orders = [] { return true; };
     hooks.send = [this](const std::string&, v1::ServerOrders orders) {
+      bool too_early = orders.stored_ends() > 0 && !all_completed();
+      acknowledged_early = acknowledged_early || too_early;
       sent = std::move(orders);
     };
-    hooks.term_superseded = [] {};
+    hooks.term_superseded = [this] { superseded = true; };
     hooks.reload_rows = [] {};
     hooks.request_advice = [](const std::vector<core::AdviceRequest>&) {};
     return hooks;
@@ -100,14 +110,25 @@
     run_until(condition);
   }
 
-  void add_end(core::RunEndKind kind)
+  void add_end(core::RunEndKind kind, const std::string& job = JOB)
   {
+    std::uint64_t number = report.ended().size() + 1;
     v1::EndReport& end = *report.add_ended();
-    end.set_number(1);
-    end.set_task(TASK);
+    end.set_number(number);
+    end.set_task(core::task_name(job, { 0, 0, 0 }));
     end.set_attempt(1);
     end.set_kind(static_cast<std::uint32_t>(kind));
   }
+
+  bool all_completed() const
+  {
+    for (const std::pair<const std::string, entry::WorkItem>& item :
+         view.items()) {
+      if (item.second.progress.outcome != core::Outcome::Completed)
+        return false;
+    }
+    return true;
+  }
 };
 
 } // namespace
@@ -156,6 +177,42 @@
   BOOST_TEST(sent.runs(0).attempt() == 2U);
 }
 
+// More ends than one transaction can store.
+BOOST_FIXTURE_TEST_CASE(deferred_end_is_acknowledged_before_it_is_stored,
+                        Fixture)
+{
+  constexpr int JOBS = 60;
+  std::vector<std::string> jobs{ JOB };
+  while (jobs.size() < JOBS) {
+    jobs.push_back(fmt::format("5c0e7a21d94b{:04x}", jobs.size()));
+    add_job(jobs.back());
+  }
+  report_until([this] { return sent.runs_size() == JOBS; });
+  for (const std::string& job : jobs)
+    add_end(core::RunEndKind::Done, job);
+  report_until([this] { return sent.stored_ends() > 0; });
+  BOOST_TEST(!acknowledged_early);
+}
+
+// Guards against orders of two owners at once.
+BOOST_FIXTURE_TEST_CASE(superseded_owner_places_work, Fixture)
+{
+  standin.put({ "owner", "main", "owner" }, "another entry");
+  report_until([this] { return superseded; });
+  send_report();
+  BOOST_TEST(standin.commits == 1);
+  BOOST_TEST(sent.runs_size() == 0);
+}
+
+// The transaction is sent again, since it may not have been applied.
+BOOST_FIXTURE_TEST_CASE(lost_response_of_the_store_places_a_task_twice, Fixture)
+{
+  standin.unanswered_writes = 1;
+  report_until([this] { return sent.runs_size() == 1; });
+  BOOST_TEST(standin.commits == 2);
+  BOOST_TEST(sent.runs(0).attempt() == 1U);
+}
+
 // Guards against agents that ignore all orders after the rows were read again:
 // within a term, they carry out only orders with a higher sequence number.
 BOOST_FIXTURE_TEST_CASE(orders_after_a_reload_are_ignored, Fixture)
