Report the time without a lease in tests of owners that count it

The two tests let time pass after a report without a server and expected the runs to be lost. The owner now decides by the time that the report names, so the tests send it with a further report; they check as much as before.

--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -235,6 +235,7 @@
   for (std::int64_t after_ms : { std::int64_t{ 0 }, lease_ms, lease_ms + 1 }) {
     BOOST_TEST(has_run(0));
     envelope.mutable_server_report()->set_sequence(++number);
+    envelope.mutable_server_report()->set_no_lease_ms(after_ms);
     BOOST_REQUIRE(servers.apply_report(envelope, NOW_MS + after_ms) != nullptr);
     apply(NOW_MS + after_ms);
   }
