Order the processes of an agent by their start, also for a new owner

A new owner has not heard the processes of an agent that ended before its term. If a delayed report of such a process arrived after one of its successor, the owner took it for that of a newer process, and runs on the current instance for lost: they were started elsewhere while they ran (TWICE). Reports now carry the boot time of the VM at the start of their process. An earlier process is ignored while the later one is not silent, as known former processes are.

entry.server_table_test: first_report_of_an_earlier_agent_loses_runs failed before with both checks.

--- a/agent/server_report.cpp
+++ b/agent/server_report.cpp
@@ -33,6 +33,7 @@
   report.set_sequence(this->reports.record(
     kernel::boot_ms(), this->options.orphan_timeout.count()));
   report.set_term(this->term);
+  report.set_process_started_ms(this->started_ms);
   for (const core::ServerCrash& crash :
        this->crash_log.recent(kernel::boot_ms()))
     add_crash(crash, report);
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -28,13 +28,19 @@
 }
 
 /// Whether an earlier process of the agent sent the report. If the last one is
-/// silent, it may itself have been known only by a delayed report.
+/// silent, it may itself have been known only by a delayed report, or the VM
+/// has rebooted.
 bool
 is_delayed(const AgentView& agent,
            const v1::Envelope& envelope,
            std::int64_t now_ms)
 {
-  return agent.former_incarnations.contains(envelope.sender_incarnation()) &&
+  std::int64_t started_ms = envelope.server_report().process_started_ms();
+  bool started_earlier =
+    started_ms != 0 && started_ms < agent.report.process_started_ms();
+  bool is_former =
+    agent.former_incarnations.contains(envelope.sender_incarnation());
+  return (started_earlier || is_former) &&
          now_ms - agent.last_seen_ms < SILENCE_LIMIT_MS;
 }
 
@@ -109,6 +115,7 @@
   if (report.life().id().empty()) {
     agent.no_lease_ms = report.no_lease_ms();
     agent.report.set_sequence(report.sequence());
+    agent.report.set_process_started_ms(report.process_started_ms());
     *agent.report.mutable_crashes() = report.crashes();
     agent.report.set_ready(false);
     agent.report_changed = true;
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -87,6 +87,21 @@
   BOOST_TEST(!servers.loss_cause({ "i-2", 1 }, "node-1", NOW_MS).has_value());
 }
 
+// A new owner has never heard the earlier process.
+BOOST_FIXTURE_TEST_CASE(first_report_of_an_earlier_agent_loses_runs, Fixture)
+{
+  envelope.set_sender_incarnation(2);
+  report.set_process_started_ms(200);
+  report.mutable_life()->set_born_ms(2);
+  changes();
+  envelope.set_sender_incarnation(1);
+  report.set_process_started_ms(100);
+  report.mutable_life()->set_born_ms(1);
+  report.set_sequence(report.sequence() + 1);
+  BOOST_TEST(servers.apply_report(envelope, NOW_MS) == nullptr);
+  BOOST_TEST(!servers.loss_cause({ "i-1", 2 }, "node-1", NOW_MS).has_value());
+}
+
 // A new owner may see the reports of two processes in the wrong order.
 BOOST_FIXTURE_TEST_CASE(agent_stays_ignored_after_a_delayed_report,
                         RestartedAgent)
