Send no stops to a server whose polls are refused

Stops now wait while the last poll was refused; the first poll that is not sends them at once, so nothing is delayed.

agent.server_crash_test: crashed_server_gets_stop_after_stop failed before: check lines_with("run_stop_answered") <= 1U has failed [4 > 1]

--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -205,7 +205,8 @@
     run.phase == RunPhase::Waiting || run.phase == RunPhase::Starting;
   if (to_start && this->has_capacity(key, run))
     this->start_run(key, run);
-  else if (run.phase == RunPhase::Stopping)
+  // The polls show when the server no longer refuses connections.
+  else if (run.phase == RunPhase::Stopping && this->refused_polls == 0)
     this->stop_run(key, run);
 }
 
--- a/tests/agent/server_agent_fixture.h
+++ b/tests/agent/server_agent_fixture.h
@@ -29,9 +29,11 @@
   std::uint64_t announcements = 0;
   kernel::Milliseconds heartbeat_period{ 1'500 };
   int changes = 0; ///< Calls of the agent's hook for changes.
-  std::unique_ptr<agent::ServerAgent> agent = make_agent();
+  std::unique_ptr<agent::ServerAgent> agent = make_agent(log);
 
-  std::unique_ptr<agent::ServerAgent> make_agent()
+  std::unique_ptr<agent::ServerAgent> make_agent() { return make_agent(log); }
+
+  std::unique_ptr<agent::ServerAgent> make_agent(const kernel::Log& agent_log)
   {
     agent::ServerAgentOptions options;
     options.node = "node-1";
@@ -42,7 +44,7 @@
     options.poll_wait = kernel::Milliseconds(100);
     options.heartbeat_period = heartbeat_period;
     return std::make_unique<agent::ServerAgent>(
-      loop, timers, log, metrics, server_client, options, [this] {
+      loop, timers, agent_log, metrics, server_client, options, [this] {
         ++changes;
       });
   }
--- a/tests/agent/server_crash_test.cpp
+++ b/tests/agent/server_crash_test.cpp
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE server_crash
 #include "tests/agent/server_agent_fixture.h"
 
+#include <cstdio>
+
 using namespace geraniumhinge;
 using namespace geraniumhinge::tests;
 
@@ -29,6 +31,28 @@
   }
 };
 
+/// An agent whose log can be read.
+struct LogFixture : Fixture
+{
+  std::unique_ptr<std::FILE, int (*)(std::FILE*)> file{ std::tmpfile(),
+                                                        &std::fclose };
+  kernel::Log file_log{ "agent", kernel::Severity::Info, fileno(file.get()) };
+
+  LogFixture() { agent = make_agent(file_log); }
+  ~LogFixture() { agent.reset(); }
+
+  /// Number of log lines so far that contain the text.
+  std::size_t lines_with(const std::string& text)
+  {
+    std::rewind(file.get());
+    std::string line(4'096, '\0');
+    std::size_t count = 0;
+    while (std::fgets(line.data(), static_cast<int>(line.size()), file.get()))
+      count += std::string(line.c_str()).find(text) != std::string::npos;
+    return count;
+  }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(crash_is_reported_without_its_runs, Fixture)
@@ -113,3 +137,17 @@
   BOOST_TEST_REQUIRE(crashed_runs().size() == 1U);
   BOOST_TEST(crashed_runs().front().ran_ms() < 100);
 }
+
+// Each poll shows whether the server still refuses connections.
+BOOST_FIXTURE_TEST_CASE(crashed_server_gets_stop_after_stop, LogFixture)
+{
+  announce();
+  run_until([this] { return listed(); });
+  start_run(TASK);
+  server.crash();
+  run_until([this] { return agent->report().lease_over(); });
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_stops(), TASK, 1);
+  send_orders_until(ordered, after_several_polls());
+  BOOST_TEST(lines_with("run_stop_answered") <= 1U);
+}
