Test the agent's check of a shrunk capacity with a whole owner

The agent's own check of its server's capacity was shown by unit tests of the agent only: in the tests of whole programs the owner's check holds the start back first.

system.capacity_test: server_shrinks_while_its_placement_is_stored lets the owner decide by an outdated report, since the server shrinks while the store's response to the placement is under way. The order then arrives after the agent knows the new capacity. The stand-in of the store gets delayed responses to transactions and a hook for written rows.

--- a/tests/platform/row_store_standin.h
+++ b/tests/platform/row_store_standin.h
@@ -82,6 +82,10 @@
   /// Number of writes to delay until `apply_delayed_writes`.
   int delayed_writes = 0;
   int commits = 0; ///< Transactions applied.
+  /// From a transaction until its response.
+  kernel::Milliseconds commit_delay{ 0 };
+  /// Called for each row that a transaction wrote, before its response.
+  std::function<void(const Name&)> on_write = [](const Name&) {};
   std::map<Name, Row> rows;
 
   /// Applies the delayed writes whose conditions hold.
@@ -154,6 +158,7 @@
                            this->version };
       this->changed_rows.push_back(name);
       this->changed_versions.push_back(this->version);
+      this->on_write(name);
     }
     for (const Json& removal : body.at("remove")) {
       Name name = name_of(removal);
@@ -190,10 +195,14 @@
           response["rows"].push_back(this->row_json(name, this->rows[name]));
       }
     }
-    respond({ conflicts.empty() ? 200 : 412,
-              "application/json",
-              response.dump(),
-              {} });
+    gateway::HttpResponse result{
+      conflicts.empty() ? 200 : 412, "application/json", response.dump(), {}
+    };
+    if (this->commit_delay.count() == 0)
+      respond(result);
+    else
+      this->late_responses.push_back(this->timers.after(
+        this->commit_delay, [respond, result] { respond(result); }));
   }
 
   void read(const gateway::HttpRequest& request,
@@ -285,6 +294,7 @@
   std::vector<std::uint64_t> changed_versions;
   std::list<Waiting> waiting;
   std::vector<Json> delayed;
+  std::vector<kernel::Subscription> late_responses;
 };
 
 } // namespace geraniumhinge::tests
--- a/tests/system/capacity_test.cpp
+++ b/tests/system/capacity_test.cpp
@@ -169,3 +169,41 @@
   });
   run_load([](std::int64_t) {});
 }
+
+// The owner decides before it knows the new capacity, and its orders arrive
+// after the agent knows it.
+BOOST_FIXTURE_TEST_CASE(server_shrinks_while_its_placement_is_stored,
+                        PlatformFixture)
+{
+  add_entry();
+  add_agent();
+  wait_ready();
+  // The server is known to the owner once it has run a job.
+  BOOST_REQUIRE(
+    call("POST", std::string(PREFIX) + JOB, submission(1, 1, false)).status ==
+    200);
+  run_until([this] { return running() == 1; });
+  finish_all("done");
+  wait_state(JOB, "completed");
+  std::string large = "6d1f8b32ea5c0479";
+  std::size_t started = servers[0]->starts.size();
+  store.commit_delay = kernel::Milliseconds(300);
+  bool shrunk = false;
+  store.on_write = [&](const RowStoreStandin::Name& name) {
+    bool progress = std::get<2>(name) == "r/" + large;
+    if (!progress || shrunk)
+      return;
+    shrunk = true;
+    servers[0]->accelerators = 2;
+    announce(0);
+  };
+  BOOST_REQUIRE(call("POST", PREFIX + large, submission(1, 4, false)).status ==
+                200);
+  run_until([&] { return shrunk; });
+  std::int64_t begin_ms = kernel::boot_ms();
+  run_until([begin_ms] { return kernel::boot_ms() - begin_ms > 1'500; });
+  BOOST_TEST(servers[0]->starts.size() == started);
+  servers[0]->accelerators = 8;
+  announce(0);
+  run_until([this] { return running() == 1; });
+}
