--- a/tests/platform/row_store_standin.h
+++ b/tests/platform/row_store_standin.h
@@ -103,6 +103,10 @@
   /// Delay of the responses with changes on their way.
   kernel::Milliseconds changes_delay{ 0 };
   int reads = 0; ///< Pages of rows sent, except changes.
+  /// From a transaction until its response.
+  kernel::Milliseconds commit_delay{ 0 };
+  /// Called for each row that a transaction wrote, before its response.
+  std::function<void(const Name&)> on_write = [](const Name&) {};
   std::map<Name, Row> rows;
 
   /// Applies the delayed writes whose conditions hold.
@@ -175,6 +179,7 @@
                            this->version };
       this->changed_rows.push_back(name);
       this->changed_versions.push_back(this->version);
+      this->on_write(name);
     }
     for (const Json& removal : body.at("remove")) {
       Name name = name_of(removal);
@@ -211,10 +216,14 @@
           response["rows"].push_back(this->row_json(name, this->rows[name]));
       }
     }
-    respond({ conflicts.empty() ? 200 : 412,
-              "application/json",
-              response.dump(),
-              {} });
+    gateway::HttpResponse result{
+      conflicts.empty() ? 200 : 412, "application/json", response.dump(), {}
+    };
+    if (this->commit_delay.count() == 0)
+      respond(result);
+    else
+      this->delayed_responses.push_back(this->timers.after(
+        this->commit_delay, [respond, result] { respond(result); }));
   }
 
   void read(const gateway::HttpRequest& request,
