--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -507,6 +507,17 @@
   BOOST_TEST(lists->malformed_rows == 2U);
 }
 
+// The page after a row of which only the value can't be read starts behind it.
+BOOST_AUTO_TEST_CASE(value_that_is_not_base64_keeps_its_row)
+{
+  std::optional<platform::RowPage> page = platform::decode_rows(
+    R"({"rows":[{"table":"t","key":"a","value":"b25l","schema_ver":1},
+        {"table":"t","key":"k","value":"!!","schema_ver":2}],"schema_ver":9})");
+  BOOST_REQUIRE(page.has_value());
+  BOOST_TEST(page->rows.size() == 1U);
+  BOOST_TEST(page->last_key == "k");
+}
+
 // Amounts near the largest integer overflow when they are summed.
 BOOST_AUTO_TEST_CASE(odd_announcements_name_no_server)
 {
--- a/tests/platform/row_store_standin.h
+++ b/tests/platform/row_store_standin.h
@@ -53,7 +53,23 @@
   /// Writes a row as the operators would, without a transaction request.
   void put(const Name& name, const std::string& value)
   {
-    this->rows[name] = { gateway::encode_base64(value), ++this->version };
+    this->put_encoded(name, gateway::encode_base64(value));
+  }
+
+  /// Writes a row with a value that may be no base64.
+  void put_encoded(const Name& name, const std::string& value)
+  {
+    this->rows[name] = { value, ++this->version };
+    this->changed_rows.push_back(name);
+    this->changed_versions.push_back(this->version);
+    this->respond_to_waiting();
+  }
+
+  /// Deletes a row as another writer would.
+  void remove(const Name& name)
+  {
+    this->rows.erase(name);
+    ++this->version;
     this->changed_rows.push_back(name);
     this->changed_versions.push_back(this->version);
     this->respond_to_waiting();
@@ -82,6 +98,7 @@
   /// Number of writes to delay until `apply_delayed_writes`.
   int delayed_writes = 0;
   int commits = 0; ///< Transactions applied.
+  int reads = 0;   ///< Pages of rows sent, except changes.
   std::map<Name, Row> rows;
 
   /// Applies the delayed writes whose conditions hold.
@@ -199,6 +216,7 @@
   void read(const gateway::HttpRequest& request,
             const gateway::HttpServer::ResponseCallback& respond)
   {
+    ++this->reads;
     std::string from =
       request.query.contains("from") ? request.query.at("from") : "";
     std::size_t limit = 500;
--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -7,6 +7,9 @@
 #include "tests/platform/row_store_standin.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fcntl.h>
+#include <set>
+#include <unistd.h>
 
 using namespace geraniumhinge;
 using namespace geraniumhinge::platform;
@@ -155,6 +158,69 @@
   BOOST_TEST(watcher.confirmed_ms() == last);
 }
 
+// Guards against a read that ends at a page of malformed rows, or reads the
+// same page again.
+BOOST_FIXTURE_TEST_CASE(read_goes_on_behind_malformed_rows, Fixture)
+{
+  standin.put({ "work", "main", "a" }, "one");
+  for (const char* key : { "b", "c", "d", "e" })
+    standin.put_encoded({ "work", "main", key }, "!!");
+  standin.put({ "work", "main", "f" }, "two");
+  std::optional<Store::ReadResult> page;
+  store.read_all(
+    { "work", "main", "", 2 }, TIMEOUT, [&page](Store::ReadResult result) {
+      page = std::move(result);
+    });
+  run_until([&page] { return page.has_value(); });
+  BOOST_REQUIRE(page->has_value());
+  BOOST_REQUIRE((*page)->rows.size() == 2U);
+  BOOST_TEST((*page)->rows.back().name.key == "f");
+  BOOST_TEST((*page)->malformed_rows == 4U);
+  BOOST_TEST((*page)->unreadable.size() == 4U);
+  BOOST_TEST(standin.reads <= 4);
+}
+
+// Guards against a row that can't be read and causes a log line or a read of
+// the whole table per change, or hides later changes.
+BOOST_FIXTURE_TEST_CASE(watcher_follows_the_table_beside_malformed_rows,
+                        Fixture)
+{
+  int ends[2] = { -1, -1 };
+  BOOST_REQUIRE(::pipe(ends) == 0);
+  ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+  kernel::Log piped_log("test", kernel::Severity::Info, ends[1]);
+  Store logging_store(loop, piped_log, metrics, client, standin.address());
+  std::set<std::string> seen;
+  std::function<void(const RowPage&)> apply = [&seen](const RowPage& page) {
+    for (const StoredRow& item : page.rows)
+      seen.insert(item.name.key);
+  };
+  TableWatchOptions options;
+  options.table = "work";
+  options.part = "main";
+  TableWatcher watcher(
+    loop, timers, piped_log, logging_store, options, { apply, apply });
+  standin.put_encoded({ "work", "main", "bad" }, "!!");
+  watcher.start();
+  run_until([&] { return watcher.loaded(); });
+  constexpr int CHANGES = 20;
+  for (int change = 0; change < CHANGES; ++change) {
+    std::string key = "good-" + std::to_string(change);
+    standin.put_encoded({ "work", "main", "bad" }, "!!");
+    standin.put({ "work", "main", key }, "one");
+    run_until([&] { return seen.contains(key); });
+  }
+  BOOST_TEST(standin.reads == 1);
+  char lines[64 * 1'024];
+  ssize_t size = ::read(ends[0], lines, sizeof lines);
+  BOOST_TEST(std::count(lines, lines + std::max<ssize_t>(size, 0), '\n') == 1);
+  BOOST_TEST(!seen.contains("bad"));
+  standin.put({ "work", "main", "bad" }, "one");
+  run_until([&] { return seen.contains("bad"); });
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
 // Guards against malformed responses and rows that crash the process.
 BOOST_AUTO_TEST_CASE(malformed_responses_are_rejected)
 {
