Report only the rows of the watched part of a table

The first read of a table is limited to a part of it, but the feed of changes has the rows of all parts. A row that another writer left in another part of the table of the work or of the owner was therefore applied as if it were in the watched part: an owner row there takes the ownership away, and since the claims of all entries then require its version, none can succeed.

--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -180,6 +180,28 @@
   BOOST_TEST(standin.reads <= 4);
 }
 
+// Guards against rows of other writers in another part of the table, which the
+// feed of the table has too.
+BOOST_FIXTURE_TEST_CASE(watcher_reports_only_rows_of_its_part, Fixture)
+{
+  std::vector<std::string> seen;
+  std::function<void(const RowPage&)> apply = [&seen](const RowPage& page) {
+    for (const StoredRow& item : page.rows)
+      seen.push_back(item.name.part + '/' + item.name.key);
+  };
+  TableWatchOptions options;
+  options.table = "work";
+  options.part = "main";
+  TableWatcher watcher(loop, timers, log, store, options, { apply, apply });
+  watcher.start();
+  run_until([&] { return watcher.loaded(); });
+  standin.put({ "work", "other", "a" }, "one");
+  standin.put({ "work", "", "b" }, "one");
+  standin.put({ "work", "main", "c" }, "one");
+  run_until([&] { return !seen.empty() && seen.back() == "main/c"; });
+  BOOST_TEST(seen.size() == 1U);
+}
+
 // Guards against a row that can't be read and causes a log line or a read of
 // the whole table per change, or hides later changes.
 BOOST_FIXTURE_TEST_CASE(watcher_follows_the_table_beside_malformed_rows,
