Limit the size of announcements and the log lines about rejected ones

An agent read announcements of up to 4 MiB, whose parsing could take more memory than it may use, and logged each rejected one: a line per heartbeat of another writer. It also took any row of the owner table for that of the owner.

Announcements have less than 1 KiB; the limit is now 64 KiB. Rejected ones are counted, and a line is written every 10 s at most. Only the row with the key of the owner counts, and only with an IP address and port.

--- a/agent/platform_program.cpp
+++ b/agent/platform_program.cpp
@@ -1,6 +1,8 @@
 #include "agent/platform_program.h"
 
 #include "agent/events.h"
+#include "kernel/address.h"
+#include "kernel/clock.h"
 #include "kernel/events.h"
 #include "kernel/settings_watch.h"
 #include "platform/events.h"
@@ -18,7 +20,9 @@
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int STORE_CONNECTIONS = 4;
 constexpr int SERVER_CONNECTIONS = 16;
-constexpr std::size_t MAX_ANNOUNCEMENT_BYTES = 4UL * 1'024 * 1'024;
+/// An announcement has less than 1 KiB.
+constexpr std::size_t MAX_ANNOUNCEMENT_BYTES = 64UL * 1'024;
+constexpr std::int64_t REJECTED_LOG_PERIOD_MS = 10'000;
 constexpr std::size_t MAX_PAGE_BODY_BYTES = 4'096;
 /// Wait of one read of the owner's row. The row changes only with the owner,
 /// and a new owner also sends orders by itself.
@@ -61,6 +65,8 @@
   , timers(timers)
   , log(log)
   , settings(settings)
+  , rejected_calls(REJECTED_LOG_PERIOD_MS)
+  , rejected_announcements(REJECTED_LOG_PERIOD_MS)
   , store_client(loop, timers, STORE_CONNECTIONS)
   , server_http_client(loop, timers, SERVER_CONNECTIONS)
   , store(loop, log, this->metrics, this->store_client, settings.store_address)
@@ -165,8 +171,12 @@
   std::optional<platform::AnnouncementRequest> announcement_request =
     platform::decode_announcement_request(request);
   if (!announcement_request) {
-    this->log.write(CALL_REJECTED,
-                    { { "method", request.method }, { "path", request.path } });
+    std::uint64_t calls = this->rejected_calls.record(kernel::boot_ms());
+    if (calls > 0)
+      this->log.write(CALL_REJECTED,
+                      { { "method", request.method },
+                        { "path", request.path },
+                        { "calls", calls } });
     respond({ HTTP_NOT_FOUND, "application/json", "{}", {} });
     return;
   }
@@ -179,8 +189,12 @@
     platform::decode_announcement(*announcement_request);
   if (!announcement) {
     this->metrics.counter("agent_announcements_rejected_total").add();
-    this->log.write(platform::ANNOUNCEMENT_REJECTED,
-                    { { "server", announcement_request->id } });
+    std::uint64_t rejected =
+      this->rejected_announcements.record(kernel::boot_ms());
+    if (rejected > 0)
+      this->log.write(platform::ANNOUNCEMENT_REJECTED,
+                      { { "server", announcement_request->id },
+                        { "announcements", rejected } });
     respond({ HTTP_BAD_REQUEST, "application/json", "{}", {} });
     return;
   }
@@ -203,7 +217,8 @@
 {
   for (const platform::StoredRow& row : page.rows) {
     v1::OwnerRow owner;
-    if (row.removed || !owner.ParseFromString(row.value))
+    if (row.name.key != platform::OWNER_KEY || row.removed ||
+        !owner.ParseFromString(row.value))
       continue;
     this->set_owner(row.version, owner.peer_address());
   }
@@ -212,7 +227,7 @@
 void
 PlatformProgram::set_owner(std::uint64_t term, const std::string& address)
 {
-  if (term <= this->owner_term || address.empty())
+  if (term <= this->owner_term || !kernel::is_address(address))
     return;
   this->owner_term = term;
   this->owner_address = address;
--- a/agent/platform_program.h
+++ b/agent/platform_program.h
@@ -4,6 +4,7 @@
 #include "agent/server_agent.h"
 #include "gateway/http_client.h"
 #include "gateway/http_server.h"
+#include "kernel/event_limit.h"
 #include "kernel/log.h"
 #include "kernel/loop.h"
 #include "kernel/metrics.h"
@@ -49,6 +50,8 @@
   kernel::TimerService& timers;
   const kernel::Log& log;
   PlatformSettings settings;
+  kernel::EventLimit rejected_calls;
+  kernel::EventLimit rejected_announcements;
   kernel::Metrics metrics;
   gateway::HttpClient store_client;
   gateway::HttpClient server_http_client;
--- a/tests/system/platform_fixture.h
+++ b/tests/system/platform_fixture.h
@@ -103,7 +103,9 @@
     BOOST_REQUIRE(entries.back()->start());
   }
 
-  void add_agent()
+  void add_agent() { add_agent(log); }
+
+  void add_agent(const kernel::Log& agent_log)
   {
     servers.push_back(
       std::make_unique<ServerStandin>(loop, timers, free_address()));
@@ -121,8 +123,8 @@
     settings.report_period = kernel::Milliseconds(200);
     settings.heartbeat_period = HEARTBEAT_PERIOD;
     agent_settings.push_back(settings);
-    agents.push_back(
-      std::make_unique<agent::PlatformProgram>(loop, timers, log, settings));
+    agents.push_back(std::make_unique<agent::PlatformProgram>(
+      loop, timers, agent_log, settings));
     BOOST_REQUIRE(agents.back()->start());
   }
 
