Leave workflows alone whose row is implausible or names another workflow

Another writer can leave a row among those of the workflows. A workflow of 4,294,967,295 tasks made each owner allocate the state of all its tasks and end with std::bad_alloc, then the next owner, and so on. Negative or huge amounts and schedules that overflow were used, too. A row whose value names another workflow than its key would have started tasks in the name of that one.

A row now counts as unreadable unless its workflow meets the limits of a submission and has the identifier of its key. A later valid row replaces it.

--- a/entry/work_rows.cpp
+++ b/entry/work_rows.cpp
@@ -1,5 +1,7 @@
 #include "entry/work_rows.h"
 
+#include "platform/caller.h"
+
 #include "geraniumhinge/v1/state.pb.h"
 
 #include <algorithm>
@@ -188,6 +190,9 @@
   workflow.service = row.service();
   workflow.priority = row.priority();
   workflow.max_failures = row.attempts();
+  // Another writer may have left the row.
+  if (!platform::is_valid(workflow))
+    return std::nullopt;
   return workflow;
 }
 
--- a/entry/work_view.cpp
+++ b/entry/work_view.cpp
@@ -34,6 +34,8 @@
       if (row.version <= item.workflow_version)
         return;
       item.workflow = decode_workflow(row.value);
+      if (item.workflow && item.workflow->id != key.id)
+        item.workflow.reset();
       item.workflow_version = row.version;
       item.check();
       return;
--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -269,6 +269,22 @@
   return text.replace(text.find("\"PLACE\""), 7, value);
 }
 
+platform::StoredRow
+stored(entry::WorkRowKind kind, const std::string& value, std::uint64_t version)
+{
+  return { entry::work_row(kind, JOB), value, version, false };
+}
+
+/// Whether a view uses the workflow, after the rows of another one.
+bool
+is_used(const core::Workflow& workflow)
+{
+  entry::WorkView view;
+  view.apply(
+    stored(entry::WorkRowKind::Workflow, entry::encode_workflow(workflow), 1));
+  return view.items().at(JOB).usable;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(submissions)
@@ -571,3 +587,60 @@
                     .has_value());
   }
 }
+
+// A row of the work that another writer left: the owner would allocate the
+// tasks of all steps, or start tasks of a workflow with another row.
+BOOST_AUTO_TEST_CASE(implausible_workflows_are_left_alone)
+{
+  BOOST_TEST(is_used(example_workflow()));
+  using Change = std::function<void(core::Workflow&)>;
+  const Change changes[] = {
+    [](core::Workflow& workflow) { workflow.id = "5c0e7a21d94b36f9"; },
+    [](core::Workflow& workflow) { workflow.id.clear(); },
+    [](core::Workflow& workflow) { workflow.steps.clear(); },
+    [](core::Workflow& workflow) { workflow.steps.resize(100'000); },
+    [](core::Workflow& workflow) { workflow.steps[0].tasks = 4'294'967'295; },
+    [](core::Workflow& workflow) { workflow.steps[0].tasks = 0; },
+    [](core::Workflow& workflow) { workflow.steps[0].demand.millicores = -1; },
+    [](core::Workflow& workflow) {
+      workflow.steps[0].demand.memory_mb = 9'223'372'036'854'775'807;
+    },
+    [](core::Workflow& workflow) { workflow.occurrences = 4'294'967'295; },
+    [](core::Workflow& workflow) { workflow.occurrences = 2; },
+    [](core::Workflow& workflow) { workflow.period_ms = -1; },
+    [](core::Workflow& workflow) {
+      workflow.first_due_ms = 9'223'372'036'854'775'807;
+    },
+  };
+  for (std::size_t index = 0; index < std::size(changes); ++index) {
+    core::Workflow workflow = example_workflow();
+    changes[index](workflow);
+    BOOST_TEST(!is_used(workflow), "change " << index);
+  }
+}
+
+// Rows of other messages, and bytes that the parser would follow for long.
+BOOST_AUTO_TEST_CASE(odd_protobuf_rows_are_left_alone)
+{
+  std::string groups(NESTING, '\x7b'); // Field 15, start of a group.
+  std::string groups_closed = groups + std::string(NESTING, '\x7c');
+  std::string id_not_utf8 = std::string("\x0a\x02\xff\xfe", 4);
+  std::string huge_length("\x0a\xff\xff\xff\xff\x0f", 6);
+  std::string unknown_enum("\x08\xff\xff\xff\xff\x0f", 6);
+  for (const std::string& value : { groups,
+                                    groups_closed,
+                                    id_not_utf8,
+                                    huge_length,
+                                    std::string("\xff\xff\xff", 3) }) {
+    BOOST_TEST(!entry::decode_workflow(value).has_value());
+    BOOST_TEST(!v1::NodeRow().ParseFromString(value));
+  }
+  BOOST_TEST(!entry::decode_progress(unknown_enum).has_value());
+  BOOST_TEST(!entry::decode_progress(groups_closed).has_value());
+  // JSON of another writer in the base64 value of a row.
+  for (const std::string& json : { nested_list(NESTING), std::string("{}") }) {
+    entry::WorkView view;
+    view.apply(stored(entry::WorkRowKind::Workflow, json, 1));
+    BOOST_TEST(!view.items().at(JOB).usable);
+  }
+}
