Follow rows of the work that another writer removed or made unreadable

The view of the work ignored the removal of a progress row, rows that a new read of the table lacked, and values that are not base64. The owner's next commit then required a version that no row has; it failed, the owner read the whole table, and the commit failed again. No other job started.

A removed or unreadable progress row now makes its workflow unusable until the row is written again: what has run is unknown. A full read drops the workflows that it lacks, unless they are newer. The row of a workflow never changes, so a newer one is that of a new workflow, and an older progress is forgotten. Rows without a workflow are dropped when they are removed.

--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -117,7 +117,7 @@
                  this->store,
                  work_options(),
                  { [this](const platform::RowPage& page) {
-                    this->view.apply(page);
+                    this->view.replace(page);
                     this->scheduler.schedule_decision();
                   },
                    [this](const platform::RowPage& page) {
@@ -412,7 +412,7 @@
           READ_RETRY, [this, term] { this->read_work(term); });
         return;
       }
-      this->view.apply(*page);
+      this->view.replace(*page);
       this->log.write(WORK_READ,
                       { { "term", term },
                         { "rows", page->rows.size() },
--- a/entry/work_view.cpp
+++ b/entry/work_view.cpp
@@ -3,9 +3,29 @@
 #include "entry/work_rows.h"
 
 #include <algorithm>
+#include <set>
 
 namespace geraniumhinge::entry {
 
+namespace {
+
+std::string
+key_of(WorkRowKind kind, const std::string& id)
+{
+  return work_row(kind, id).key;
+}
+
+} // namespace
+
+void
+WorkItem::forget_progress()
+{
+  this->progress_readable = this->progress_version < this->workflow_version;
+  this->progress = {};
+  this->progress_version = 0;
+  this->check();
+}
+
 void
 WorkItem::check()
 {
@@ -18,6 +38,41 @@
 {
   for (const platform::StoredRow& row : page.rows)
     this->apply(row);
+  for (const platform::StoredRow& row : page.unreadable)
+    this->mark_unreadable(row);
+}
+
+void
+WorkView::replace(const platform::RowPage& page)
+{
+  // Rows without a readable name may be any of those that seem to be missing.
+  if (page.malformed_rows == page.unreadable.size())
+    this->drop_missing(page);
+  this->apply(page);
+}
+
+void
+WorkView::drop_missing(const platform::RowPage& page)
+{
+  std::set<std::string> present;
+  for (const platform::StoredRow& row : page.rows)
+    present.insert(row.name.key);
+  for (const platform::StoredRow& row : page.unreadable)
+    present.insert(row.name.key);
+  // Rows written after the page was read are newer than the page.
+  std::erase_if(this->items_by_id, [&](const Items::value_type& entry) {
+    const WorkItem& item = entry.second;
+    return std::max({ item.workflow_version,
+                      item.progress_version,
+                      item.cancel_version }) <= page.version &&
+           !present.contains(key_of(WorkRowKind::Workflow, entry.first));
+  });
+  for (Items::value_type& entry : this->items_by_id) {
+    WorkItem& item = entry.second;
+    if (item.progress_version != 0 && item.progress_version <= page.version &&
+        !present.contains(key_of(WorkRowKind::Progress, entry.first)))
+      item.forget_progress();
+  }
 }
 
 void
@@ -33,10 +88,15 @@
       WorkItem& item = this->items_by_id[key.id];
       if (row.version <= item.workflow_version)
         return;
+      // The row of a workflow never changes: this is a new workflow.
+      bool is_new = item.workflow_version != 0;
       item.workflow = decode_workflow(row.value);
       if (item.workflow && item.workflow->id != key.id)
         item.workflow.reset();
       item.workflow_version = row.version;
+      if (is_new && item.progress_version < row.version)
+        item.forget_progress();
+      item.cancelled = item.cancelled && item.cancel_version > row.version;
       item.check();
       return;
     }
@@ -70,12 +130,40 @@
 void
 WorkView::remove(const platform::StoredRow& row)
 {
-  // The rows of a workflow are removed together.
   WorkRowKey key = parse_work_key(row.name.key);
   Items::iterator found = this->items_by_id.find(key.id);
-  if (key.kind == WorkRowKind::Workflow && found != this->items_by_id.end() &&
-      found->second.workflow_version <= row.version)
+  if (found == this->items_by_id.end())
+    return;
+  WorkItem& item = found->second;
+  // The owner removes the rows of a workflow together.
+  if (key.kind == WorkRowKind::Workflow && item.workflow_version <= row.version)
+    this->items_by_id.erase(found);
+  else if (item.workflow_version == 0 && key.kind != WorkRowKind::Heartbeat)
     this->items_by_id.erase(found);
+  else if (key.kind == WorkRowKind::Progress &&
+           item.progress_version <= row.version)
+    item.forget_progress();
+}
+
+void
+WorkView::mark_unreadable(const platform::StoredRow& row)
+{
+  WorkRowKey key = parse_work_key(row.name.key);
+  Items::iterator found = this->items_by_id.find(key.id);
+  if (found == this->items_by_id.end())
+    return;
+  WorkItem& item = found->second;
+  if (key.kind == WorkRowKind::Workflow &&
+      row.version > item.workflow_version) {
+    item.workflow.reset();
+    item.workflow_version = row.version;
+  }
+  if (key.kind == WorkRowKind::Progress &&
+      row.version > item.progress_version) {
+    item.progress_readable = false;
+    item.progress_version = row.version;
+  }
+  item.check();
 }
 
 const WorkItem*
--- a/entry/work_view.h
+++ b/entry/work_view.h
@@ -26,6 +26,12 @@
 
   /// Sets `usable` after a row has changed.
   void check();
+
+  /// Forgets the removed row of the progress. If another writer removed it,
+  /// what has run is unknown, and the item is not usable until the row is
+  /// written again. If it is older than the row of the workflow, it was that of
+  /// an earlier workflow with the same identifier.
+  void forget_progress();
 };
 
 /// The rows of all workflows, kept up to date from the changes of the store.
@@ -39,6 +45,9 @@
   void apply(const platform::RowPage& page);
   void apply(const platform::StoredRow& row);
 
+  /// Applies all rows of the table, and drops those that it no longer has.
+  void replace(const platform::RowPage& page);
+
   const WorkItem* find(const std::string& id) const;
   const Items& items() const { return this->items_by_id; }
 
@@ -50,6 +59,8 @@
 
 private:
   void remove(const platform::StoredRow& row);
+  void mark_unreadable(const platform::StoredRow& row);
+  void drop_missing(const platform::RowPage& page);
 
   Items items_by_id;
   std::uint64_t newest_heartbeat_version = 0;
--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -644,3 +644,108 @@
     BOOST_TEST(!view.items().at(JOB).usable);
   }
 }
+
+// Otherwise the owner's next commit fails on the version of the removed row,
+// and the owner reads the whole table again after each such commit.
+BOOST_AUTO_TEST_CASE(workflow_without_its_progress_is_left_alone)
+{
+  entry::WorkView view;
+  view.apply(stored(entry::WorkRowKind::Workflow,
+                    entry::encode_workflow(example_workflow()),
+                    1));
+  view.apply(stored(entry::WorkRowKind::Progress,
+                    entry::encode_progress(example_progress()),
+                    2));
+  view.apply(platform::StoredRow{
+    entry::work_row(entry::WorkRowKind::Progress, JOB), "", 3, true });
+  BOOST_TEST(!view.items().at(JOB).usable);
+  view.apply(stored(entry::WorkRowKind::Progress,
+                    entry::encode_progress(example_progress()),
+                    4));
+  BOOST_TEST(view.items().at(JOB).usable);
+}
+
+// The same for rows that were removed while their changes were not read.
+BOOST_AUTO_TEST_CASE(rows_that_a_snapshot_lacks_are_dropped)
+{
+  entry::WorkView view;
+  view.apply(stored(entry::WorkRowKind::Workflow,
+                    entry::encode_workflow(example_workflow()),
+                    5));
+  platform::RowPage page;
+  page.version = 4;
+  view.replace(page);
+  BOOST_TEST(view.items().contains(JOB));
+  page.version = 6;
+  view.replace(page);
+  BOOST_TEST(!view.items().contains(JOB));
+}
+
+// The rows of an earlier workflow with the same identifier are removed in one
+// transaction, and arrive in any order before the new one.
+BOOST_AUTO_TEST_CASE(progress_of_a_removed_workflow_is_forgotten)
+{
+  platform::StoredRow removed_progress = {
+    entry::work_row(entry::WorkRowKind::Progress, JOB), "", 4, true
+  };
+  platform::StoredRow new_workflow =
+    stored(entry::WorkRowKind::Workflow,
+           entry::encode_workflow(example_workflow()),
+           5);
+  const std::vector<platform::StoredRow> orders[] = {
+    { removed_progress, new_workflow },
+    { new_workflow, removed_progress },
+    { new_workflow },
+  };
+  for (const std::vector<platform::StoredRow>& rows : orders) {
+    entry::WorkView view;
+    view.apply(stored(entry::WorkRowKind::Workflow,
+                      entry::encode_workflow(example_workflow()),
+                      1));
+    view.apply(stored(entry::WorkRowKind::Progress,
+                      entry::encode_progress(example_progress()),
+                      2));
+    view.apply(stored(entry::WorkRowKind::Cancel, "", 3));
+    for (const platform::StoredRow& row : rows)
+      view.apply(row);
+    const entry::WorkItem& item = view.items().at(JOB);
+    BOOST_TEST(item.usable);
+    BOOST_TEST(item.progress_version == 0U);
+    BOOST_TEST(item.progress.open_occurrences.empty());
+    BOOST_TEST(!item.cancelled);
+  }
+}
+
+// Rows without a workflow would be kept for good.
+BOOST_AUTO_TEST_CASE(removed_rows_without_a_workflow_are_dropped)
+{
+  entry::WorkView view;
+  for (entry::WorkRowKind kind :
+       { entry::WorkRowKind::Progress, entry::WorkRowKind::Cancel }) {
+    view.apply(stored(kind, "", 1));
+    view.apply(platform::StoredRow{ entry::work_row(kind, JOB), "", 2, true });
+    BOOST_TEST(!view.items().contains(JOB));
+  }
+}
+
+// A value that is not base64 would leave the former progress in use, whose
+// version no commit meets.
+BOOST_AUTO_TEST_CASE(progress_replaced_by_an_unreadable_value_is_not_used)
+{
+  entry::WorkView view;
+  view.apply(stored(entry::WorkRowKind::Workflow,
+                    entry::encode_workflow(example_workflow()),
+                    1));
+  view.apply(stored(entry::WorkRowKind::Progress,
+                    entry::encode_progress(example_progress()),
+                    2));
+  platform::RowPage page;
+  page.unreadable.push_back(stored(entry::WorkRowKind::Progress, "", 3));
+  page.malformed_rows = 1;
+  view.apply(page);
+  BOOST_TEST(!view.items().at(JOB).usable);
+  view.apply(stored(entry::WorkRowKind::Progress,
+                    entry::encode_progress(example_progress()),
+                    4));
+  BOOST_TEST(view.items().at(JOB).usable);
+}
--- a/tests/system/malformed_rows_test.cpp
+++ b/tests/system/malformed_rows_test.cpp
@@ -132,6 +132,25 @@
   BOOST_TEST(servers[0]->starts.size() == 2U);
 }
 
+// Guards against an owner that reads the whole table again after each commit,
+// because a row that it expects was removed by another writer.
+BOOST_FIXTURE_TEST_CASE(removed_progress_causes_no_reads_of_the_table, Fixture)
+{
+  add_entry();
+  add_agent();
+  wait_ready();
+  BOOST_TEST(submit(JOB) == 200);
+  run_until([this] { return running() == 1; });
+  int reads_before = store.reads;
+  store.remove(work_name(std::string("r/") + JOB));
+  finish_all("done");
+  BOOST_TEST(submit(OTHER_JOB) == 200);
+  run_until([this] { return running() == 1; });
+  finish_all("done");
+  wait_state(OTHER_JOB, "completed");
+  BOOST_TEST(store.reads - reads_before <= 3);
+}
+
 // Guards against an owner row in another part of the table that takes the
 // ownership from all entries.
 BOOST_FIXTURE_TEST_CASE(owner_row_of_another_part_is_ignored, Fixture)
