Take the address of an agent only from the row with its name

A new owner sent orders to each address in the table of the agents, and kept the last address per agent name, also one from a row that another writer left under another key.

--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -4,6 +4,7 @@
 #include "entry/events.h"
 #include "entry/row_budget.h"
 #include "entry/work_rows.h"
+#include "kernel/address.h"
 #include "kernel/clock.h"
 #include "kernel/events.h"
 #include "kernel/settings_watch.h"
@@ -438,8 +439,12 @@
       }
       for (const platform::StoredRow& item : page->rows) {
         v1::NodeRow row;
-        if (!row.ParseFromString(item.value))
+        // Another writer's row must not replace the address of an agent.
+        if (!row.ParseFromString(item.value) || row.node() != item.name.key ||
+            !kernel::is_address(row.peer_address())) {
+          this->log.write(ROW_MALFORMED, { { "key", item.name.key } });
           continue;
+        }
         AgentView& agent =
           this->servers.add_agent(row.node(), row.peer_address());
         // The orders tell the agent to report to this entry. Its report then
--- a/tests/system/malformed_rows_test.cpp
+++ b/tests/system/malformed_rows_test.cpp
@@ -169,6 +169,27 @@
   run_until([this] { return running() == 2; });
 }
 
+// Guards against a row of an agent that ends the owner, or replaces the address
+// of another agent.
+BOOST_FIXTURE_TEST_CASE(odd_rows_of_agents_cost_no_other_agent, Fixture)
+{
+  v1::NodeRow row;
+  row.set_node("node-1");
+  row.set_peer_address("host:");
+  store.put({ "agents", "main", "zz" }, row.SerializeAsString());
+  store.put({ "agents", "main", "a" }, nested_json());
+  store.put_encoded({ "agents", "main", "b" }, "!!");
+  row.set_node("node-7");
+  row.set_peer_address(std::string(200, '9') + ":99999");
+  store.put({ "agents", "main", "node-7" }, row.SerializeAsString());
+  add_agent();
+  run_until([this] { return store.has({ "agents", "main", "node-1" }); });
+  add_entry();
+  wait_ready();
+  BOOST_TEST(submit(JOB) == 200);
+  run_until([this] { return running() == 1; });
+}
+
 // Guards against announcements of another writer that end the agent, replace
 // its server, or write a line each.
 BOOST_FIXTURE_TEST_CASE(odd_announcements_cost_no_server, Fixture)
