Refuse deeply nested error bodies of other processes

The client of the unary interface copied the details of an error body, which recurses: 200,000 levels overflowed the stack. It now parses the body with the limit of all other bodies.

Test: malformed_input_test, deeply_nested_bodies_are_rejected, which now also covers error bodies (a memory access violation before the change) and messages in JSON (passed before: protobuf limits the nesting).

--- a/gateway/unary_error.cpp
+++ b/gateway/unary_error.cpp
@@ -1,8 +1,7 @@
 #include "gateway/unary_error.h"
 
 #include "gateway/base64.h"
-
-#include <nlohmann/json.hpp>
+#include "kernel/json_parse.h"
 
 namespace geraniumhinge::gateway {
 
@@ -128,7 +127,7 @@
 CallError
 parse_error(const HttpClientResponse& response)
 {
-  nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
+  nlohmann::json body = kernel::parse_json(response.body);
   CallError error =
     call_error(v1::ERROR_KIND_INTERNAL,
                "HTTP status " + std::to_string(response.status) + ": " +
--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -4,7 +4,7 @@
 // leaves it would end the process.
 #include "entry/work_rows.h"
 #include "entry/work_view.h"
-#include "gateway/base64.h"
+#include "gateway/unary_error.h"
 #include "platform/advice.h"
 #include "platform/backend_http.h"
 #include "platform/caller.h"
@@ -18,6 +18,7 @@
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <functional>
+#include <google/protobuf/util/json_util.h>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
@@ -220,15 +221,14 @@
 bodies_with(const std::string& item)
 {
   std::vector<std::string> bodies{ item, "[" + item + "]" };
-  for (const char* field : { "rows",          "schema_ver", "value",
-                             "free_capacity", "labels",     "born",
-                             "running_tasks", "ended",      "good",
-                             "routes",        "tenants",    "limits",
-                             "phases",        "task_spec",  "state",
-                             "num_waiting",   "versions",   "applied",
-                             "key",           "version" }) {
-    bodies.push_back(R"({"version":1,")" + std::string(field) + "\":" + item +
-                     "}");
+  for (const char* field :
+       { "rows",        "schema_ver",    "value",   "free_capacity", "labels",
+         "born",        "running_tasks", "ended",   "good",          "routes",
+         "tenants",     "limits",        "phases",  "task_spec",     "state",
+         "num_waiting", "versions",      "applied", "key",           "version",
+         "details" }) {
+    bodies.push_back(R"({"code":1,"version":1,")" + std::string(field) +
+                     "\":" + item + "}");
     bodies.push_back(R"({"version":1,")" + std::string(field) + "\":[" + item +
                      "]}");
   }
@@ -254,6 +254,10 @@
   platform::decode_versions(body);
   platform::decode_refusal(body);
   platform::decode_conflict(body);
+  gateway::parse_error({ 500, {}, body });
+  v1::NodeRow message;
+  static_cast<void>(
+    google::protobuf::util::JsonStringToMessage(body, &message));
 }
 
 std::string
