--- a/entry/work_view.cpp
+++ b/entry/work_view.cpp
@@ -136,9 +136,11 @@
     return;
   WorkItem& item = found->second;
   // The owner removes the rows of a workflow together.
-  if (key.kind == WorkRowKind::Workflow && item.workflow_version <= row.version)
-    this->items_by_id.erase(found);
-  else if (item.workflow_version == 0 && key.kind != WorkRowKind::Heartbeat)
+  bool is_workflow_removed =
+    key.kind == WorkRowKind::Workflow && item.workflow_version <= row.version;
+  bool has_workflow =
+    item.workflow_version != 0 || key.kind == WorkRowKind::Heartbeat;
+  if (is_workflow_removed || !has_workflow)
     this->items_by_id.erase(found);
   else if (key.kind == WorkRowKind::Progress &&
            item.progress_version <= row.version)
--- a/peer/events.h
+++ b/peer/events.h
@@ -44,11 +44,8 @@
 };
 
 inline constexpr kernel::EventInfo PEER_EVENTS[] = {
-  LISTEN_FAILED,
-  CONNECTION_SILENT,
-  QUEUE_FULL,
-  MESSAGE_MALFORMED,
-  ADDRESS_INVALID,
+  LISTEN_FAILED,     CONNECTION_SILENT, QUEUE_FULL,
+  MESSAGE_MALFORMED, ADDRESS_INVALID,
 };
 
 } // namespace geraniumhinge::peer
