Claim the ownership beside an owner row that can't be read or was removed

An owner row of another writer that can't be read, or was removed, stopped all work for good: entries kept the version of the last readable row, so each later claim failed. Any other row of that part counted as the owner row, too. Only the row with its key counts now; a row that names no owner lets the entries claim the ownership with its version, or with none if it is gone.

system.malformed_rows_test: odd_owner_row_stops_all_work failed before (timed out before the condition held) and passes.

--- a/entry/ownership.cpp
+++ b/entry/ownership.cpp
@@ -54,7 +54,7 @@
       log,
       store,
       owner_options(),
-      { [this](const platform::RowPage& page) { this->handle_rows(page); },
+      { [this](const platform::RowPage& page) { this->handle_snapshot(page); },
         [this](const platform::RowPage& page) { this->handle_rows(page); } })
   , claim_delay_ms(claim_delay_ms)
   , heartbeat_timeout_ms(
@@ -87,10 +87,15 @@
 void
 Ownership::handle_rows(const platform::RowPage& page)
 {
+  for (const platform::StoredRow& row : page.unreadable)
+    this->handle_odd_row(row);
   for (const platform::StoredRow& row : page.rows) {
     v1::OwnerRow owner;
-    if (row.version <= this->row_version || row.removed ||
-        !owner.ParseFromString(row.value))
+    if (row.removed || !owner.ParseFromString(row.value)) {
+      this->handle_odd_row(row);
+      continue;
+    }
+    if (row.name != owner_row() || row.version <= this->row_version)
       continue;
     this->row_version = row.version;
     // An earlier process of this entry ran on the same VM and must have ended.
@@ -108,6 +113,40 @@
   }
 }
 
+/// Forgets a row that the table no longer has.
+void
+Ownership::handle_snapshot(const platform::RowPage& page)
+{
+  auto is_owner_row = [](const platform::StoredRow& row) {
+    return row.name == owner_row();
+  };
+  bool is_listed =
+    std::any_of(page.rows.begin(), page.rows.end(), is_owner_row) ||
+    std::any_of(page.unreadable.begin(), page.unreadable.end(), is_owner_row);
+  if (!is_listed && this->row_version != 0 && page.version > this->row_version)
+    this->handle_vacant_row(0);
+  this->handle_rows(page);
+}
+
+/// Another writer removed the owner row or left a value that can't be read. The
+/// next claim depends on the row as it is now.
+void
+Ownership::handle_odd_row(const platform::StoredRow& row)
+{
+  if (row.name == owner_row() && row.version > this->row_version)
+    this->handle_vacant_row(row.removed ? 0 : row.version);
+}
+
+void
+Ownership::handle_vacant_row(std::uint64_t version)
+{
+  this->row_version = version;
+  this->vacant = true;
+  this->vacant_since_ms = kernel::boot_ms();
+  if (this->owns())
+    this->lose_ownership();
+}
+
 bool
 Ownership::owner_silent(std::int64_t now_ms)
 {
--- a/entry/ownership.h
+++ b/entry/ownership.h
@@ -62,6 +62,10 @@
 
 private:
   void handle_rows(const platform::RowPage& page);
+  void handle_snapshot(const platform::RowPage& page);
+  void handle_odd_row(const platform::StoredRow& row);
+  /// The row has this version, 0 if it does not exist, and names no owner.
+  void handle_vacant_row(std::uint64_t version);
   void check_owner();
   bool owner_silent(std::int64_t now_ms);
   void claim();
--- a/tests/system/malformed_rows_test.cpp
+++ b/tests/system/malformed_rows_test.cpp
@@ -169,6 +169,26 @@
   run_until([this] { return running() == 2; });
 }
 
+// Guards against an owner row that can't be read, or was removed, and lets no
+// entry own the work ever after.
+BOOST_FIXTURE_TEST_CASE(odd_owner_row_stops_all_work, Fixture)
+{
+  const RowStoreStandin::Name owner{ "owner", "main", "owner" };
+  add_entry();
+  add_agent();
+  wait_ready();
+  store.put({ "owner", "main", "zz" }, "\xff");
+  store.put(owner, "\xff");
+  BOOST_TEST(submit(JOB) == 200);
+  run_until([this] { return running() == 1; });
+  store.put_encoded(owner, "!!");
+  BOOST_TEST(submit(OTHER_JOB) == 200);
+  run_until([this] { return running() == 2; });
+  store.remove(owner);
+  BOOST_TEST(submit(THIRD_JOB) == 200);
+  run_until([this] { return running() == 3; });
+}
+
 // Guards against a row of an agent that ends the owner, or replaces the address
 // of another agent.
 BOOST_FIXTURE_TEST_CASE(odd_rows_of_agents_cost_no_other_agent, Fixture)
