--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -135,8 +135,8 @@
   BOOST_TEST(!agent->report().ready());
 }
 
-// An owner takes runs for ended if no lease was granted for long enough.
-BOOST_FIXTURE_TEST_CASE(agent_that_granted_a_lease_reports_none, Fixture)
+// Guards against runs that count as lost while they hold a lease.
+BOOST_FIXTURE_TEST_CASE(granted_lease_is_missing_in_the_report, Fixture)
 {
   run_until([this] { return agent->report().no_lease_ms() > 20; });
   announce();
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -146,7 +146,7 @@
   BOOST_TEST(servers.crashed_former_server(agent, NOW_MS) == nullptr);
 }
 
-// The agent may have found its server and renewed leases after that report.
+// The agent may have renewed leases after its report that names no server.
 BOOST_FIXTURE_TEST_CASE(silence_of_a_restarted_agent_loses_runs, RestartedAgent)
 {
   report.mutable_life()->clear_id();
