Take runs of a silent agent for lost by its last report, not by the last orders

All machines lost power at 34.4 s; the agent of the server returned for less than a lease without its server, reported to the owner, and left. The owner waited for orphan timeout and lease from its last orders to that agent, and each of its commits sent new ones.

Orders renew leases only by the time of the report that they reply to, so the last report that arrived is the bound. orders_sent_ms is gone.

entry.server_table_test: with orders_sent_ms set, as the scheduler did, the case runs_of_a_silent_agent_are_never_lost failed before.

--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -154,7 +154,7 @@
   std::map<std::string, AgentView>::const_iterator found =
     this->agents.find(node);
   // The previous owner may have sent orders until then.
-  std::int64_t orders_sent_ms =
+  std::int64_t last_report_ms =
     this->owner_since_ms + this->bounds.owner_send_limit_ms;
   if (found != this->agents.end()) {
     const AgentView& agent = found->second;
@@ -167,9 +167,9 @@
     if (agent.no_lease_ms > this->bounds.lease_ms())
       return LossCause::ServerUnknown;
     if (agent.last_seen_ms != 0)
-      orders_sent_ms = std::max(agent.last_seen_ms, agent.orders_sent_ms);
+      last_report_ms = agent.last_seen_ms;
   }
-  if (now_ms - orders_sent_ms > this->bounds.expiry_ms())
+  if (now_ms - last_report_ms > this->bounds.expiry_ms())
     return LossCause::AgentSilent;
   return std::nullopt;
 }
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -13,10 +13,11 @@
 
 namespace geraniumhinge::entry {
 
-/// Bounds on how long leases last after the owner's last orders.
+/// Bounds on how long leases last after an agent's last report.
 struct LeaseBounds
 {
-  /// Agents keep renewing leases this long after their last orders.
+  /// Agents keep renewing leases this long after the last report that was
+  /// replied to.
   std::int64_t orphan_ms = 4'000;
   /// Length of a lease on the server's clock, which may be slow.
   std::int64_t granted_ms = 3'000;
@@ -26,7 +27,7 @@
   /// Longest duration of a lease on this entry's clock.
   std::int64_t lease_ms() const;
 
-  /// Time after the last orders by which every lease has expired.
+  /// Time after an agent's last report by which every lease has expired.
   std::int64_t expiry_ms() const { return this->orphan_ms + this->lease_ms(); }
 };
 
@@ -78,8 +79,7 @@
   bool process_is_new = false;
   /// The first instance that the agent has reported to this owner.
   core::ServerInstance first_instance;
-  std::int64_t last_seen_ms = 0;   ///< Boot time of the last report, 0 if none.
-  std::int64_t orders_sent_ms = 0; ///< Boot time of the last orders sent.
+  std::int64_t last_seen_ms = 0; ///< Boot time of the last report, 0 if none.
   std::uint64_t orders_sequence = 0;
   std::uint64_t stored_ends = 0; ///< Number of the last end in the store.
 };
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -113,7 +113,6 @@
                                         { this->term, ++this->orders_sequence },
                                         this->pending_ends);
   agent.orders_sequence = orders.sequence();
-  agent.orders_sent_ms = kernel::boot_ms();
   this->hooks.send(agent.address, std::move(orders));
 }
 
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -146,6 +146,17 @@
   BOOST_TEST(servers.crashed_former_server(agent, NOW_MS) == nullptr);
 }
 
+// Orders renew leases only by the report that they reply to.
+BOOST_FIXTURE_TEST_CASE(runs_of_a_silent_agent_are_never_lost, Fixture)
+{
+  changes();
+  std::int64_t expiry_ms = NOW_MS + entry::LeaseBounds{}.expiry_ms();
+  BOOST_TEST(
+    !servers.loss_cause({ "i-1", 1 }, "node-1", expiry_ms).has_value());
+  BOOST_TEST((servers.loss_cause({ "i-1", 1 }, "node-1", expiry_ms + 1) ==
+              entry::LossCause::AgentSilent));
+}
+
 // The agent may have renewed leases after its report that names no server.
 BOOST_FIXTURE_TEST_CASE(silence_of_a_restarted_agent_loses_runs, RestartedAgent)
 {
