--- a/review/harness/cluster.cpp
+++ b/review/harness/cluster.cpp
@@ -35,7 +35,8 @@
     { "routes", { route } },
     { "services", { { { "name", "planner" } } } },
     { "tenants", { tenant } },
-  }.dump();
+  }
+    .dump();
 }
 
 } // namespace
@@ -95,8 +96,7 @@
                  { "peer", { { "listen", tests::free_address() } } },
                  { "http", { { "listen", tests::free_address() } } },
                  { "platform", platform } };
-  this->entries.push_back(
-    this->start_program(name, "geraniumhinge", settings));
+  this->entries.push_back(this->start_program(name, "geraniumhinge", settings));
 }
 
 void
@@ -115,8 +115,11 @@
   };
   server.standin->on_end = [this, index](const Run& run,
                                          const std::string& kind) {
-    this->note(fmt::format(
-      "server i-{}: run {} of {} ends: {}", index, run.second, run.first, kind));
+    this->note(fmt::format("server i-{}: run {} of {} ends: {}",
+                           index,
+                           run.second,
+                           run.first,
+                           kind));
     this->on_end(index, run, kind);
   };
   server.standin->on_end_acknowledged =
@@ -194,13 +197,8 @@
       const gateway::HttpClient::Result& response) {
       int status = response ? response->status : 0;
       std::string text = response ? response->body : "";
-      this->note(fmt::format("entry-{}: {} {}{} -> {} {}",
-                             entry,
-                             method,
-                             PREFIX,
-                             id,
-                             status,
-                             text));
+      this->note(fmt::format(
+        "entry-{}: {} {}{} -> {} {}", entry, method, PREFIX, id, status, text));
       done(status, text);
     });
 }
@@ -238,7 +236,8 @@
                             server.registry_address,
                             server.id);
   request.headers = { { "Content-Type", "application/json" } };
-  request.body = server.standin->announcement("ready", ++server.sequence).dump();
+  request.body =
+    server.standin->announcement("ready", ++server.sequence).dump();
   request.timeout = kernel::Milliseconds(1'000);
   this->client.call(std::move(request),
                     [](const gateway::HttpClient::Result&) {});
--- a/review/harness/cluster.h
+++ b/review/harness/cluster.h
@@ -98,13 +98,12 @@
 
   std::vector<Server> servers;
   /// Called when a run begins or ends on a server, with the server's index.
-  std::function<void(std::size_t, const Run&)> on_start =
-    [](std::size_t, const Run&) {};
+  std::function<void(std::size_t, const Run&)> on_start = [](std::size_t,
+                                                             const Run&) {};
   std::function<void(std::size_t, const Run&, const std::string&)> on_end =
     [](std::size_t, const Run&, const std::string&) {};
   std::function<void(std::size_t, const tests::ServerStandin::End&)>
-    on_end_acknowledged =
-      [](std::size_t, const tests::ServerStandin::End&) {};
+    on_end_acknowledged = [](std::size_t, const tests::ServerStandin::End&) {};
 
 private:
   std::unique_ptr<tests::Process> start_program(const std::string& name,
