--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -56,20 +56,19 @@
     cluster.on_start = [this](std::size_t server, const Cluster::Run& run) {
       this->record_start(server, run);
     };
-    cluster.on_end_acknowledged =
-      [this](std::size_t, const tests::ServerStandin::End& end) {
-        if (end.run.first == FIRST_MEMBER)
-          this->runs[end.run.second].noted = true;
-      };
+    cluster.on_end_acknowledged = [this](std::size_t,
+                                         const tests::ServerStandin::End& end) {
+      if (end.run.first == FIRST_MEMBER)
+        this->runs[end.run.second].noted = true;
+    };
     cluster.every(CHECK_PERIOD_MS, [this] { this->check(); });
     cluster.every(REPORT_PERIOD_MS, [this] { this->ask_for_state(); });
-    nlohmann::json step{ { "count", 2 },          { "cpu", 13'000 },
-                         { "mem_mb", 38'000 },    { "gpu", 8 },
+    nlohmann::json step{ { "count", 2 },           { "cpu", 13'000 },
+                         { "mem_mb", 38'000 },     { "gpu", 8 },
                          { "estimate_ms", 6'800 }, { "gang", true } };
     nlohmann::json job{ { "task_spec", "fails" }, { "phases", { step } } };
-    cluster.after(4'000, [&cluster, job] {
-      cluster.submit(0, JOB, job, [] {});
-    });
+    cluster.after(4'000,
+                  [&cluster, job] { cluster.submit(0, JOB, job, [] {}); });
   }
 
 private:
@@ -122,7 +121,8 @@
   {
     std::int64_t now = kernel::boot_ms();
     Cluster::Server& server = this->cluster.servers[run.server];
-    std::int64_t report_age = (now - server.agent_started_ms) % REPORT_PERIOD_MS;
+    std::int64_t report_age =
+      (now - server.agent_started_ms) % REPORT_PERIOD_MS;
     std::int64_t renewal_age = now - server.standin->last_full_wait_ms;
     if (report_age < MIN_REPORT_AGE_MS || report_age > MAX_REPORT_AGE_MS ||
         renewal_age > MAX_RENEWAL_AGE_MS)
@@ -147,8 +147,8 @@
     this->failing = false;
     MemberRun& run = this->runs[attempt];
     run.failed_ms = kernel::boot_ms();
-    this->cluster.servers[run.server].standin->finish(
-      { FIRST_MEMBER, attempt }, "failed");
+    this->cluster.servers[run.server].standin->finish({ FIRST_MEMBER, attempt },
+                                                      "failed");
     std::size_t other = this->places.at({ SECOND_MEMBER, attempt });
     this->cluster.servers[other].standin->finish({ SECOND_MEMBER, attempt },
                                                  "broken");
