--- a/review/harness/cluster.cpp
+++ b/review/harness/cluster.cpp
@@ -243,6 +243,32 @@
                     [](const gateway::HttpClient::Result&) {});
 }
 
+void
+Cluster::end_with_checkpoint(std::size_t server,
+                             const Run& run,
+                             const std::string& checkpoint)
+{
+  tests::ServerStandin& standin = *this->servers[server].standin;
+  if (standin.running.erase(run) == 0)
+    return;
+  standin.on_end(run, "done");
+  standin.add_end(run, "done");
+  standin.ended.back().checkpoint = checkpoint;
+  // From now on the stand-in must refuse this run, as after any end. A stop has
+  // this effect, and no other one, since the run is gone.
+  gateway::HttpClientRequest request;
+  request.method = "POST";
+  request.url = "http://" + standin.address() + "/geraniumhinge/run-stop";
+  request.body = Json{
+    { "task", run.first },
+    { "attempt", run.second },
+    { "fence_token", standin.fencing_token }
+  }.dump();
+  request.timeout = kernel::Milliseconds(DEADLINE_MS);
+  this->client.call(std::move(request),
+                    [](const gateway::HttpClient::Result&) {});
+}
+
 void
 Cluster::after(std::int64_t delay_ms, std::function<void()> action)
 {
--- a/review/harness/cluster.h
+++ b/review/harness/cluster.h
@@ -88,6 +88,11 @@
   /// Announces a backend server at once, as a new instance does.
   void announce(Server& server);
 
+  /// Ends a run as done, with a checkpoint in the list of ends.
+  void end_with_checkpoint(std::size_t server,
+                           const Run& run,
+                           const std::string& checkpoint);
+
   /// Calls the function after a delay.
   void after(std::int64_t delay_ms, std::function<void()> action);
   /// Calls the function again and again.
