--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,38 +1,33 @@
-// A backend server is lost for good and silently, just before jobs are placed
-// on it. None of them begins until capacity is free elsewhere. The queue no
-// longer counts them as waiting.
+// A backend server crashes silently, starts again, announces itself, and is
+// lost for good before it has answered. The task that ran on it is never
+// started again.
 
 #include "kernel/clock.h"
 #include "review/harness/cluster.h"
 
 #include <fmt/format.h>
-#include <map>
-#include <set>
 
 using namespace geraniumhinge;
 using namespace geraniumhinge::review;
 
 namespace {
 
-constexpr std::size_t ENTRIES = 3;
-constexpr std::size_t SERVERS = 2;
-constexpr std::uint32_t ACCELERATORS = 8;
-constexpr char FIRST_JOB[] = "00000000000000f0";
-constexpr int WAITING_JOBS = 5;
+constexpr std::size_t SERVERS = 3;
+constexpr char JOB[] = "00000000000000c1";
 constexpr std::int64_t FIRST_SUBMIT_MS = 4'000;
-/// From the loss of the server until the jobs are submitted.
-constexpr std::int64_t SUBMIT_DELAY_MS = 300;
-/// Without the disruption, a run of a waiting job takes this long. The first
-/// job runs for longer than the case watches the queue.
-constexpr std::int64_t RUN_MS = 1'000;
-constexpr std::int64_t FIRST_RUN_MS = 20'000;
-/// The bound on jobs that must be counted: `visible_ms` and 2 s.
-constexpr std::int64_t COUNTED_AFTER_MS = 5'000;
-/// Slack for the way of the answers.
-constexpr std::int64_t SLACK_MS = 500;
-constexpr std::int64_t ASK_PERIOD_MS = 500;
-constexpr std::int64_t WATCH_MS = 12'000;
-constexpr kernel::Milliseconds LIMIT{ 100'000 };
+constexpr std::int64_t RUN_MS = 5'000;
+/// From the start of the run until its server crashes.
+constexpr std::int64_t CRASH_AFTER_MS = 1'500;
+/// From the crash until the server starts again.
+constexpr std::int64_t DOWN_MS = 1'000;
+/// From then until the server is lost for good.
+constexpr std::int64_t SECOND_LIFE_MS = 250;
+constexpr std::int64_t ASK_PERIOD_MS = 1'000;
+/// `finish_s` and the 3 s for which a job may have nothing running.
+constexpr std::int64_t IDLE_LIMIT_MS = 17'000;
+/// The job is watched on, to see whether it ever starts again.
+constexpr std::int64_t WATCH_MS = 60'000;
+constexpr kernel::Milliseconds LIMIT{ 110'000 };
 
 class Case
 {
@@ -44,127 +39,99 @@
     cluster.on_start = [this](std::size_t server, const Cluster::Run& run) {
       this->record_start(server, run);
     };
-    cluster.after(FIRST_SUBMIT_MS, [this] {
-      this->cluster.submit(0, FIRST_JOB, job(ACCELERATORS), [] {});
-    });
+    cluster.on_end =
+      [this](std::size_t, const Cluster::Run&, const std::string&) {
+        this->idle_since_ms = kernel::boot_ms();
+      };
+    cluster.after(FIRST_SUBMIT_MS,
+                  [this] { this->cluster.submit(0, JOB, job(), [] {}); });
     cluster.every(ASK_PERIOD_MS, [this] { this->ask(); });
   }
 
 private:
-  static nlohmann::json job(std::uint32_t accelerators)
+  static nlohmann::json job()
   {
     nlohmann::json step{ { "count", 1 },
-                         { "cpu", 1'000 },
-                         { "mem_mb", 1'024 },
-                         { "gpu", accelerators },
+                         { "cpu", 2'800 },
+                         { "mem_mb", 8'192 },
+                         { "gpu", 1 },
                          { "estimate_ms", RUN_MS } };
     return { { "task_spec", "work" }, { "phases", { step } } };
   }
 
   void record_start(std::size_t server, const Cluster::Run& run)
   {
-    std::string id = run.first.substr(0, run.first.find('.'));
-    this->begun.insert(id);
-    bool is_first = id == FIRST_JOB;
-    this->cluster.after(is_first ? FIRST_RUN_MS : RUN_MS, [this, server, run] {
+    if (this->idle_since_ms != 0)
+      this->longest_idle_ms = std::max(this->longest_idle_ms,
+                                       kernel::boot_ms() - this->idle_since_ms);
+    this->idle_since_ms = 0;
+    ++this->starts;
+    this->cluster.after(RUN_MS, [this, server, run] {
       this->cluster.servers[server].standin->finish(run, "done");
     });
-    if (is_first && this->accepted_ms.empty() && !this->submitted)
-      this->lose_other_server(server);
-  }
-
-  void lose_other_server(std::size_t server)
-  {
-    this->submitted = true;
-    if (this->trouble) {
-      Cluster::Server& other = this->cluster.servers[1 - server];
-      this->cluster.note("server " + other.id + " is lost for good");
-      other.announces = false;
-      other.standin->hang();
-    }
-    this->cluster.after(SUBMIT_DELAY_MS, [this] { this->submit_jobs(); });
-    this->cluster.after(SUBMIT_DELAY_MS + WATCH_MS, [this] { this->judge(); });
-  }
-
-  void submit_jobs()
-  {
-    for (int index = 1; index <= WAITING_JOBS; ++index) {
-      std::string id = fmt::format("00000000000000f{}", index);
-      this->cluster.submit(
-        static_cast<std::size_t>(index) % ENTRIES, id, job(1), [this, id] {
-          this->accepted_ms[id] = kernel::boot_ms();
-        });
-    }
+    if (this->trouble && this->starts == 1)
+      this->cluster.after(CRASH_AFTER_MS,
+                          [this, server] { this->crash(server); });
   }
 
-  /// Jobs that were accepted long before the time and have not begun.
-  std::set<std::string> waiting_jobs(std::int64_t asked_ms) const
+  void crash(std::size_t server)
   {
-    std::set<std::string> waiting;
-    for (const std::pair<const std::string, std::int64_t>& item :
-         this->accepted_ms) {
-      bool old = asked_ms - item.second > COUNTED_AFTER_MS + SLACK_MS;
-      if (old && !this->begun.contains(item.first))
-        waiting.insert(item.first);
-    }
-    return waiting;
+    Cluster::Server& crashed = this->cluster.servers[server];
+    this->cluster.note("server " + crashed.id + " crashes silently");
+    crashed.announces = false;
+    crashed.standin->hang();
+    this->cluster.after(DOWN_MS, [this, &crashed] {
+      this->cluster.note("server " + crashed.id + " starts again");
+      crashed.standin->restart();
+      crashed.standin->started_ms = kernel::unix_ms();
+      crashed.announces = true;
+      crashed.sequence = 0;
+      this->cluster.announce(crashed);
+      crashed.announces = false;
+    });
+    this->cluster.after(DOWN_MS + SECOND_LIFE_MS, [this, &crashed] {
+      this->cluster.note("server " + crashed.id + " is lost for good");
+      crashed.standin->crash();
+    });
   }
 
   void ask()
   {
-    if (!this->submitted)
-      return;
-    std::int64_t asked_ms = kernel::boot_ms();
-    for (std::size_t entry = 0; entry < ENTRIES; ++entry)
-      this->cluster.call(
-        entry,
-        "GET",
-        "",
-        "",
-        [this, asked_ms, entry](int status, const std::string& body) {
-          if (status == 200)
-            this->compare(asked_ms, entry, body);
-        });
-  }
-
-  void compare(std::int64_t asked_ms,
-               std::size_t entry,
-               const std::string& body)
-  {
-    nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
-    std::size_t reported = answer.value("num_waiting", std::size_t{ 0 });
-    // Those that have not begun by the time of the answer either.
-    std::size_t waiting = this->waiting_jobs(asked_ms).size();
-    if (reported * 2 >= waiting)
+    if (this->starts == 0)
       return;
-    ++this->wrong_answers;
-    this->cluster.note(
-      fmt::format("MIXED: entry-{} gives num_waiting {}, but {} jobs were "
-                  "accepted over {} ms ago and have not begun",
-                  entry,
-                  reported,
-                  waiting,
-                  COUNTED_AFTER_MS));
+    std::int64_t now = kernel::boot_ms();
+    if (this->idle_since_ms != 0)
+      this->longest_idle_ms =
+        std::max(this->longest_idle_ms, now - this->idle_since_ms);
+    bool watched =
+      this->idle_since_ms != 0 && now - this->idle_since_ms > WATCH_MS;
+    this->cluster.call(
+      1, "GET", JOB, "", [this, watched](int, const std::string& body) {
+        bool completed = body.find("\"completed\"") != std::string::npos;
+        if (completed || watched)
+          this->judge(body);
+      });
   }
 
-  void judge()
+  void judge(const std::string& state)
   {
-    bool broken = this->wrong_answers > 0;
+    bool broken = this->longest_idle_ms > IDLE_LIMIT_MS;
     this->cluster.finish(
       broken ? Verdict::Broken : Verdict::Held,
-      fmt::format("{}: {} wrong answers, {} of {} jobs begun",
-                  broken ? "broken" : "held",
-                  this->wrong_answers,
-                  this->begun.size(),
-                  WAITING_JOBS + 1));
+      fmt::format("{}: {} starts; the task had no run for {} ms, with {} empty "
+                  "servers; the job is shown as {}",
+                  broken ? "LOST" : "held",
+                  this->starts,
+                  this->longest_idle_ms,
+                  SERVERS - 1,
+                  state));
   }
 
   Cluster& cluster;
   bool trouble;
-  bool submitted = false;
-  int wrong_answers = 0;
-  std::set<std::string> begun;
-  std::map<std::string, std::int64_t> accepted_ms;
+  int starts = 0;
+  std::int64_t idle_since_ms = 0; ///< 0 while the task runs.
+  std::int64_t longest_idle_ms = 0;
 };
 
 } // namespace
@@ -173,7 +140,6 @@
 main(int argc, char** argv)
 {
   ClusterOptions options;
-  options.entries = ENTRIES;
   options.servers = SERVERS;
   std::unique_ptr<Case> running;
   return run_case(
