--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,33 +1,41 @@
-// A backend server crashes silently, starts again, announces itself, and is
-// lost for good before it has answered. The task that ran on it is never
-// started again.
+// A backend server is lost for good and silently, just before jobs are placed
+// on it. None of them begins until capacity is free elsewhere. The queue no
+// longer counts them as waiting.
 
 #include "kernel/clock.h"
 #include "review/harness/cluster.h"
 
 #include <fmt/format.h>
+#include <map>
+#include <set>
 
 using namespace geraniumhinge;
 using namespace geraniumhinge::review;
 
 namespace {
 
-constexpr std::size_t SERVERS = 3;
-constexpr char JOB[] = "00000000000000c1";
+constexpr std::size_t ENTRIES = 3;
+/// One of six is less than the share that may be lost at once.
+constexpr std::size_t SERVERS = 6;
+constexpr std::uint32_t ACCELERATORS = 8;
+/// Jobs that fill a server each; one server stays empty.
+constexpr std::size_t FIRST_JOBS = SERVERS - 1;
+constexpr char FIRST_PREFIX[] = "00000000000000e";
+constexpr int WAITING_JOBS = 5;
 constexpr std::int64_t FIRST_SUBMIT_MS = 4'000;
-constexpr std::int64_t RUN_MS = 5'000;
-/// From the start of the run until its server crashes.
-constexpr std::int64_t CRASH_AFTER_MS = 1'500;
-/// From the crash until the server starts again.
-constexpr std::int64_t DOWN_MS = 1'000;
-/// From then until the server is lost for good.
-constexpr std::int64_t SECOND_LIFE_MS = 250;
-constexpr std::int64_t ASK_PERIOD_MS = 1'000;
-/// `finish_s` and the 3 s for which a job may have nothing running.
-constexpr std::int64_t IDLE_LIMIT_MS = 17'000;
-/// The job is watched on, to see whether it ever starts again.
-constexpr std::int64_t WATCH_MS = 60'000;
-constexpr kernel::Milliseconds LIMIT{ 110'000 };
+/// From the loss of the server until the jobs are submitted.
+constexpr std::int64_t SUBMIT_DELAY_MS = 300;
+/// Without the disruption, a run of a waiting job takes this long. The first
+/// job runs for longer than the case watches the queue.
+constexpr std::int64_t RUN_MS = 1'000;
+constexpr std::int64_t FIRST_RUN_MS = 20'000;
+/// The bound on jobs that must be counted: `visible_ms` and 2 s.
+constexpr std::int64_t COUNTED_AFTER_MS = 5'000;
+/// Slack for the way of the answers.
+constexpr std::int64_t SLACK_MS = 500;
+constexpr std::int64_t ASK_PERIOD_MS = 500;
+constexpr std::int64_t WATCH_MS = 12'000;
+constexpr kernel::Milliseconds LIMIT{ 100'000 };
 
 class Case
 {
@@ -39,99 +47,136 @@
     cluster.on_start = [this](std::size_t server, const Cluster::Run& run) {
       this->record_start(server, run);
     };
-    cluster.on_end =
-      [this](std::size_t, const Cluster::Run&, const std::string&) {
-        this->idle_since_ms = kernel::boot_ms();
-      };
-    cluster.after(FIRST_SUBMIT_MS,
-                  [this] { this->cluster.submit(0, JOB, job(), [] {}); });
+    cluster.after(FIRST_SUBMIT_MS, [this] {
+      for (std::size_t index = 0; index < FIRST_JOBS; ++index)
+        this->cluster.submit(index % ENTRIES,
+                             fmt::format("{}{}", FIRST_PREFIX, index),
+                             job(ACCELERATORS),
+                             [] {});
+    });
     cluster.every(ASK_PERIOD_MS, [this] { this->ask(); });
   }
 
 private:
-  static nlohmann::json job()
+  static nlohmann::json job(std::uint32_t accelerators)
   {
     nlohmann::json step{ { "count", 1 },
-                         { "cpu", 2'800 },
-                         { "mem_mb", 8'192 },
-                         { "gpu", 1 },
+                         { "cpu", 1'000 },
+                         { "mem_mb", 1'024 },
+                         { "gpu", accelerators },
                          { "estimate_ms", RUN_MS } };
     return { { "task_spec", "work" }, { "phases", { step } } };
   }
 
   void record_start(std::size_t server, const Cluster::Run& run)
   {
-    if (this->idle_since_ms != 0)
-      this->longest_idle_ms = std::max(this->longest_idle_ms,
-                                       kernel::boot_ms() - this->idle_since_ms);
-    this->idle_since_ms = 0;
-    ++this->starts;
-    this->cluster.after(RUN_MS, [this, server, run] {
+    std::string id = run.first.substr(0, run.first.find('.'));
+    this->begun.insert(id);
+    bool is_first = id.starts_with(FIRST_PREFIX);
+    this->cluster.after(is_first ? FIRST_RUN_MS : RUN_MS, [this, server, run] {
       this->cluster.servers[server].standin->finish(run, "done");
     });
-    if (this->trouble && this->starts == 1)
-      this->cluster.after(CRASH_AFTER_MS,
-                          [this, server] { this->crash(server); });
+    if (is_first)
+      this->full_servers.insert(server);
+    if (is_first && this->full_servers.size() == FIRST_JOBS && !this->submitted)
+      this->lose_empty_server();
   }
 
-  void crash(std::size_t server)
+  void lose_empty_server()
   {
-    Cluster::Server& crashed = this->cluster.servers[server];
-    this->cluster.note("server " + crashed.id + " crashes silently");
-    crashed.announces = false;
-    crashed.standin->hang();
-    this->cluster.after(DOWN_MS, [this, &crashed] {
-      this->cluster.note("server " + crashed.id + " starts again");
-      crashed.standin->restart();
-      crashed.standin->started_ms = kernel::unix_ms();
-      crashed.announces = true;
-      crashed.sequence = 0;
-      this->cluster.announce(crashed);
-      crashed.announces = false;
-    });
-    this->cluster.after(DOWN_MS + SECOND_LIFE_MS, [this, &crashed] {
-      this->cluster.note("server " + crashed.id + " is lost for good");
-      crashed.standin->crash();
-    });
+    this->submitted = true;
+    for (std::size_t index = 0; index < SERVERS && this->trouble; ++index) {
+      if (this->full_servers.contains(index))
+        continue;
+      Cluster::Server& empty = this->cluster.servers[index];
+      this->cluster.note("server " + empty.id + " is lost for good");
+      empty.announces = false;
+      empty.standin->hang();
+    }
+    this->cluster.after(SUBMIT_DELAY_MS, [this] { this->submit_jobs(); });
+    this->cluster.after(SUBMIT_DELAY_MS + WATCH_MS, [this] { this->judge(); });
+  }
+
+  void submit_jobs()
+  {
+    for (int index = 1; index <= WAITING_JOBS; ++index) {
+      std::string id = fmt::format("00000000000000f{}", index);
+      this->cluster.submit(
+        static_cast<std::size_t>(index) % ENTRIES, id, job(1), [this, id] {
+          this->accepted_ms[id] = kernel::boot_ms();
+        });
+    }
+  }
+
+  /// Jobs that were accepted long before the time and have not begun.
+  std::set<std::string> waiting_jobs(std::int64_t asked_ms) const
+  {
+    std::set<std::string> waiting;
+    for (const std::pair<const std::string, std::int64_t>& item :
+         this->accepted_ms) {
+      bool old = asked_ms - item.second > COUNTED_AFTER_MS + SLACK_MS;
+      if (old && !this->begun.contains(item.first))
+        waiting.insert(item.first);
+    }
+    return waiting;
   }
 
   void ask()
   {
-    if (this->starts == 0)
+    if (!this->submitted)
+      return;
+    std::int64_t asked_ms = kernel::boot_ms();
+    for (std::size_t entry = 0; entry < ENTRIES; ++entry)
+      this->cluster.call(
+        entry,
+        "GET",
+        "",
+        "",
+        [this, asked_ms, entry](int status, const std::string& body) {
+          if (status == 200)
+            this->compare(asked_ms, entry, body);
+        });
+  }
+
+  void compare(std::int64_t asked_ms,
+               std::size_t entry,
+               const std::string& body)
+  {
+    nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+    std::size_t reported = answer.value("num_waiting", std::size_t{ 0 });
+    // Those that have not begun by the time of the answer either.
+    std::size_t waiting = this->waiting_jobs(asked_ms).size();
+    if (reported * 2 >= waiting)
       return;
-    std::int64_t now = kernel::boot_ms();
-    if (this->idle_since_ms != 0)
-      this->longest_idle_ms =
-        std::max(this->longest_idle_ms, now - this->idle_since_ms);
-    bool watched =
-      this->idle_since_ms != 0 && now - this->idle_since_ms > WATCH_MS;
-    this->cluster.call(
-      1, "GET", JOB, "", [this, watched](int, const std::string& body) {
-        bool completed = body.find("\"completed\"") != std::string::npos;
-        if (completed || watched)
-          this->judge(body);
-      });
+    ++this->wrong_answers;
+    this->cluster.note(
+      fmt::format("MIXED: entry-{} gives num_waiting {}, but {} jobs were "
+                  "accepted over {} ms ago and have not begun",
+                  entry,
+                  reported,
+                  waiting,
+                  COUNTED_AFTER_MS));
   }
 
-  void judge(const std::string& state)
+  void judge()
   {
-    bool broken = this->longest_idle_ms > IDLE_LIMIT_MS;
+    bool broken = this->wrong_answers > 0;
     this->cluster.finish(
       broken ? Verdict::Broken : Verdict::Held,
-      fmt::format("{}: {} starts; the task had no run for {} ms, with {} empty "
-                  "servers; the job is shown as {}",
-                  broken ? "LOST" : "held",
-                  this->starts,
-                  this->longest_idle_ms,
-                  SERVERS - 1,
-                  state));
+      fmt::format("{}: {} wrong answers, {} of {} jobs begun",
+                  broken ? "broken" : "held",
+                  this->wrong_answers,
+                  this->begun.size(),
+                  WAITING_JOBS + FIRST_JOBS));
   }
 
   Cluster& cluster;
   bool trouble;
-  int starts = 0;
-  std::int64_t idle_since_ms = 0; ///< 0 while the task runs.
-  std::int64_t longest_idle_ms = 0;
+  bool submitted = false;
+  int wrong_answers = 0;
+  std::set<std::size_t> full_servers;
+  std::set<std::string> begun;
+  std::map<std::string, std::int64_t> accepted_ms;
 };
 
 } // namespace
@@ -140,6 +185,7 @@
 main(int argc, char** argv)
 {
   ClusterOptions options;
+  options.entries = ENTRIES;
   options.servers = SERVERS;
   std::unique_ptr<Case> running;
   return run_case(
--- a/review/old5/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-. "$(dirname "$0")/../harness/run_case.sh"
