--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -27,7 +27,7 @@
 /// `finish_s` and the 3 s for which a job may have nothing running.
 constexpr std::int64_t IDLE_LIMIT_MS = 17'000;
 /// The job is watched on, to see whether it ever starts again.
-constexpr std::int64_t WATCH_MS = 60'000;
+constexpr std::int64_t WATCH_MS = 30'000;
 constexpr kernel::Milliseconds LIMIT{ 110'000 };
 
 class Case
--- a/review/harness/cluster.h
+++ b/review/harness/cluster.h
@@ -6,6 +6,7 @@
 #include "tests/platform/row_store_standin.h"
 #include "tests/platform/server_standin.h"
 #include "tests/support/process.h"
+#include "tests/support/relay.h"
 
 #include <cstdint>
 #include <fstream>
@@ -93,6 +94,12 @@
                            const Run& run,
                            const std::string& checkpoint);
 
+  /// Cuts an entry off from the store, silently, or heals the cut.
+  void cut_from_store(std::size_t entry);
+  void heal(std::size_t entry);
+  void freeze_entry(std::size_t entry);
+  void resume_entry(std::size_t entry);
+
   /// Calls the function after a delay.
   void after(std::int64_t delay_ms, std::function<void()> action);
   /// Calls the function again and again.
@@ -123,6 +130,7 @@
   std::ofstream record;
   std::int64_t begin_ms;
   std::vector<std::string> caller_addresses;
+  std::vector<std::unique_ptr<tests::Relay>> store_links; ///< By entry.
   std::vector<std::unique_ptr<tests::Process>> entries;
   std::vector<kernel::Subscription> subscriptions;
   Verdict verdict = Verdict::CouldNotRun;
--- a/review/harness/harness.cmake
+++ b/review/harness/harness.cmake
@@ -2,7 +2,8 @@
 # programs of the cases are added once all packages are defined.
 function(add_review_cases)
   set(support ${CMAKE_SOURCE_DIR}/tests/support/process.cpp
-    ${CMAKE_SOURCE_DIR}/tests/support/ports.cpp)
+    ${CMAKE_SOURCE_DIR}/tests/support/ports.cpp
+    ${CMAKE_SOURCE_DIR}/tests/support/relay.cpp)
   file(GLOB cases ${CMAKE_SOURCE_DIR}/review/[1-5]/case.cpp)
   add_custom_target(review_cases)
   foreach(source ${cases})
