--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -5,6 +5,7 @@
 #include "review/harness/cluster.h"
 
 #include <fmt/format.h>
+#include <map>
 #include <set>
 
 using namespace geraniumhinge;
@@ -22,6 +23,7 @@
 constexpr std::int64_t FIRST_SUBMIT_MS = 4'000;
 /// Longer than a checkpoint period, so that a run leaves a checkpoint.
 constexpr std::int64_t RUN_MS = 2'500;
+constexpr std::int64_t LEASE_CHECK_MS = 10;
 constexpr std::int64_t ASK_PERIOD_MS = 1'000;
 /// From the first repeated start until the case ends.
 constexpr std::int64_t WATCH_MS = 20'000;
@@ -41,8 +43,10 @@
     };
     cluster.on_end_acknowledged = [this](std::size_t,
                                          const tests::ServerStandin::End& end) {
-      this->noted.insert(end.run.first);
+      if (end.end_kind == "done" && this->held_ends.erase(end.run) > 0)
+        this->noted.insert(end.run.first);
     };
+    cluster.every(LEASE_CHECK_MS, [this] { this->drop_lapsed_ends(); });
     cluster.after(FIRST_SUBMIT_MS, [this] {
       this->cluster.submit(0, JOB, job(), [this] { this->accepted = true; });
     });
@@ -75,10 +79,21 @@
     this->cluster.after(WATCH_MS, [this] { this->judge(); });
   }
 
+  /// An end does not count if the lease lapses before it is taken note of.
+  void drop_lapsed_ends()
+  {
+    std::erase_if(
+      this->held_ends,
+      [this](const std::pair<const Cluster::Run, std::size_t>& item) {
+        return !this->cluster.servers[item.second].standin->has_lease();
+      });
+  }
+
   /// Ends a run as done and lists its checkpoint.
   void end(std::size_t server, const Cluster::Run& run)
   {
     std::string number = std::to_string(++this->ends);
+    this->held_ends[run] = server;
     this->cluster.end_with_checkpoint(
       server,
       run,
@@ -115,6 +130,8 @@
   std::size_t ends = 0;
   std::size_t repeated_starts = 0;
   std::set<std::string> begun;
+  /// Ends not taken note of yet, by run, with their server.
+  std::map<Cluster::Run, std::size_t> held_ends;
   std::set<std::string> noted; ///< Tasks with an end done taken note of.
 };
 
