Wait for a former owner's orders from its last heartbeat, and only once

Cause: a new owner can't tell an agent whose machine is gone from one that still gets orders of the former owner. It allowed for such orders for 12 s from its own takeover on, and 7.56 s for leases after that, and every further takeover began this anew.

Now an owner may send orders only for 6 s after its last stored heartbeat, and the next owner counts from the time at which it first read that heartbeat. Heartbeats list the silent agents that have runs. Such an agent gets nothing until a heartbeat without it is stored, so that the next owner can take over the time since which nobody replied to it. A heartbeat depends on the version of the one before, so a late one can't restore an old list.

--- a/entry/events.h
+++ b/entry/events.h
@@ -173,6 +173,14 @@
   "As the new owner, this entry has read all rows of the work.",
   "None."
 };
+inline constexpr kernel::EventInfo FORMER_OWNER_READ{
+  640,
+  kernel::Severity::Info,
+  "former_owner_read",
+  "As the new owner, this entry knows until when the former one may have sent "
+  "orders; `silent_agents` had no orders from it for longer.",
+  "None."
+};
 inline constexpr kernel::EventInfo WORK_CONFLICT{
   623,
   kernel::Severity::Warning,
@@ -326,6 +334,7 @@
   OWNERSHIP_TAKEN,
   OWNERSHIP_LOST,
   WORK_READ,
+  FORMER_OWNER_READ,
   WORK_CONFLICT,
   RUN_ENDED,
   RUN_LOST,
--- a/entry/ownership.cpp
+++ b/entry/ownership.cpp
@@ -98,6 +98,8 @@
     if (row.name != owner_row() || row.version <= this->row_version)
       continue;
     this->row_version = row.version;
+    this->row_seen_ms = kernel::boot_ms();
+    this->row_term = owner.released() ? owner.released_term() : row.version;
     // An earlier process of this entry ran on the same VM and must have ended.
     bool predecessor =
       owner.entry() == this->entry && owner.incarnation() != this->incarnation;
@@ -141,6 +143,8 @@
 Ownership::handle_vacant_row(std::uint64_t version)
 {
   this->row_version = version;
+  this->row_seen_ms = kernel::boot_ms();
+  this->row_term = 0;
   this->vacant = true;
   this->vacant_since_ms = kernel::boot_ms();
   if (this->owns())
@@ -150,7 +154,7 @@
 bool
 Ownership::owner_silent(std::int64_t now_ms)
 {
-  std::uint64_t heartbeat = this->hooks.heartbeat_version();
+  std::uint64_t heartbeat = this->hooks.heartbeat().version;
   if (heartbeat != this->seen_heartbeat) {
     this->seen_heartbeat = heartbeat;
     this->seen_heartbeat_ms = now_ms;
@@ -182,6 +186,9 @@
 Ownership::claim()
 {
   this->claiming = true;
+  this->claim_sent_ms = kernel::boot_ms();
+  this->former_term = this->row_term;
+  this->former_seen_ms = this->row_seen_ms;
   platform::RowChange change;
   change.conditions.push_back({ owner_row(), this->row_version });
   change.writes.push_back({ owner_row(), this->own_row().SerializeAsString() });
@@ -200,6 +207,8 @@
   this->seen_heartbeat_ms = kernel::boot_ms();
   if (result && *result > this->row_version) {
     this->row_version = *result;
+    this->row_seen_ms = kernel::boot_ms();
+    this->row_term = *result;
     this->vacant = false;
     this->current_owner_address = this->peer_address;
     this->become_owner(*result);
@@ -211,6 +220,8 @@
 Ownership::become_owner(std::uint64_t term)
 {
   this->own_term = term;
+  this->own_confirmed_ms = this->claim_sent_ms;
+  this->heartbeat_row_version = this->hooks.heartbeat().version;
   this->log.write(OWNERSHIP_TAKEN, { { "term", term } });
   this->hooks.acquired(term);
 }
@@ -233,32 +244,98 @@
     this->lose_ownership();
 }
 
+FormerOwner
+Ownership::former_owner(const OwnerHeartbeat& heartbeat) const
+{
+  FormerOwner former;
+  former.confirmed_ms = std::max(heartbeat.read_ms, this->former_seen_ms);
+  // A heartbeat of an earlier term shows nothing about the last owner.
+  if (this->former_term != 0 && heartbeat.term == this->former_term)
+    former.silent = heartbeat.silent;
+  return former;
+}
+
+void
+Ownership::request_heartbeat()
+{
+  if (this->heartbeat_in_flight)
+    this->heartbeat_requested = true;
+  else
+    this->write_heartbeat();
+}
+
 void
 Ownership::write_heartbeat()
 {
   if (!this->owns() || this->heartbeat_in_flight)
     return;
   this->heartbeat_in_flight = true;
+  this->heartbeat_requested = false;
   v1::PulseRow row;
   row.set_term(this->own_term);
   row.set_count(++this->heartbeats);
+  std::vector<SilentAgent> silent = this->hooks.withhold_silent_agents();
+  for (const SilentAgent& agent : silent) {
+    v1::SilentAgentRow& item = *row.add_silent();
+    item.set_node(agent.node);
+    item.set_silent_ms(agent.silent_ms);
+  }
+  platform::RowName name = work_row(WorkRowKind::Heartbeat, "");
   platform::RowChange change;
   change.conditions.push_back({ owner_row(), this->own_term });
-  change.writes.push_back(
-    { work_row(WorkRowKind::Heartbeat, ""), row.SerializeAsString() });
+  // An earlier heartbeat that is applied late must not replace this one.
+  change.conditions.push_back({ name, this->heartbeat_row_version });
+  change.writes.push_back({ name, row.SerializeAsString() });
   this->store.commit(
     change,
     COMMIT_TIMEOUT,
-    this->guarded([this, term = this->own_term](
+    this->guarded([this,
+                   silent = std::move(silent),
+                   term = this->own_term,
+                   sent_ms = kernel::boot_ms()](
                     const platform::Store::CommitResult& result) {
       this->heartbeat_in_flight = false;
-      bool conflict =
-        !result && result.error().kind == platform::StoreErrorKind::Conflict;
-      if (conflict && term == this->own_term)
-        this->lose_ownership();
+      if (term != this->own_term)
+        return;
+      this->handle_heartbeat_result(result, silent, sent_ms);
+      if (this->heartbeat_requested)
+        this->write_heartbeat();
     }));
 }
 
+void
+Ownership::handle_heartbeat_result(const platform::Store::CommitResult& result,
+                                   const std::vector<SilentAgent>& silent,
+                                   std::int64_t sent_ms)
+{
+  if (result) {
+    this->heartbeat_row_version = *result;
+    this->own_confirmed_ms = sent_ms;
+    this->hooks.heartbeat_stored(silent);
+  } else if (result.error().kind == platform::StoreErrorKind::Conflict) {
+    this->handle_heartbeat_conflict(result.error());
+  }
+}
+
+void
+Ownership::handle_heartbeat_conflict(const platform::StoreError& error)
+{
+  bool still_owner = false;
+  std::uint64_t version = 0;
+  for (const platform::StoredRow& row : error.current) {
+    if (row.name == owner_row())
+      still_owner = row.version == this->own_term;
+    else
+      version = row.version;
+  }
+  if (!still_owner) {
+    this->lose_ownership();
+    return;
+  }
+  this->heartbeat_requested = version != this->heartbeat_row_version;
+  this->heartbeat_row_version = version;
+}
+
 void
 Ownership::release()
 {
@@ -267,6 +344,7 @@
     return;
   v1::OwnerRow row = this->own_row();
   row.set_released(true);
+  row.set_released_term(this->own_term);
   platform::RowChange change;
   change.conditions.push_back({ owner_row(), this->own_term });
   change.writes.push_back({ owner_row(), row.SerializeAsString() });
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -237,7 +237,17 @@
     this->read_timer.reset();
     this->scheduler.end_term();
   };
-  hooks.heartbeat_version = [this] { return this->view.heartbeat_version(); };
+  hooks.heartbeat = [this]() -> const OwnerHeartbeat& {
+    return this->view.heartbeat();
+  };
+  hooks.withhold_silent_agents = [this] {
+    return this->servers.withhold_silent(this->view.nodes_with_runs(),
+                                         kernel::boot_ms());
+  };
+  hooks.heartbeat_stored = [this](const std::vector<SilentAgent>& silent) {
+    for (AgentView* agent : this->servers.release_withheld(silent))
+      this->scheduler.send_orders(*agent);
+  };
   hooks.watch_healthy_since_ms = [this] {
     return this->work_watcher.healthy_since_ms();
   };
@@ -318,7 +328,7 @@
 {
   std::int64_t limit =
     kernel::boot_ms() - lease_bounds(this->settings).owner_send_limit_ms;
-  return this->work_watcher.confirmed_ms() > limit;
+  return this->ownership.confirmed_ms() > limit;
 }
 
 void
@@ -353,8 +363,11 @@
       !this->ownership.owns())
     return;
   AgentView* agent = this->servers.apply_report(envelope, kernel::boot_ms());
-  if (agent)
-    this->scheduler.apply_report(*agent);
+  if (!agent)
+    return;
+  this->scheduler.apply_report(*agent);
+  if (this->servers.is_withheld(agent->node))
+    this->ownership.request_heartbeat();
 }
 
 void
@@ -396,6 +409,7 @@
 PlatformProgram::start_term(std::uint64_t term)
 {
   this->servers.reset(kernel::boot_ms());
+  this->former_owner_read = false;
   this->read_work(term);
 }
 
@@ -414,6 +428,8 @@
         return;
       }
       this->view.replace(*page);
+      if (!this->former_owner_read)
+        this->apply_former_owner();
       this->log.write(WORK_READ,
                       { { "term", term },
                         { "rows", page->rows.size() },
@@ -423,6 +439,21 @@
     }));
 }
 
+void
+PlatformProgram::apply_former_owner()
+{
+  this->former_owner_read = true;
+  FormerOwner former = this->ownership.former_owner(this->view.heartbeat());
+  this->servers.set_former_owner(former);
+  if (former.confirmed_ms == 0)
+    return;
+  this->log.write(
+    FORMER_OWNER_READ,
+    { { "term", this->ownership.term() },
+      { "confirmed_ms_ago", kernel::boot_ms() - former.confirmed_ms },
+      { "silent_agents", former.silent.size() } });
+}
+
 void
 PlatformProgram::announce_ownership(std::uint64_t term)
 {
--- a/entry/platform_program.h
+++ b/entry/platform_program.h
@@ -65,6 +65,8 @@
   void start_term(std::uint64_t term);
   /// Reads all rows of the work, then starts scheduling under the term.
   void read_work(std::uint64_t term);
+  /// Applies what the rows show of the owner before this term.
+  void apply_former_owner();
   /// Sends orders to the agents that have not reported to this entry yet.
   void announce_ownership(std::uint64_t term);
   bool may_send_orders() const;
@@ -92,6 +94,7 @@
   gateway::HttpServer caller_server;
   gateway::HttpServer ready_server;
   gateway::HttpServer internal_server;
+  bool former_owner_read = false; ///< In this term.
   bool draining = false;
   kernel::Subscription drain_timer;
   kernel::Subscription read_timer;
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -86,7 +86,71 @@
 ServerTable::reset(std::int64_t now_ms)
 {
   this->agents.clear();
+  this->withheld.clear();
   this->owner_since_ms = now_ms;
+  this->set_former_owner({ now_ms, {} });
+}
+
+void
+ServerTable::set_former_owner(const FormerOwner& former)
+{
+  this->former_owner_until_ms =
+    former.confirmed_ms + this->bounds.owner_send_limit_ms;
+  this->former_reply_ms.clear();
+  for (const SilentAgent& agent : former.silent)
+    this->former_reply_ms[agent.node] = former.confirmed_ms - agent.silent_ms;
+}
+
+/// Latest boot time at which an owner may have replied to a report of the
+/// agent.
+std::int64_t
+ServerTable::last_reply_ms(const std::string& node) const
+{
+  std::map<std::string, AgentView>::const_iterator agent =
+    this->agents.find(node);
+  if (agent != this->agents.end() && agent->second.last_seen_ms != 0)
+    return agent->second.last_seen_ms;
+  std::map<std::string, std::int64_t>::const_iterator former =
+    this->former_reply_ms.find(node);
+  return former == this->former_reply_ms.end() ? this->former_owner_until_ms
+                                               : former->second;
+}
+
+std::vector<SilentAgent>
+ServerTable::withhold_silent(const std::set<std::string>& nodes,
+                             std::int64_t now_ms)
+{
+  std::vector<SilentAgent> silent;
+  for (const std::string& node : nodes) {
+    std::map<std::string, AgentView>::const_iterator agent =
+      this->agents.find(node);
+    std::int64_t seen_ms =
+      agent == this->agents.end() ? 0 : agent->second.last_seen_ms;
+    if (now_ms - std::max(seen_ms, this->owner_since_ms) <
+        this->bounds.orphan_ms)
+      continue;
+    this->withheld.insert(node);
+    silent.push_back({ node, now_ms - this->last_reply_ms(node) });
+  }
+  return silent;
+}
+
+std::vector<AgentView*>
+ServerTable::release_withheld(const std::vector<SilentAgent>& silent)
+{
+  std::set<std::string> released = std::move(this->withheld);
+  this->withheld.clear();
+  for (const SilentAgent& agent : silent) {
+    released.erase(agent.node);
+    this->withheld.insert(agent.node);
+  }
+  std::vector<AgentView*> agents;
+  for (const std::string& node : released) {
+    AgentView* agent = this->find(node);
+    if (agent)
+      agents.push_back(agent);
+  }
+  return agents;
 }
 
 AgentView*
@@ -153,9 +217,6 @@
 {
   std::map<std::string, AgentView>::const_iterator found =
     this->agents.find(node);
-  // The previous owner may have sent orders until then.
-  std::int64_t last_report_ms =
-    this->owner_since_ms + this->bounds.owner_send_limit_ms;
   if (found != this->agents.end()) {
     const AgentView& agent = found->second;
     bool reported = !agent.report.life().id().empty();
@@ -166,10 +227,8 @@
     // All leases are from before the agent's process started.
     if (agent.no_lease_ms > this->bounds.lease_ms())
       return LossCause::ServerUnknown;
-    if (agent.last_seen_ms != 0)
-      last_report_ms = agent.last_seen_ms;
   }
-  if (now_ms - last_report_ms > this->bounds.expiry_ms())
+  if (now_ms - this->last_reply_ms(node) > this->bounds.expiry_ms())
     return LossCause::AgentSilent;
   return std::nullopt;
 }
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace geraniumhinge::entry {
 
@@ -21,8 +22,9 @@
   std::int64_t orphan_ms = 4'000;
   /// Length of a lease on the server's clock, which may be slow.
   std::int64_t granted_ms = 3'000;
-  /// An owner that cannot reach the store keeps sending orders this long.
-  std::int64_t owner_send_limit_ms = 12'000;
+  /// An owner keeps sending orders this long after the sending of its last
+  /// heartbeat that the store has confirmed.
+  std::int64_t owner_send_limit_ms = 6'000;
 
   /// Longest duration of a lease on this entry's clock.
   std::int64_t lease_ms() const;
@@ -84,15 +86,52 @@
   std::uint64_t stored_ends = 0; ///< Number of the last end in the store.
 };
 
+/// An agent that has not reported to the owner for some time.
+struct SilentAgent
+{
+  std::string node;
+  /// Time since which no owner has replied to a report of the agent. Negative
+  /// if a former owner may still do so.
+  std::int64_t silent_ms = 0;
+};
+
+/// What a new owner knows of the one before.
+struct FormerOwner
+{
+  /// Boot time by which its last heartbeat had been stored, at the latest.
+  std::int64_t confirmed_ms = 0;
+  /// As its last heartbeat listed them.
+  std::vector<SilentAgent> silent;
+};
+
 /// Agents and their backend servers as the owner knows them.
 class ServerTable
 {
 public:
   explicit ServerTable(const LeaseBounds& bounds);
 
-  /// Drops all agents; called when ownership begins.
+  /// Drops all agents; called when ownership begins. Until `set_former_owner`,
+  /// the former owner may have been confirmed just now.
   void reset(std::int64_t now_ms);
 
+  void set_former_owner(const FormerOwner& former);
+
+  /// Of these nodes, those whose agents have been silent for so long that they
+  /// renew no lease. No orders may be sent to them until `release_withheld` is
+  /// called without them, so that the next owner need not wait for such orders.
+  std::vector<SilentAgent> withhold_silent(const std::set<std::string>& nodes,
+                                           std::int64_t now_ms);
+
+  /// A heartbeat with these silent agents is stored. Returns the other agents
+  /// to which no orders could be sent until now.
+  std::vector<AgentView*> release_withheld(
+    const std::vector<SilentAgent>& silent);
+
+  bool is_withheld(const std::string& node) const
+  {
+    return this->withheld.contains(node);
+  }
+
   /// Applies a report. An older report changes nothing and returns null, and
   /// so does one of an earlier process of the agent while the last one reports.
   AgentView* apply_report(const v1::Envelope& envelope, std::int64_t now_ms);
@@ -143,8 +182,15 @@
   bool accepts_work(const AgentView& agent, std::int64_t now_ms) const;
 
 private:
+  std::int64_t last_reply_ms(const std::string& node) const;
+
   LeaseBounds bounds;
   std::int64_t owner_since_ms = 0; ///< Boot time at which ownership began.
+  /// Boot time until which the former owner may have replied to reports.
+  std::int64_t former_owner_until_ms = 0;
+  /// The same by node, of agents that the former owner withheld orders from.
+  std::map<std::string, std::int64_t> former_reply_ms;
+  std::set<std::string> withheld;
   std::map<std::string, AgentView> agents;
 };
 
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -106,7 +106,8 @@
 void
 WorkScheduler::send_orders(AgentView& agent)
 {
-  if (this->term == 0 || !this->hooks.may_send_orders())
+  if (this->term == 0 || !this->hooks.may_send_orders() ||
+      (agent.last_seen_ms != 0 && this->servers.is_withheld(agent.node)))
     return;
   v1::ServerOrders orders = make_orders(this->view,
                                         agent,
--- a/entry/work_view.cpp
+++ b/entry/work_view.cpp
@@ -3,6 +3,8 @@
 #include "entry/work_rows.h"
 #include "kernel/clock.h"
 
+#include "geraniumhinge/v1/state.pb.h"
+
 #include <algorithm>
 #include <set>
 
@@ -123,14 +125,41 @@
       return;
     }
     case WorkRowKind::Heartbeat:
-      this->newest_heartbeat_version =
-        std::max(this->newest_heartbeat_version, row.version);
+      this->apply_heartbeat(row);
       return;
     case WorkRowKind::Other:
       return;
   }
 }
 
+void
+WorkView::apply_heartbeat(const platform::StoredRow& row)
+{
+  if (row.version <= this->newest_heartbeat.version)
+    return;
+  this->newest_heartbeat = { row.version, 0, kernel::boot_ms(), {} };
+  v1::PulseRow heartbeat;
+  if (!heartbeat.ParseFromString(row.value))
+    return;
+  this->newest_heartbeat.term = heartbeat.term();
+  for (const v1::SilentAgentRow& agent : heartbeat.silent())
+    this->newest_heartbeat.silent.push_back(
+      { agent.node(), agent.silent_ms() });
+}
+
+std::set<std::string>
+WorkView::nodes_with_runs() const
+{
+  std::set<std::string> nodes;
+  for (const std::pair<const std::string, WorkItem>& entry : this->items_by_id)
+    core::for_each_run(
+      entry.second.progress,
+      [&nodes](const core::TaskRef&, const core::TaskState& task) {
+        nodes.insert(task.run->node);
+      });
+  return nodes;
+}
+
 void
 WorkView::remove(const platform::StoredRow& row)
 {
--- a/entry/work_view.h
+++ b/entry/work_view.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include "core/workflow.h"
+#include "entry/server_table.h"
 #include "platform/store.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace geraniumhinge::entry {
 
@@ -36,6 +39,16 @@
   void forget_progress();
 };
 
+/// The newest heartbeat row of an owner.
+struct OwnerHeartbeat
+{
+  std::uint64_t version = 0;
+  std::uint64_t term = 0; ///< 0 if the row can't be read.
+  /// Boot time at which this version was first read.
+  std::int64_t read_ms = 0;
+  std::vector<SilentAgent> silent;
+};
+
 /// The rows of all workflows, kept up to date from the changes of the store.
 /// Older rows never replace newer ones.
 class WorkView
@@ -53,19 +66,19 @@
   const WorkItem* find(const std::string& id) const;
   const Items& items() const { return this->items_by_id; }
 
-  /// Version of the newest heartbeat row that was read.
-  std::uint64_t heartbeat_version() const
-  {
-    return this->newest_heartbeat_version;
-  }
+  const OwnerHeartbeat& heartbeat() const { return this->newest_heartbeat; }
+
+  /// Nodes of the servers that have runs.
+  std::set<std::string> nodes_with_runs() const;
 
 private:
   void remove(const platform::StoredRow& row);
+  void apply_heartbeat(const platform::StoredRow& row);
   void mark_unreadable(const platform::StoredRow& row);
   void drop_missing(const platform::RowPage& page);
 
   Items items_by_id;
-  std::uint64_t newest_heartbeat_version = 0;
+  OwnerHeartbeat newest_heartbeat;
 };
 
 /// Counts the accepted workflows of a queue that have not started. Workflows
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -255,6 +255,79 @@
   BOOST_TEST(runs() == 0U);
 }
 
+// Guards against tasks of removed machines that stay without a run for longer
+// than a job may after a change of the owner.
+BOOST_FIXTURE_TEST_CASE(removed_machine_keeps_its_runs_after_a_takeover,
+                        Fixture)
+{
+  constexpr std::int64_t FINISH_MS = 14'000;
+  servers.reset(NOW_MS);
+  apply(NOW_MS + FINISH_MS);
+  BOOST_TEST(runs() == 0U);
+}
+
+// The former owner may reply to reports until it stops for lack of a confirmed
+// heartbeat, so the leases of agents that it heard may last beyond a takeover.
+BOOST_FIXTURE_TEST_CASE(leases_from_the_former_owner_are_waited_for, Fixture)
+{
+  entry::LeaseBounds bounds;
+  std::int64_t confirmed_ms = NOW_MS - 3'000;
+  servers.reset(NOW_MS);
+  servers.set_former_owner({ confirmed_ms, {} });
+  std::int64_t expiry_ms =
+    confirmed_ms + bounds.owner_send_limit_ms + bounds.expiry_ms();
+  apply(expiry_ms);
+  BOOST_TEST(runs() == 3U);
+  apply(expiry_ms + 1);
+  BOOST_TEST(runs() == 0U);
+}
+
+// Guards against a wait for leases that begins anew at each change of the
+// owner.
+BOOST_FIXTURE_TEST_CASE(each_takeover_prolongs_the_wait_for_a_removed_machine,
+                        Fixture)
+{
+  constexpr std::int64_t TERM_MS = 5'000;
+  entry::LeaseBounds bounds;
+  std::int64_t reply_ms = NOW_MS + bounds.owner_send_limit_ms;
+  servers.reset(NOW_MS);
+  for (std::int64_t now : { NOW_MS + TERM_MS, NOW_MS + 2 * TERM_MS }) {
+    std::vector<entry::SilentAgent> silent =
+      servers.withhold_silent({ node(0), node(1), node(2) }, now);
+    BOOST_TEST(silent.size() == 3U);
+    servers.reset(now);
+    servers.set_former_owner({ now, silent });
+  }
+  apply(reply_ms + bounds.expiry_ms());
+  BOOST_TEST(runs() == 3U);
+  apply(reply_ms + bounds.expiry_ms() + 1);
+  BOOST_TEST(runs() == 0U);
+}
+
+// An agent that reports again gets no orders, and so no renewal, before the
+// next owner can know of them.
+BOOST_FIXTURE_TEST_CASE(withheld_agent_is_released_by_a_later_heartbeat,
+                        Fixture)
+{
+  entry::LeaseBounds bounds;
+  servers.reset(NOW_MS);
+  report(1, NOW_MS + bounds.orphan_ms, std::nullopt);
+  std::int64_t now = NOW_MS + bounds.orphan_ms;
+  std::vector<entry::SilentAgent> silent =
+    servers.withhold_silent({ node(0), node(1) }, now);
+  BOOST_TEST_REQUIRE(silent.size() == 1U);
+  BOOST_TEST(silent[0].node == node(0));
+  BOOST_TEST(servers.release_withheld(silent).empty());
+  report(0, now, std::nullopt);
+  BOOST_TEST(servers.is_withheld(node(0)));
+  BOOST_TEST(!servers.is_withheld(node(1)));
+  silent = servers.withhold_silent({ node(0), node(1) }, now);
+  BOOST_TEST(silent.empty());
+  BOOST_TEST(servers.is_withheld(node(0)));
+  BOOST_TEST(servers.release_withheld(silent).size() == 1U);
+  BOOST_TEST(!servers.is_withheld(node(0)));
+}
+
 // Guards against ends of a new server instance that count as stored because
 // the previous instance had used the same numbers.
 BOOST_FIXTURE_TEST_CASE(applied_ends_name_their_instance, Fixture)
