Report the end of all leases of a server that is not known

Cause: a report names no server until its instance has answered, and said nothing about leases until then, so the owner kept the runs of the instance before.

A report without a server now says whether every lease that any instance can have had has expired, by the longest lease allowed since the announcement of the instance, or since the response of another one at the address: no lease is renewed from then on. The owner keeps that until an instance is reported, also a new owner that never heard of one.

--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -64,6 +64,12 @@
          this->stray_runs.empty();
 }
 
+bool
+ServerAgent::unknown_leases_expired() const
+{
+  return this->server && this->lease_clock.expired(kernel::boot_ms());
+}
+
 bool
 ServerAgent::owner_seen_lately() const
 {
@@ -402,6 +408,7 @@
   if (error == platform::ServerError::OtherInstance) {
     this->instance_replaced = true;
     this->lists = {};
+    this->lease_clock.reset(now, this->options.max_lease.count());
   }
   int refusals_needed = this->leaving ? 1 : MAX_REFUSED_POLLS;
   bool instance_ended =
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -97,6 +97,10 @@
 
   platform::ServerTarget target() const;
   bool state_is_known() const;
+  /// Whether no run is left on the server while its state isn't known: the
+  /// instance may have leases of its predecessor's runs that started late, and
+  /// an announcement of another writer does not end the predecessor.
+  bool unknown_leases_expired() const;
   bool owner_seen_lately() const;
   bool may_renew_lease() const;
   std::int64_t grant_lease(std::int64_t now_ms);
--- a/agent/server_report.cpp
+++ b/agent/server_report.cpp
@@ -41,6 +41,7 @@
     // The owner may take all runs for lost because of this report.
     this->discard_orders();
     report.set_no_lease_ms(this->no_lease_ms(kernel::boot_ms()));
+    report.set_lease_over(this->unknown_leases_expired());
     return report;
   }
   report.mutable_life()->set_id(this->server->instance.id);
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -182,6 +182,9 @@
     agent.report.set_process_started_ms(report.process_started_ms());
     *agent.report.mutable_crashes() = report.crashes();
     agent.report.set_ready(false);
+    // Once over, leases stay over until the agent reports an instance.
+    if (report.lease_over())
+      agent.report.set_lease_over(true);
     agent.report_changed = true;
     return &agent;
   }
@@ -222,7 +225,7 @@
     bool reported = !agent.report.life().id().empty();
     if (reported && instance_of(agent.report.life()) != instance)
       return LossCause::InstanceReplaced;
-    if (reported && agent.report.lease_over())
+    if (agent.report.lease_over())
       return LossCause::LeasesExpired;
     // All leases are from before the agent's process started.
     if (agent.no_lease_ms > this->bounds.lease_ms())
--- a/tests/agent/server_agent_fixture.h
+++ b/tests/agent/server_agent_fixture.h
@@ -15,6 +15,7 @@
 inline constexpr char SERVER_ID[] = "i-7f3a91c2";
 inline constexpr char TASK[] = "5c0e7a21d94b36f8.0.0.0";
 inline constexpr std::uint64_t INCARNATION = 7;
+inline constexpr kernel::Milliseconds MAX_LEASE{ 1'000 };
 inline constexpr char OTHER_TASK[] = "5c0e7a21d94b36f8.0.0.1";
 
 /// An agent, its backend server, and the orders of an owner.
@@ -40,7 +41,7 @@
     options.node = "node-1";
     options.incarnation = INCARNATION;
     options.lease = kernel::Milliseconds(900);
-    options.max_lease = kernel::Milliseconds(1'000);
+    options.max_lease = MAX_LEASE;
     options.orphan_timeout = orphan_timeout;
     options.poll_wait = kernel::Milliseconds(100);
     options.heartbeat_period = heartbeat_period;
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -149,6 +149,59 @@
   BOOST_TEST(agent->report().no_lease_ms() == 0);
 }
 
+// Guards against runs that stay recorded for good: the next instance of their
+// server ended before it had answered a poll.
+BOOST_FIXTURE_TEST_CASE(runs_stay_recorded_after_an_instance_without_answer,
+                        Fixture)
+{
+  announce();
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  send_orders_until(ordered, [this] { return server.running.size() == 1; });
+  server.hang();
+  server.restart();
+  platform::Announcement next = announcement();
+  server.crash();
+  std::int64_t announced_ms = kernel::boot_ms();
+  agent->apply_announcement(next);
+  BOOST_TEST(!agent->report().lease_over());
+  send_orders_until(ordered, [this] { return agent->report().lease_over(); });
+  BOOST_TEST(agent->report().life().id().empty());
+  BOOST_TEST(kernel::boot_ms() - announced_ms >= MAX_LEASE.count());
+}
+
+// The announcements of the next instance are lost.
+BOOST_FIXTURE_TEST_CASE(runs_stay_recorded_after_an_unannounced_instance,
+                        Fixture)
+{
+  announce();
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  send_orders_until(ordered, [this] { return server.running.size() == 1; });
+  server.restart();
+  send_orders_until(ordered,
+                    [this] { return agent->report().life().id().empty(); });
+  BOOST_TEST(!agent->report().lease_over());
+  send_orders_until(ordered, [this] { return agent->report().lease_over(); });
+}
+
+// A third instance announces itself before the second one has answered.
+BOOST_FIXTURE_TEST_CASE(second_replacement_hides_the_end_of_the_leases, Fixture)
+{
+  announce();
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  send_orders_until(ordered, [this] { return server.running.size() == 1; });
+  server.hang();
+  for (int restarts = 0; restarts < 2; ++restarts) {
+    server.restart();
+    platform::Announcement next = announcement();
+    server.crash();
+    agent->apply_announcement(next);
+  }
+  send_orders_until(ordered, [this] { return agent->report().lease_over(); });
+}
+
 // Guards against orders for an earlier instance that start a run on a server
 // which has restarted under the same identifier.
 BOOST_FIXTURE_TEST_CASE(new_instance_gets_no_orders_for_the_old_one, Fixture)
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -74,6 +74,43 @@
   BOOST_TEST(changes());
 }
 
+// Guards against runs that stay recorded for good: the agent's server was
+// replaced by an instance that never answered, and the agent names no server.
+BOOST_FIXTURE_TEST_CASE(runs_stay_recorded_without_a_known_server, Fixture)
+{
+  core::ServerInstance instance{ "i-1", 1 };
+  for (bool new_owner : { false, true }) {
+    if (new_owner)
+      servers.reset(NOW_MS);
+    else
+      changes();
+    report.clear_life();
+    report.clear_lease_over();
+    changes();
+    BOOST_TEST(!servers.loss_cause(instance, "node-1", NOW_MS).has_value());
+    report.set_lease_over(true);
+    changes();
+    BOOST_TEST((servers.loss_cause(instance, "node-1", NOW_MS) ==
+                entry::LossCause::LeasesExpired));
+  }
+}
+
+// Guards against a loss that is taken back before it is stored.
+BOOST_FIXTURE_TEST_CASE(expired_leases_last_until_the_next_instance, Fixture)
+{
+  core::ServerInstance instance{ "i-1", 1 };
+  report.set_lease_over(true);
+  changes();
+  report.clear_life();
+  report.clear_lease_over();
+  changes();
+  BOOST_TEST(servers.loss_cause(instance, "node-1", NOW_MS).has_value());
+  report.mutable_life()->set_id("i-1");
+  report.mutable_life()->set_born_ms(1);
+  changes();
+  BOOST_TEST(!servers.loss_cause(instance, "node-1", NOW_MS).has_value());
+}
+
 // Messages on different connections may overtake each other.
 BOOST_FIXTURE_TEST_CASE(delayed_report_of_an_earlier_agent_loses_runs,
                         RestartedAgent)
