Depend on a job's cancel row when placing its tasks

Cause: the transaction of a scheduling round depended on the owner row and the progress rows. A cancelling is a row of its own, written by any entry, so the store applied a placement that had been decided before, however late it came.

The transaction now has the cancel rows of all jobs that it places as conditions. A conflict brings the cancel row; the owner applies it and decides again without reading everything. A stored placement whose run hasn't started yet could still be ordered by an owner that can't read a cancelling: orders now say when the owner's rows are outdated, and agents then start nothing new.

--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -260,7 +260,7 @@
 void
 ServerAgent::start_run(const RunKey& key, TrackedRun& run)
 {
-  if (!this->may_renew_lease())
+  if (!this->may_renew_lease() || this->orders.no_starts())
     return;
   if (run.phase == RunPhase::Waiting)
     set_phase(run, RunPhase::Starting);
--- a/entry/ownership.cpp
+++ b/entry/ownership.cpp
@@ -322,11 +322,14 @@
 {
   bool still_owner = false;
   std::uint64_t version = 0;
-  for (const platform::StoredRow& row : error.current) {
-    if (row.name == owner_row())
-      still_owner = row.version == this->own_term;
-    else
-      version = row.version;
+  for (const std::vector<platform::StoredRow>* rows :
+       { &error.current, &error.unreadable }) {
+    for (const platform::StoredRow& row : *rows) {
+      if (row.name == owner_row())
+        still_owner = row.version == this->own_term;
+      else
+        version = row.version;
+    }
   }
   if (!still_owner) {
     this->lose_ownership();
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -211,6 +211,7 @@
     return this->operator_config;
   };
   hooks.may_send_orders = [this] { return this->may_send_orders(); };
+  hooks.work_is_current = [this] { return this->work_is_current(); };
   hooks.send = [this](const std::string& address, v1::ServerOrders orders) {
     v1::Envelope envelope;
     *envelope.mutable_server_orders() = std::move(orders);
@@ -319,8 +320,15 @@
   std::int64_t limit =
     kernel::boot_ms() - this->settings.max_config_age.count();
   return this->operator_config.version != 0 &&
-         this->config_watcher.confirmed_ms() > limit &&
-         this->work_watcher.confirmed_ms() > limit;
+         this->config_watcher.confirmed_ms() > limit && this->work_is_current();
+}
+
+bool
+PlatformProgram::work_is_current() const
+{
+  std::int64_t limit =
+    kernel::boot_ms() - this->settings.max_config_age.count();
+  return this->work_watcher.confirmed_ms() > limit;
 }
 
 bool
--- a/entry/platform_program.h
+++ b/entry/platform_program.h
@@ -70,6 +70,7 @@
   /// Sends orders to the agents that have not reported to this entry yet.
   void announce_ownership(std::uint64_t term);
   bool may_send_orders() const;
+  bool work_is_current() const;
 
   kernel::TimerService& timers;
   const kernel::Log& log;
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -16,8 +16,10 @@
 constexpr kernel::Milliseconds ROUND_PERIOD{ 200 };
 constexpr kernel::Milliseconds EXPIRY_TIMEOUT{ 1'200 };
 constexpr kernel::Milliseconds EXPIRY_PERIOD{ 10'000 };
-/// The store accepts 100 entries per transaction; each workflow needs two.
-constexpr std::size_t MAX_WORKFLOWS_PER_COMMIT = 45;
+/// The store accepts 100 entries per transaction: conditions and writes.
+constexpr std::size_t MAX_ENTRIES_PER_COMMIT = 100;
+/// A workflow needs at most two conditions and a write.
+constexpr std::size_t MAX_ENTRIES_PER_WORKFLOW = 3;
 constexpr std::size_t MAX_REMOVALS_PER_COMMIT = 24;
 /// The store accepts 1 MB per transaction, in which values are encoded as
 /// base64.
@@ -49,7 +51,10 @@
            { [this](const platform::RowChange& change, std::uint64_t version) {
               this->handle_stored(change, version);
             },
-             [this](bool still_owner) { this->handle_conflict(still_owner); } })
+             [this](bool still_owner,
+                    const std::vector<platform::StoredRow>& current) {
+               this->handle_conflict(still_owner, current);
+             } })
   , tracker(log, metrics, servers)
   , crash_tracker(log, metrics, servers)
 {
@@ -113,6 +118,7 @@
                                         agent,
                                         { this->term, ++this->orders_sequence },
                                         this->pending_ends);
+  orders.set_no_starts(!this->hooks.work_is_current());
   agent.orders_sequence = orders.sequence();
   this->hooks.send(agent.address, std::move(orders));
 }
@@ -285,6 +291,9 @@
 bool
 WorkScheduler::store_changes(RoundInput& round)
 {
+  std::set<std::string> placed;
+  for (const core::StepPlacement& placement : round.result.placements)
+    placed.insert(placement.step.workflow);
   platform::RowChange change;
   change.conditions.push_back({ owner_row(), this->term });
   std::size_t deferred = 0;
@@ -301,7 +310,9 @@
       this->log.write(ROW_OVERSIZED,
                       { { "job", round_workflow.definition->id },
                         { "bytes", value.size() } });
-    if (oversized || change.writes.size() == MAX_WORKFLOWS_PER_COMMIT ||
+    std::size_t entries = change.conditions.size() + change.writes.size();
+    if (oversized ||
+        entries + MAX_ENTRIES_PER_WORKFLOW > MAX_ENTRIES_PER_COMMIT ||
         bytes + value.size() > MAX_BYTES_PER_COMMIT) {
       ++deferred;
       round_workflow.changed = false;
@@ -312,6 +323,12 @@
       work_row(WorkRowKind::Progress, round_workflow.definition->id);
     const WorkItem* item = this->view.find(round_workflow.definition->id);
     change.conditions.push_back({ row, item->progress_version });
+    // The store may apply the change long after the decision; nothing may start
+    // once a caller has cancelled the workflow.
+    if (placed.contains(round_workflow.definition->id))
+      change.conditions.push_back(
+        { work_row(WorkRowKind::Cancel, round_workflow.definition->id),
+          item->cancel_version });
     change.writes.push_back({ row, std::move(value) });
   }
   if (change.writes.empty())
@@ -351,15 +368,39 @@
 }
 
 void
-WorkScheduler::handle_conflict(bool still_owner)
+WorkScheduler::handle_conflict(bool still_owner,
+                               const std::vector<platform::StoredRow>& current)
 {
   this->pending_ends.clear();
   this->log.write(WORK_CONFLICT,
                   { { "term", this->term }, { "owner", still_owner } });
-  if (still_owner)
-    this->hooks.reload_rows();
-  else
+  if (!still_owner)
     this->hooks.term_superseded();
+  else if (this->apply_cancels(current))
+    this->schedule_decision();
+  else
+    this->hooks.reload_rows();
+}
+
+/// Applies the cancels among the rows that a change depended on. Returns
+/// whether they were the only rows that differed from those known.
+bool
+WorkScheduler::apply_cancels(const std::vector<platform::StoredRow>& current)
+{
+  bool cancelled = false;
+  bool others_differ = false;
+  for (const platform::StoredRow& row : current) {
+    WorkRowKey key = parse_work_key(row.name.key);
+    const WorkItem* item = this->view.find(key.id);
+    if (key.kind == WorkRowKind::Cancel) {
+      cancelled = cancelled || !item || row.version > item->cancel_version;
+      this->view.apply(row);
+    } else if (key.kind == WorkRowKind::Progress) {
+      others_differ =
+        others_differ || !item || row.version != item->progress_version;
+    }
+  }
+  return cancelled && !others_differ;
 }
 
 void
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -29,6 +29,9 @@
   /// Whether this entry may still send orders as the owner: the store
   /// responded recently.
   std::function<bool()> may_send_orders;
+  /// Whether the rows of the work are known as they were a short time ago. If
+  /// not, callers may have cancelled workflows since, so nothing is started.
+  std::function<bool()> work_is_current;
   std::function<void(const std::string& address, v1::ServerOrders)> send;
   /// Called when a transaction fails because another term has begun.
   std::function<void()> term_superseded;
@@ -108,7 +111,9 @@
   /// Stores the changes of a round; false if there are none.
   bool store_changes(RoundInput& round);
   void handle_stored(const platform::RowChange& change, std::uint64_t version);
-  void handle_conflict(bool still_owner);
+  void handle_conflict(bool still_owner,
+                       const std::vector<platform::StoredRow>& current);
+  bool apply_cancels(const std::vector<platform::StoredRow>& current);
   void log_round(const RoundInput& round);
   void remove_expired_rows();
   /// Marks ends as stored. Returns the nodes whose agents need new orders that
--- a/entry/work_view.cpp
+++ b/entry/work_view.cpp
@@ -75,6 +75,9 @@
     if (item.progress_version != 0 && item.progress_version <= page.version &&
         !present.contains(key_of(WorkRowKind::Progress, entry.first)))
       item.forget_progress();
+    if (item.cancel_version <= page.version &&
+        !present.contains(key_of(WorkRowKind::Cancel, entry.first)))
+      item.cancel_version = 0;
   }
 }
 
@@ -178,6 +181,9 @@
   else if (key.kind == WorkRowKind::Progress &&
            item.progress_version <= row.version)
     item.forget_progress();
+  else if (key.kind == WorkRowKind::Cancel &&
+           item.cancel_version <= row.version)
+    item.cancel_version = 0;
 }
 
 void
@@ -198,6 +204,8 @@
     item.progress_readable = false;
     item.progress_version = row.version;
   }
+  if (key.kind == WorkRowKind::Cancel)
+    item.cancel_version = std::max(item.cancel_version, row.version);
   item.check();
 }
 
--- a/entry/work_view.h
+++ b/entry/work_view.h
@@ -27,6 +27,8 @@
   /// The rows were read and fit each other. The owner leaves other items alone.
   bool usable = false;
   bool cancelled = false;
+  /// Of the row, also if it can't be read or was written for an earlier
+  /// workflow of this identifier; 0 if there is none.
   std::uint64_t cancel_version = 0;
 
   /// Sets `usable` after a row has changed.
--- a/entry/work_writer.cpp
+++ b/entry/work_writer.cpp
@@ -92,7 +92,7 @@
     return;
   }
   this->in_flight = false;
-  this->hooks.conflict(still_owner);
+  this->hooks.conflict(still_owner, error.current);
 }
 
 /// Whether all rows have the values of the change, so that an earlier try
--- a/entry/work_writer.h
+++ b/entry/work_writer.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <vector>
 
 namespace geraniumhinge::entry {
 
@@ -13,9 +14,12 @@
 {
   /// Called when the change is stored, with the version of its rows.
   std::function<void(const platform::RowChange&, std::uint64_t version)> stored;
-  /// Called when a condition of the change failed. `still_owner` is false if
-  /// the owner's row no longer has the version of the term.
-  std::function<void(bool still_owner)> conflict;
+  /// Called when a condition of the change failed, with the rows as they are.
+  /// `still_owner` is false if the owner's row no longer has the version of the
+  /// term.
+  std::function<void(bool still_owner,
+                     const std::vector<platform::StoredRow>& current)>
+    conflict;
 };
 
 /// Stores the owner's changes one at a time. A change without a response is
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -219,6 +219,23 @@
   BOOST_TEST(server.starts.empty());
 }
 
+// Guards against starts of cancelled runs by an owner that can't know of the
+// cancel, and against the loss of runs that it goes on ordering.
+BOOST_FIXTURE_TEST_CASE(run_starts_by_orders_of_an_outdated_owner, Fixture)
+{
+  announce();
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  send_orders_until(ordered, [this] { return server.running.size() == 1; });
+  add(ordered.mutable_runs(), OTHER_TASK, 1);
+  ordered.set_no_starts(true);
+  send_orders_until(ordered, [polls = 0]() mutable { return ++polls > 300; });
+  BOOST_TEST(server.running.size() == 1U);
+  BOOST_TEST(server.starts.size() == 1U);
+  ordered.set_no_starts(false);
+  send_orders_until(ordered, [this] { return server.running.size() == 2; });
+}
+
 // Guards against new runs on a server that has announced that it drains.
 BOOST_FIXTURE_TEST_CASE(draining_server_gets_no_new_runs, Fixture)
 {
--- a/tests/entry/work_scheduler_test.cpp
+++ b/tests/entry/work_scheduler_test.cpp
@@ -15,6 +15,9 @@
 
 constexpr char JOB[] = "5c0e7a21d94b36f8";
 constexpr int ALL = 1'000;
+const RowStoreStandin::Name CANCEL_ROW{ "work",
+                                        "main",
+                                        std::string("c/") + JOB };
 
 /// An owner, a store, the agent of one server, and a job of one task.
 struct Fixture : LoopFixture
@@ -29,6 +32,7 @@
   core::OperatorConfig operator_config;
   std::uint64_t term = 0;
   bool superseded = false;
+  bool work_is_current = true;
   bool acknowledged_early = false; ///< Not all ends were stored before.
   v1::ServerOrders sent;           ///< The last orders.
   entry::WorkScheduler scheduler{ loop, timers,  log,      metrics, store,
@@ -62,13 +66,29 @@
     workflow.id = id;
     workflow.service = "planner";
     workflow.steps = { core::Step{} };
+    std::string value = entry::encode_workflow(workflow);
+    RowStoreStandin::Name name{ "work", "main", "j/" + id };
+    standin.put(name, value);
     view.apply(
       platform::StoredRow{ entry::work_row(entry::WorkRowKind::Workflow, id),
-                           entry::encode_workflow(workflow),
-                           term,
+                           value,
+                           standin.rows.at(name).version,
                            false });
   }
 
+  void reload_rows()
+  {
+    scheduler.end_term();
+    store.read_all({ platform::WORK_TABLE, platform::WORK_PART, "", 0 },
+                   kernel::Milliseconds(1'000),
+                   [this](const platform::Store::ReadResult& page) {
+                     view.replace(page.value());
+                     scheduler.start_term(term);
+                   });
+  }
+
+  bool has_run() const { return core::has_runs(view.find(JOB)->progress); }
+
   static entry::WorkSchedulerLimits limits()
   {
     entry::WorkSchedulerLimits limits;
@@ -83,13 +103,14 @@
       return operator_config;
     };
     hooks.may_send_orders = [] { return true; };
+    hooks.work_is_current = [this] { return work_is_current; };
     hooks.send = [this](const std::string&, v1::ServerOrders orders) {
       bool too_early = orders.stored_ends() > 0 && !all_completed();
       acknowledged_early = acknowledged_early || too_early;
       sent = std::move(orders);
     };
     hooks.term_superseded = [this] { superseded = true; };
-    hooks.reload_rows = [] {};
+    hooks.reload_rows = [this] { reload_rows(); };
     hooks.request_advice = [](const std::vector<core::AdviceRequest>&) {};
     return hooks;
   }
@@ -161,6 +182,46 @@
   report_until([this] { return sent.stored_ends() == 1U; });
 }
 
+// Guards against a job that starts long after a caller was told that it is
+// cancelled: the placement was decided before and stored late.
+BOOST_FIXTURE_TEST_CASE(cancelled_job_starts_by_a_late_placement, Fixture)
+{
+  standin.delayed_writes = ALL;
+  report_until([this] { return standin.delayed_writes < ALL; });
+  standin.put(CANCEL_ROW, "");
+  standin.delayed_writes = 0;
+  standin.apply_delayed_writes();
+  report_until([this] {
+    return has_run() ||
+           view.find(JOB)->progress.outcome == core::Outcome::Cancelled;
+  });
+  BOOST_TEST(!has_run());
+  BOOST_TEST(sent.runs_size() == 0);
+}
+
+// Guards against placements that fail for good on a row of a cancel that
+// another writer left, or removed.
+BOOST_FIXTURE_TEST_CASE(foreign_cancel_row_blocks_all_placements, Fixture)
+{
+  standin.put_encoded(CANCEL_ROW, "not base64");
+  report_until([this] { return sent.runs_size() == 1; });
+  standin.remove(CANCEL_ROW);
+  add_end(core::RunEndKind::LeaseExpired);
+  report_until(
+    [this] { return sent.runs_size() == 1 && sent.runs(0).attempt() == 2U; });
+}
+
+// Guards against starts by an owner that can't know of a cancel.
+BOOST_FIXTURE_TEST_CASE(runs_start_on_outdated_rows, Fixture)
+{
+  report_until([this] { return sent.runs_size() == 1; });
+  BOOST_TEST(!sent.no_starts());
+  work_is_current = false;
+  send_report();
+  BOOST_TEST(sent.no_starts());
+  BOOST_TEST(sent.runs_size() == 1);
+}
+
 // Guards against the next attempt of a task that no row shows, and against
 // orders for the attempt before.
 BOOST_FIXTURE_TEST_CASE(task_is_placed_again_before_its_end_is_stored, Fixture)
