Keep ends that a round can't store, and fit long rows

Cause: a round whose only changed rows were left out, since they exceeded the longest row, returned as if nothing had changed, and the ends in them were acknowledged. Checkpoints, which the platform doesn't limit, went into rows without a bound, also those of tasks that were done.

Ends of a workflow that a round leaves out are kept unacknowledged now, with the later ones of their servers. Done tasks have no checkpoint. A row that is too long loses its longest checkpoints, and if that isn't enough the last placements of the round, so that the job goes on. Reports leave out checkpoints of more than 8 KiB: ten of 1 MB made a report longer than the longest message.

entry.ownership_test, next_owner_knows_the_silent_agents, failed once beside the other tests, by 1 ms: the second entry had read the owner row after the heartbeat, and the later of both counts. The test now waits for a heartbeat that is read after the owner row, and checks the same equality.

--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -95,6 +95,8 @@
     bool pace_call_in_flight = false;
   };
 
+  /// The checkpoint, or an empty one if it is too long for a report.
+  std::string reported_checkpoint(const std::string& checkpoint);
   platform::ServerTarget target() const;
   bool state_is_known() const;
   /// Whether no run is left on the server while its state isn't known: the
--- a/agent/server_report.cpp
+++ b/agent/server_report.cpp
@@ -10,6 +10,11 @@
 
 namespace {
 
+/// Longer checkpoints are left out, and their tasks start without them. A
+/// report with all ends that a server lists at once must not exceed the longest
+/// message of the peer protocol.
+constexpr std::size_t MAX_CHECKPOINT_BYTES = 8'192;
+
 void
 add_crash(const core::ServerCrash& crash, v1::ServerReport& report)
 {
@@ -26,6 +31,15 @@
 
 } // namespace
 
+std::string
+ServerAgent::reported_checkpoint(const std::string& checkpoint)
+{
+  if (checkpoint.size() <= MAX_CHECKPOINT_BYTES)
+    return checkpoint;
+  this->metrics.counter("agent_checkpoints_left_out_total").add();
+  return {};
+}
+
 v1::ServerReport
 ServerAgent::report()
 {
@@ -68,7 +82,7 @@
     v1::RunReport& run = *report.add_running();
     run.set_task(task.task);
     run.set_attempt(task.attempt);
-    run.set_checkpoint(task.checkpoint);
+    run.set_checkpoint(this->reported_checkpoint(task.checkpoint));
     run.set_percent(task.percent);
   }
   for (const platform::EndedTask& task : this->lists.ended) {
@@ -77,7 +91,7 @@
     end.set_task(task.task);
     end.set_attempt(task.attempt);
     end.set_kind(static_cast<std::uint32_t>(task.kind));
-    end.set_checkpoint(task.checkpoint);
+    end.set_checkpoint(this->reported_checkpoint(task.checkpoint));
   }
   for (const std::pair<const RunKey, TrackedRun>& item : this->runs) {
     if (item.second.phase != RunPhase::NeverStarted)
--- a/core/workflow.cpp
+++ b/core/workflow.cpp
@@ -98,14 +98,16 @@
     });
 }
 
-/// Records that a task is done, and stops its runs. A gang is done when one of
-/// its members is done.
+/// Records that a task is done, drops its checkpoint and stops its runs. A gang
+/// is done when one of its members is done.
 void
 mark_done(const Step& step, StepState& members, TaskState& task)
 {
   for (TaskState& member : members)
     member.done = member.done || step.gang;
   task.done = true;
+  TaskState& primary = step.gang ? members.front() : task;
+  primary.checkpoint.clear();
   if (step.gang)
     mark_stopping(members);
   else if (task.run)
@@ -241,7 +243,7 @@
   StepState& members = progress.open_occurrences[task.occurrence][task.step];
   TaskState& primary = primary_task(workflow, progress, task);
   state->run.reset();
-  if (!checkpoint.empty())
+  if (!checkpoint.empty() && !primary.done)
     primary.checkpoint = checkpoint;
   if (kind == RunEndKind::Done && !step.runs_until_cancelled)
     mark_done(step, members, *state);
--- a/core/workflow.h
+++ b/core/workflow.h
@@ -89,7 +89,9 @@
   std::uint32_t early_crashes = 0;   ///< Of these, soon after a start.
   std::uint32_t crashed_attempt = 0; ///< Last attempt counted as a crash.
   bool done = false;
-  std::string checkpoint; ///< Newest one. A gang keeps it in its first task.
+  /// Newest one, empty once the task is done. A gang keeps it in its first
+  /// task.
+  std::string checkpoint;
   std::optional<Run> run;
 };
 
--- a/entry/events.h
+++ b/entry/events.h
@@ -216,9 +216,11 @@
   637,
   kernel::Severity::Error,
   "row_oversized",
-  "The state of a job no longer fits into a row of the store. Its changes are "
-  "not stored; other jobs go on.",
-  "Cancel the job; submit it again as several smaller ones."
+  "The state of a job did not fit into a row of the store. The longest "
+  "checkpoints were dropped, so that their tasks start from the beginning, and "
+  "if that was not enough, placements. Unless `stored`, its changes wait; "
+  "other jobs go on.",
+  "Submit the job as several smaller ones, or with shorter checkpoints."
 };
 inline constexpr kernel::EventInfo CRASH_COUNTED{
   638,
--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -125,6 +125,22 @@
   return applied;
 }
 
+void
+RunTracker::keep_ends(std::map<std::string, AppliedEnds>& applied,
+                      const std::set<std::string>& workflows) const
+{
+  for (std::pair<const std::string, AppliedEnds>& item : applied) {
+    for (const v1::EndReport& end :
+         this->servers.find(item.first)->report.ended()) {
+      std::optional<std::pair<std::string, core::TaskRef>> name =
+        core::parse_task_name(end.task());
+      if (name && end.number() > 0 && workflows.contains(name->first))
+        item.second.number =
+          std::min(item.second.number, std::uint64_t{ end.number() - 1 });
+    }
+  }
+}
+
 void
 RunTracker::apply_reported_end(core::RoundWorkflow& round_workflow,
                                const AgentView& agent,
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -47,6 +47,11 @@
     std::vector<core::RoundWorkflow>& workflows,
     std::int64_t now_ms);
 
+  /// Leaves the ends of these workflows, and all later ones of the same
+  /// servers, out of the applied ends.
+  void keep_ends(std::map<std::string, AppliedEnds>& applied,
+                 const std::set<std::string>& workflows) const;
+
   /// Applies ends that no agent has reported, of runs that must have ended.
   void apply_lost_runs(core::RoundWorkflow& round_workflow,
                        std::int64_t now_ms);
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -24,6 +24,8 @@
 /// The store accepts 1 MB per transaction, in which values are encoded as
 /// base64.
 constexpr std::size_t MAX_BYTES_PER_COMMIT = 640'000;
+/// A row that is too long may be so in every round.
+constexpr std::int64_t OVERSIZED_LOG_PERIOD_MS = 10'000;
 
 } // namespace
 
@@ -57,6 +59,7 @@
              } })
   , tracker(log, metrics, servers)
   , crash_tracker(log, metrics, servers)
+  , oversized_rows(OVERSIZED_LOG_PERIOD_MS)
 {
 }
 
@@ -296,52 +299,72 @@
     placed.insert(placement.step.workflow);
   platform::RowChange change;
   change.conditions.push_back({ owner_row(), this->term });
-  std::size_t deferred = 0;
+  std::set<std::string> deferred;
   std::size_t bytes = 0;
   for (core::RoundWorkflow& round_workflow : round.workflows) {
     if (!round_workflow.changed)
       continue;
+    const std::string& id = round_workflow.definition->id;
     if (round_workflow.progress.outcome != core::Outcome::Open &&
         round_workflow.progress.ended_ms == 0)
       round_workflow.progress.ended_ms = kernel::unix_ms();
-    std::string value = encode_progress(round_workflow.progress);
-    bool oversized = value.size() > this->limits.max_row_bytes;
-    if (oversized)
-      this->log.write(ROW_OVERSIZED,
-                      { { "job", round_workflow.definition->id },
-                        { "bytes", value.size() } });
+    std::string value = this->encode_row(round_workflow);
     std::size_t entries = change.conditions.size() + change.writes.size();
-    if (oversized ||
+    if (value.size() > this->limits.max_row_bytes ||
         entries + MAX_ENTRIES_PER_WORKFLOW > MAX_ENTRIES_PER_COMMIT ||
         bytes + value.size() > MAX_BYTES_PER_COMMIT) {
-      ++deferred;
+      deferred.insert(id);
       round_workflow.changed = false;
       continue;
     }
     bytes += value.size();
-    platform::RowName row =
-      work_row(WorkRowKind::Progress, round_workflow.definition->id);
-    const WorkItem* item = this->view.find(round_workflow.definition->id);
+    platform::RowName row = work_row(WorkRowKind::Progress, id);
+    const WorkItem* item = this->view.find(id);
     change.conditions.push_back({ row, item->progress_version });
     // The store may apply the change long after the decision; nothing may start
     // once a caller has cancelled the workflow.
-    if (placed.contains(round_workflow.definition->id))
+    if (placed.contains(id))
       change.conditions.push_back(
-        { work_row(WorkRowKind::Cancel, round_workflow.definition->id),
-          item->cancel_version });
+        { work_row(WorkRowKind::Cancel, id), item->cancel_version });
     change.writes.push_back({ row, std::move(value) });
   }
+  // A later round stores the ends of these workflows.
+  if (!deferred.empty())
+    this->tracker.keep_ends(round.applied_ends, deferred);
   if (change.writes.empty())
     return false;
-  // Keeps the ends unacknowledged: a later round stores the deferred workflows.
-  if (deferred > 0)
-    round.applied_ends.clear();
   this->pending_ends = this->ended_runs(round);
   this->pending = std::move(round);
   this->writer.write(std::move(change));
   return true;
 }
 
+/// The row of a workflow's progress, which is reduced if it is too long.
+std::string
+WorkScheduler::encode_row(core::RoundWorkflow& round_workflow)
+{
+  std::string value = encode_progress(round_workflow.progress);
+  if (value.size() <= this->limits.max_row_bytes)
+    return value;
+  const std::string& id = round_workflow.definition->id;
+  RowReduction reduction = reduce_to_row(*round_workflow.definition,
+                                         round_workflow.progress,
+                                         this->view.find(id)->progress,
+                                         this->limits.max_row_bytes);
+  std::size_t bytes = value.size();
+  value = encode_progress(round_workflow.progress);
+  std::uint64_t rows = this->oversized_rows.record(kernel::boot_ms());
+  if (rows > 0)
+    this->log.write(ROW_OVERSIZED,
+                    { { "job", id },
+                      { "bytes", bytes },
+                      { "checkpoints", reduction.checkpoints },
+                      { "placements", reduction.placements },
+                      { "stored", value.size() <= this->limits.max_row_bytes },
+                      { "rows", rows } });
+  return value;
+}
+
 std::set<RunName>
 WorkScheduler::ended_runs(const RoundInput& round) const
 {
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -8,6 +8,7 @@
 #include "entry/server_table.h"
 #include "entry/work_view.h"
 #include "entry/work_writer.h"
+#include "kernel/event_limit.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/task.h"
@@ -110,6 +111,7 @@
                      const std::map<std::string, std::int64_t>& guarantees);
   /// Stores the changes of a round; false if there are none.
   bool store_changes(RoundInput& round);
+  std::string encode_row(core::RoundWorkflow& round_workflow);
   void handle_stored(const platform::RowChange& change, std::uint64_t version);
   void handle_conflict(bool still_owner,
                        const std::vector<platform::StoredRow>& current);
@@ -142,6 +144,7 @@
   RunTracker tracker;
   CrashTracker crash_tracker;
   std::uint64_t orders_sequence = 0;
+  kernel::EventLimit oversized_rows;
   kernel::Subscription round_timer;
   kernel::Subscription expiry_timer;
 };
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -250,6 +250,28 @@
   BOOST_TEST(!agent->report().ready());
 }
 
+// Guards against an agent whose reports are too long to be received: the owner
+// would take it for silent and start its runs elsewhere, again and again.
+BOOST_FIXTURE_TEST_CASE(long_checkpoints_outgrow_the_report, Fixture)
+{
+  constexpr std::size_t CHECKPOINT_BYTES = 1'000'000;
+  constexpr int ENDS = 10;
+  server.silent = true;
+  announce();
+  for (int end = 0; end < ENDS; ++end) {
+    server.add_end({ TASK + std::to_string(end), 1 }, "stopped");
+    server.ended.back().checkpoint = std::string(CHECKPOINT_BYTES, 'c');
+  }
+  server.add_end({ OTHER_TASK, 1 }, "stopped");
+  server.ended.back().checkpoint = "saved";
+  server.silent = false;
+  run_until([this] { return agent->report().ended_size() > ENDS; });
+  v1::ServerReport report = agent->report();
+  BOOST_TEST(report.ByteSizeLong() < CHECKPOINT_BYTES);
+  BOOST_TEST(report.ended(0).checkpoint().empty());
+  BOOST_TEST(report.ended(ENDS).checkpoint() == "saved");
+}
+
 // Guards against ends that are lost because the agent acknowledges them to the
 // server before the owner has stored them.
 BOOST_FIXTURE_TEST_CASE(end_is_kept_until_it_is_stored, Fixture)
--- a/tests/core/workflow_test.cpp
+++ b/tests/core/workflow_test.cpp
@@ -45,6 +45,37 @@
 
 } // namespace
 
+// Guards against rows that grow by checkpoints which nothing needs any more.
+BOOST_AUTO_TEST_CASE(checkpoint_of_a_done_task_is_kept)
+{
+  for (bool gang : { false, true }) {
+    Workflow workflow = make_workflow({ make_step(2, gang) });
+    Progress progress = open_first_occurrence(workflow);
+    run(progress, { 0, 0, 0 }, 1);
+    run(progress, { 0, 0, 1 }, 1);
+    apply_run_end(workflow,
+                  progress,
+                  { 0, 0, 0 },
+                  1,
+                  RunEndKind::Done,
+                  "saved",
+                  MAX_FAILURES);
+    BOOST_TEST(find_task(progress, { 0, 0, 0 })->checkpoint.empty());
+    if (!gang)
+      continue;
+    // The rest of the gang is stopped, and leaves its own checkpoint.
+    run(progress, { 0, 0, 0 }, 1);
+    apply_run_end(workflow,
+                  progress,
+                  { 0, 0, 1 },
+                  1,
+                  RunEndKind::GangBroken,
+                  "later",
+                  MAX_FAILURES);
+    BOOST_TEST(find_task(progress, { 0, 0, 0 })->checkpoint.empty());
+  }
+}
+
 // Guards against gang members that run again after one member has ended as
 // done.
 BOOST_AUTO_TEST_CASE(one_end_completes_a_gang)
--- a/tests/entry/ownership_test.cpp
+++ b/tests/entry/ownership_test.cpp
@@ -92,7 +92,13 @@
   run_until([&] { return !first->stored.empty(); });
   std::uint64_t term = first->ownership->term();
   std::unique_ptr<Candidate> second = add_candidate("entry-2");
-  run_until([&] { return second->view.heartbeat().term == term; });
+  run_until([&] {
+    return second->view.heartbeat().term == term &&
+           !second->ownership->owner_address().empty();
+  });
+  // This heartbeat is read later than the owner row.
+  std::uint64_t version = second->view.heartbeat().version;
+  run_until([&] { return second->view.heartbeat().version > version; });
   first.reset();
   run_until([&] { return second->ownership->owns(); });
   entry::FormerOwner former =
--- a/tests/entry/row_budget_test.cpp
+++ b/tests/entry/row_budget_test.cpp
@@ -62,6 +62,63 @@
   }
 }
 
+// Guards against a job that stops for good, or runs its tasks again and again,
+// because its tasks save checkpoints of unusual length.
+BOOST_AUTO_TEST_CASE(long_checkpoints_outgrow_the_row)
+{
+  for (std::size_t length : { 100UL, 4'000UL, ROW_BYTES }) {
+    core::Workflow workflow = workflow_of(700, false);
+    core::Progress progress = open(workflow);
+    for (core::TaskState& task : progress.open_occurrences[0][0])
+      task.checkpoint = std::string(length, 'c');
+    progress.open_occurrences[0][0].back().checkpoint = "short";
+    entry::RowReduction reduction =
+      entry::reduce_to_row(workflow, progress, open(workflow), ROW_BYTES);
+    BOOST_TEST(entry::encode_progress(progress).size() <= ROW_BYTES);
+    BOOST_TEST(reduction.checkpoints > 0U);
+    BOOST_TEST(reduction.placements == 0U);
+    BOOST_TEST(progress.open_occurrences[0][0].back().checkpoint == "short");
+    BOOST_TEST(entry::max_runs(workflow, progress, ROW_BYTES) > 0U);
+  }
+}
+
+// Names of servers and tickets have no stated length.
+BOOST_AUTO_TEST_CASE(long_names_outgrow_the_row)
+{
+  constexpr std::uint32_t TASKS = 128;
+  for (bool gang : { false, true }) {
+    core::Workflow workflow = workflow_of(TASKS, gang);
+    core::Progress stored = open(workflow);
+    core::Progress progress = stored;
+    std::uint32_t index = 0;
+    for (core::TaskState& task : progress.open_occurrences[0][0])
+      task.run = core::Run{ 1,
+                            { "i-" + std::to_string(index++), 1 },
+                            "node-1",
+                            false,
+                            std::string(1'000, 't') };
+    entry::RowReduction reduction =
+      entry::reduce_to_row(workflow, progress, stored, ROW_BYTES);
+    BOOST_TEST(entry::encode_progress(progress).size() <= ROW_BYTES);
+    BOOST_TEST(core::has_runs(progress) == !gang);
+    BOOST_TEST((reduction.placements == TASKS) == gang);
+  }
+}
+
+// Guards against the loss of runs that have been ordered.
+BOOST_AUTO_TEST_CASE(stored_runs_are_dropped_from_a_long_row)
+{
+  core::Workflow workflow = workflow_of(2, false);
+  core::Progress stored = open(workflow);
+  core::Run run{ 1, { "i-1", 1 }, "node-1", false, std::string(600, 't') };
+  stored.open_occurrences[0][0][1].run = run;
+  core::Progress progress = stored;
+  progress.open_occurrences[0][0][0].run = run;
+  entry::reduce_to_row(workflow, progress, stored, 1'000);
+  BOOST_TEST(!progress.open_occurrences[0][0][0].run.has_value());
+  BOOST_TEST(progress.open_occurrences[0][0][1].run.has_value());
+}
+
 // Guards against limits that reject workflows of the expected size.
 BOOST_AUTO_TEST_CASE(large_gangs_fit)
 {
--- a/tests/entry/work_scheduler_test.cpp
+++ b/tests/entry/work_scheduler_test.cpp
@@ -60,12 +60,13 @@
     run_until([this] { return view.find(JOB)->progress_version != 0; });
   }
 
-  void add_job(const std::string& id)
+  void add_job(const std::string& id, std::uint32_t tasks = 1)
   {
     core::Workflow workflow;
     workflow.id = id;
     workflow.service = "planner";
     workflow.steps = { core::Step{} };
+    workflow.steps.front().tasks = tasks;
     std::string value = entry::encode_workflow(workflow);
     RowStoreStandin::Name name{ "work", "main", "j/" + id };
     standin.put(name, value);
@@ -255,6 +256,31 @@
   BOOST_TEST(!acknowledged_early);
 }
 
+// Guards against a task that runs again and again: its end was acknowledged
+// although the row of its job was too long to be stored. The ends of other jobs
+// must not wait.
+BOOST_FIXTURE_TEST_CASE(end_in_an_oversized_row_is_acknowledged, Fixture)
+{
+  constexpr char LARGE_JOB[] = "5c0e7a21d94b36f9";
+  constexpr std::uint32_t TASKS = 400;
+  constexpr std::size_t SMALL_ROW_BYTES = 500;
+  add_job(LARGE_JOB, TASKS);
+  report_until([this] { return sent.runs_size() > 1; });
+  entry::WorkSchedulerLimits changed = limits();
+  changed.max_row_bytes = SMALL_ROW_BYTES;
+  scheduler.set_limits(changed);
+  add_end(core::RunEndKind::Done);
+  add_end(core::RunEndKind::Done, LARGE_JOB);
+  report_until([this] { return sent.stored_ends() > 0; });
+  for (int reports = 0; reports < 5; ++reports) {
+    std::uint64_t before = sent.sequence();
+    report_until([this, before] { return sent.sequence() > before + 3; });
+    BOOST_TEST(sent.stored_ends() == 1U);
+  }
+  scheduler.set_limits(limits());
+  report_until([this] { return sent.stored_ends() == 2U; });
+}
+
 // Guards against orders of two owners at once.
 BOOST_FIXTURE_TEST_CASE(superseded_owner_places_work, Fixture)
 {
