--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -311,6 +311,7 @@
 {
   entry::LeaseBounds bounds;
   servers.reset(NOW_MS);
+  report(0, NOW_MS, std::nullopt);
   report(1, NOW_MS + bounds.orphan_ms, std::nullopt);
   std::int64_t now = NOW_MS + bounds.orphan_ms;
   std::vector<entry::SilentAgent> silent =
--- a/tests/entry/work_scheduler_test.cpp
+++ b/tests/entry/work_scheduler_test.cpp
@@ -212,6 +212,20 @@
     [this] { return sent.runs_size() == 1 && sent.runs(0).attempt() == 2U; });
 }
 
+// Guards against leases that the next owner does not wait for.
+BOOST_FIXTURE_TEST_CASE(withheld_agent_gets_orders, Fixture)
+{
+  report_until([this] { return sent.runs_size() == 1; });
+  std::int64_t silent_ms = kernel::boot_ms() + entry::LeaseBounds{}.orphan_ms;
+  servers.withhold_silent({ "node-1" }, silent_ms);
+  std::uint64_t before = sent.sequence();
+  send_report();
+  BOOST_TEST(sent.sequence() == before);
+  for (entry::AgentView* agent : servers.release_withheld({}))
+    scheduler.send_orders(*agent);
+  BOOST_TEST(sent.sequence() > before);
+}
+
 // Guards against starts by an owner that can't know of a cancel.
 BOOST_FIXTURE_TEST_CASE(runs_start_on_outdated_rows, Fixture)
 {
