Take the version of a stored change from its own rows

Cause: made cancel rows conditions of placements. When the response to a placement was lost, and the job was cancelled before the change was sent again, the conflict lists the cancel row beside the rows that the first try had written. The writer recognised its own values, but took the highest version of all rows as theirs. The owner then knew versions that no row had, so that all its transactions failed, also after reading everything again.

The version is now that of the written rows. entry.work_scheduler_test, cancel_after_a_lost_response_blocks_the_owner, timed out before.

--- a/entry/work_writer.cpp
+++ b/entry/work_writer.cpp
@@ -79,27 +79,27 @@
 void
 WorkWriter::handle_conflict(const platform::StoreError& error)
 {
-  std::uint64_t version = 0;
   bool still_owner = true;
   for (const platform::StoredRow& row : error.current) {
     if (row.name == owner_row())
       still_owner = row.version == this->term;
-    else
-      version = std::max(version, row.version);
   }
-  if (this->applied_before(error) && version > 0) {
-    this->finish(version);
+  std::optional<std::uint64_t> version = this->applied_version(error);
+  if (version) {
+    this->finish(*version);
     return;
   }
   this->in_flight = false;
   this->hooks.conflict(still_owner, error.current);
 }
 
-/// Whether all rows have the values of the change, so that an earlier try
-/// without a response was applied.
-bool
-WorkWriter::applied_before(const platform::StoreError& error) const
+/// The version of the written rows if all of them have the values of the
+/// change: an earlier try without a response was applied. Other rows that the
+/// change depends on may have changed since.
+std::optional<std::uint64_t>
+WorkWriter::applied_version(const platform::StoreError& error) const
 {
+  std::optional<std::uint64_t> version;
   for (const platform::RowValue& write : this->change.writes) {
     std::vector<platform::StoredRow>::const_iterator found =
       std::find_if(error.current.begin(),
@@ -108,9 +108,10 @@
                      return row.name == write.name;
                    });
     if (found == error.current.end() || found->value != write.value)
-      return false;
+      return std::nullopt;
+    version = found->version;
   }
-  return true;
+  return version;
 }
 
 void
--- a/entry/work_writer.h
+++ b/entry/work_writer.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace geraniumhinge::entry {
@@ -45,7 +46,8 @@
   void send();
   void handle_commit_result(const platform::Store::CommitResult& result);
   void handle_conflict(const platform::StoreError& error);
-  bool applied_before(const platform::StoreError& error) const;
+  std::optional<std::uint64_t> applied_version(
+    const platform::StoreError& error) const;
   void finish(std::uint64_t version);
 
   kernel::TimerService& timers;
--- a/tests/entry/work_scheduler_test.cpp
+++ b/tests/entry/work_scheduler_test.cpp
@@ -200,6 +200,22 @@
   BOOST_TEST(sent.runs_size() == 0);
 }
 
+// Guards against an owner whose transactions fail for good: it took the version
+// of the cancel row for that of its own write, whose response was lost.
+BOOST_FIXTURE_TEST_CASE(cancel_after_a_lost_response_blocks_the_owner, Fixture)
+{
+  standin.unanswered_writes = 1;
+  standin.on_write = [this](const RowStoreStandin::Name&) {
+    if (!standin.has(CANCEL_ROW))
+      standin.put(CANCEL_ROW, "");
+  };
+  report_until([this] { return has_run(); });
+  reload_rows();
+  add_end(core::RunEndKind::Stopped);
+  report_until([this] { return !has_run(); });
+  BOOST_TEST((view.find(JOB)->progress.outcome == core::Outcome::Cancelled));
+}
+
 // Guards against placements that fail for good on a row of a cancel that
 // another writer left, or removed.
 BOOST_FIXTURE_TEST_CASE(foreign_cancel_row_blocks_all_placements, Fixture)
