--- a/review/probe/cases.cpp
+++ b/review/probe/cases.cpp
@@ -53,6 +53,7 @@
     { "gang-budget", &gang_failure_behind_a_freeze },
     { "crashes", &given_up_after_crashes },
     { "lasting", &lasting_task_not_restarted },
+    { "quarantine", &healthy_worker_not_used },
     { "route", &route_removed },
     { "waiting", &waiting_job_not_counted },
   };
@@ -342,6 +343,79 @@
   return restarted || idle == 0 ? Verdict::Held : Verdict::Broken;
 }
 
+/// LOST: the only worker of a kind fails all that it starts for a while. After
+/// it has become healthy again, it gets no work for long.
+Verdict
+healthy_worker_not_used(World& world, bool trouble)
+{
+  constexpr int WORKERS = 12;
+  constexpr int ATTEMPTS = 4;
+  constexpr int WORK_MS = 1'000;
+  constexpr int LASTING_WORK_MS = 1'000'000;
+  constexpr int START_LIMIT_MS = 5'000;
+  constexpr int GREY_MS = 6'500;
+  constexpr int CALM_MS = 500;
+  /// A task that lasts has to run again 6 s after its last run, and 3 s later
+  /// at the latest.
+  constexpr int RESTART_LIMIT_MS = 9'000;
+  constexpr int LATER_LIMIT_MS = 30'000;
+  constexpr char OTHER_JOB[] = "00000000000000f1";
+  constexpr char THIRD_JOB[] = "00000000000000f2";
+  world.configure(3, nlohmann::json::array({ World::route(QUEUE, ATTEMPTS) }));
+  world.plan = [](const Run&, const std::string& spec) {
+    return WorkPlan{ spec == "lasting" ? LASTING_WORK_MS : WORK_MS, "done" };
+  };
+  world.add_entry();
+  world.add_entry();
+  world.add_worker("", "b");
+  for (int index = 1; index < WORKERS; ++index)
+    world.add_worker();
+  nlohmann::json job = nlohmann::json::parse(submission("text", 1, 1, false));
+  job["phases"][0]["requires"] = "b";
+  nlohmann::json lasting =
+    nlohmann::json::parse(submission("lasting", 1, 1, false));
+  lasting["phases"][0].erase("estimate_ms");
+  lasting["phases"][0]["requires"] = "b";
+  lasting["phases"][0]["long_lived"] = true;
+  std::string lasting_task = task(0, 0);
+  bool started = world.wait_ready() && submit(world, lasting.dump()) &&
+                 world.wait(START_LIMIT_MS, [&world, &lasting_task] {
+                   return world.count("start", lasting_task) > 0;
+                 });
+  if (!started)
+    return Verdict::NotRun;
+  Worker& worker = *world.workers.front();
+  std::int64_t grey_ms = world.now_ms();
+  worker.failing = trouble;
+  world.note(trouble ? "worker i-1 fails all that it starts" : "no disruption");
+  for (const char* id : { OTHER_JOB, THIRD_JOB }) {
+    if (world.call("POST", std::string(QUEUE) + id, job.dump()).status !=
+        ACCEPTED)
+      return Verdict::NotRun;
+  }
+  world.pause(static_cast<int>(GREY_MS - (world.now_ms() - grey_ms)));
+  worker.failing = false;
+  world.note("worker i-1 is healthy");
+  world.pause(CALM_MS);
+  Run run{ lasting_task, 1 };
+  if (!world.worker_of(run))
+    return Verdict::NotRun;
+  world.fail(0, run);
+  bool restarted = world.wait(RESTART_LIMIT_MS, [&world, &lasting_task] {
+    return world.count("start", lasting_task) > 1;
+  });
+  world.note(
+    fmt::format("{} s after its end the task runs {}, the worker runs {} tasks",
+                RESTART_LIMIT_MS / 1'000,
+                restarted ? "again" : "not",
+                worker.running.size()));
+  bool later = world.wait(LATER_LIMIT_MS, [&world, &lasting_task] {
+    return world.count("start", lasting_task) > 1;
+  });
+  world.note(later ? "the task runs again" : "the task never ran again");
+  return restarted ? Verdict::Held : Verdict::Broken;
+}
+
 /// MIXED: a worker rejects all starts, as an unhealthy one does. The job that
 /// was placed on it has not begun, and is not counted as waiting.
 Verdict
--- a/review/probe/cases.h
+++ b/review/probe/cases.h
@@ -21,6 +21,8 @@
 Verdict
 lasting_task_not_restarted(World& world, bool trouble);
 Verdict
+healthy_worker_not_used(World& world, bool trouble);
+Verdict
 route_removed(World& world, bool trouble);
 Verdict
 waiting_job_not_counted(World& world, bool trouble);
--- a/review/probe/worker.cpp
+++ b/review/probe/worker.cpp
@@ -90,7 +90,7 @@
                { { "cpu", 32'000 },
                  { "mem_mb", 131'072 },
                  { "gpu", this->options.accelerators } } },
-             { "labels", { "a", this->options.rack } },
+             { "labels", { this->options.kind, this->options.rack } },
              { "clock_ms", this->clock_ms() },
              { "born", this->born_ms },
              { "sequence", ++this->sequence } };
@@ -205,7 +205,7 @@
     this->hook("rejected: ticket", run);
     this->answer(respond, CONFLICT, "ticket");
   } else {
-    this->running[run] = { spec, kernel::boot_ms(), 0, 0 };
+    this->running[run] = { spec, kernel::boot_ms(), 0, 0, this->failing };
     this->hook("start", run);
     this->answer(respond, OK);
   }
--- a/review/probe/worker.h
+++ b/review/probe/worker.h
@@ -27,6 +27,7 @@
   std::string id;
   std::string registry; ///< Address of the agent's registry.
   std::string service = "planner";
+  std::string kind = "a";
   std::string rack = "r1-1";
   int accelerators = 8;
   /// Queue whose starts need a ticket, as the task_spec of its jobs; empty for
@@ -47,6 +48,7 @@
     std::int64_t started_ms = 0;
     std::int64_t working_since_ms = 0; ///< 0 while a gang is incomplete.
     int percent = 0;
+    bool will_fail = false;
   };
 
   struct End
@@ -82,6 +84,8 @@
   std::int64_t renewed_ms = 0;
   /// The worker is unhealthy: starts get status 503 and do nothing.
   bool shedding = false;
+  /// Runs that start now will fail.
+  bool failing = false;
   const WorkerOptions options;
 
 private:
--- a/review/probe/world.cpp
+++ b/review/probe/world.cpp
@@ -17,6 +17,8 @@
 /// From the readiness of the entries until all workers have been reported.
 constexpr int SETTLE_MS = 4'000;
 constexpr std::int64_t GANG_WAIT_MS = 3'000;
+/// After this time, a worker that fails all that it starts lists the end.
+constexpr std::int64_t FAIL_AFTER_MS = 100;
 constexpr kernel::Milliseconds CALL_LIMIT{ 3'500 };
 constexpr std::size_t MAX_ADVICE_BODY_BYTES = 65'536;
 constexpr int OK = 200;
@@ -160,7 +162,7 @@
 }
 
 void
-World::add_worker(const std::string& ticket_spec)
+World::add_worker(const std::string& ticket_spec, const std::string& kind)
 {
   std::size_t index = this->workers.size();
   std::string name = fmt::format("side-{}", index + 1);
@@ -182,6 +184,7 @@
   options.id = fmt::format("i-{}", index + 1);
   options.registry = registry;
   options.ticket_spec = ticket_spec;
+  options.kind = kind;
   this->workers.push_back(std::make_unique<Worker>(
     this->loop,
     this->timers,
@@ -367,6 +370,11 @@
         worker.end(run, "alone");
       continue;
     }
+    if (found->second.will_fail) {
+      if (kernel::boot_ms() - found->second.started_ms > FAIL_AFTER_MS)
+        worker.end(run, "failed");
+      continue;
+    }
     WorkPlan work_plan =
       this->plans.try_emplace(run, this->plan(run, item.second.spec))
         .first->second;
--- a/review/probe/world.h
+++ b/review/probe/world.h
@@ -65,7 +65,8 @@
   static nlohmann::json route(const std::string& prefix, int attempts);
 
   void add_entry();
-  void add_worker(const std::string& ticket_spec = "");
+  void add_worker(const std::string& ticket_spec = "",
+                  const std::string& kind = "a");
   /// Waits until the entries serve callers and the workers are known.
   bool wait_ready();
 
