--- a/review/probe/cases.cpp
+++ b/review/probe/cases.cpp
@@ -53,8 +53,10 @@
     { "gang-budget", &gang_failure_behind_a_freeze },
     { "crashes", &given_up_after_crashes },
     { "lasting", &lasting_task_not_restarted },
+    { "machines-lost", &machines_lost_with_owner },
     { "quarantine", &healthy_worker_not_used },
     { "route", &route_removed },
+    { "scale-out", &workers_added_beside_advice },
     { "waiting", &waiting_job_not_counted },
   };
   std::map<std::string, Case>::const_iterator found = cases.find(name);
@@ -343,6 +345,67 @@
   return restarted || idle == 0 ? Verdict::Held : Verdict::Broken;
 }
 
+/// LOST: the machine of the owner and the machine of one worker are lost for
+/// good at the same time. A task that lasts and ran there is started again too
+/// late.
+Verdict
+machines_lost_with_owner(World& world, bool trouble)
+{
+  constexpr int WORKERS = 4;
+  constexpr int ENTRIES = 3;
+  constexpr int ATTEMPTS = 4;
+  constexpr int LASTING_WORK_MS = 1'000'000;
+  constexpr int START_LIMIT_MS = 5'000;
+  constexpr int LASTING_RUN_MS = 3'000;
+  /// A task that lasts has to run again 6 s after its last run, and 3 s later
+  /// at the latest.
+  constexpr int RESTART_LIMIT_MS = 9'000;
+  constexpr int LATER_LIMIT_MS = 30'000;
+  world.configure(3, nlohmann::json::array({ World::route(QUEUE, ATTEMPTS) }));
+  world.plan = [](const Run&, const std::string&) {
+    return WorkPlan{ LASTING_WORK_MS, "done" };
+  };
+  for (int index = 0; index < ENTRIES; ++index)
+    world.add_entry();
+  for (int index = 0; index < WORKERS; ++index)
+    world.add_worker();
+  nlohmann::json lasting =
+    nlohmann::json::parse(submission("lasting", 1, 1, false));
+  lasting["phases"][0].erase("estimate_ms");
+  lasting["phases"][0]["long_lived"] = true;
+  std::string lasting_task = task(0, 0);
+  bool started = world.wait_ready() && submit(world, lasting.dump()) &&
+                 world.wait(START_LIMIT_MS, [&world, &lasting_task] {
+                   return world.count("start", lasting_task) > 0;
+                 });
+  world.pause(LASTING_RUN_MS);
+  std::optional<std::size_t> on = world.worker_of({ lasting_task, 1 });
+  std::optional<std::size_t> owner = world.owner();
+  if (!started || !on || !owner)
+    return Verdict::NotRun;
+  if (!trouble) {
+    world.pause(RESTART_LIMIT_MS);
+    return world.worker_of({ lasting_task, 1 }) ? Verdict::Held
+                                                : Verdict::Broken;
+  }
+  world.note(fmt::format(
+    "machines edge-{} (owner) and side-{} are lost", *owner + 1, *on + 1));
+  world.entry(*owner).kill();
+  world.agent(*on).kill();
+  world.workers[*on]->crash();
+  bool restarted = world.wait(RESTART_LIMIT_MS, [&world, &lasting_task] {
+    return world.count("start", lasting_task) > 1;
+  });
+  world.note(fmt::format("{} s after its last run the task runs {}",
+                         RESTART_LIMIT_MS / 1'000,
+                         restarted ? "again" : "not"));
+  bool later = world.wait(LATER_LIMIT_MS, [&world, &lasting_task] {
+    return world.count("start", lasting_task) > 1;
+  });
+  world.note(later ? "the task runs again" : "the task never ran again");
+  return restarted ? Verdict::Held : Verdict::Broken;
+}
+
 /// LOST: the only worker of a kind fails all that it starts for a while. After
 /// it has become healthy again, it gets no work for long.
 Verdict
@@ -416,6 +479,58 @@
   return restarted ? Verdict::Held : Verdict::Broken;
 }
 
+/// LOST: empty workers are added. From then on the advice on all of them takes
+/// nearly as long as its tickets are valid, and no job of the queue starts.
+Verdict
+workers_added_beside_advice(World& world, bool trouble)
+{
+  constexpr int WORKERS = 20;
+  constexpr int ADDED = 5;
+  constexpr int ATTEMPTS = 4;
+  constexpr int WORK_MS = 1'000;
+  constexpr int SETTLE_MS = 4'000;
+  constexpr int VALIDITY_MS = 3'000;
+  constexpr AdviceTimes TIMES{ 500, 80 };
+  /// `finish_s` after the end of the traffic, jobs are asked for.
+  constexpr int START_LIMIT_MS = 14'000;
+  constexpr int LATER_LIMIT_MS = 26'000;
+  nlohmann::json advised = World::route(QUEUE, ATTEMPTS);
+  advised["recommendation"] = { { "decide_ms", TIMES.decide_ms },
+                                { "per_worker_ms", TIMES.per_worker_ms },
+                                { "validity_ms", VALIDITY_MS } };
+  world.configure(3, nlohmann::json::array({ advised }));
+  world.advice_times = TIMES;
+  world.ticket_validity_ms = VALIDITY_MS;
+  world.plan = [](const Run&, const std::string&) {
+    return WorkPlan{ WORK_MS, "done" };
+  };
+  world.add_entry();
+  world.add_entry();
+  for (int index = 0; index < WORKERS; ++index)
+    world.add_worker("advised");
+  if (!world.wait_ready())
+    return Verdict::NotRun;
+  for (int index = 0; trouble && index < ADDED; ++index) {
+    world.add_worker("advised");
+    world.workers.back()->start();
+    world.note(fmt::format("worker i-{} is added", world.workers.size()));
+  }
+  world.pause(SETTLE_MS);
+  if (!submit(world, submission("advised", 1, 1, false)))
+    return Verdict::NotRun;
+  auto has_started = [&world] { return world.count("start", task(0, 0)) > 0; };
+  bool started = world.wait(START_LIMIT_MS, has_started);
+  world.note(fmt::format("{} s after its acceptance the job has {}, {} calls "
+                         "for advice were made",
+                         START_LIMIT_MS / 1'000,
+                         started ? "started" : "not started",
+                         world.advice_calls));
+  if (!started && !world.wait(LATER_LIMIT_MS, has_started))
+    world.note(fmt::format("the job has never started, {} calls for advice",
+                           world.advice_calls));
+  return started ? Verdict::Held : Verdict::Broken;
+}
+
 /// MIXED: a worker rejects all starts, as an unhealthy one does. The job that
 /// was placed on it has not begun, and is not counted as waiting.
 Verdict
--- a/review/probe/cases.h
+++ b/review/probe/cases.h
@@ -23,6 +23,10 @@
 Verdict
 healthy_worker_not_used(World& world, bool trouble);
 Verdict
+machines_lost_with_owner(World& world, bool trouble);
+Verdict
+workers_added_beside_advice(World& world, bool trouble);
+Verdict
 route_removed(World& world, bool trouble);
 Verdict
 waiting_job_not_counted(World& world, bool trouble);
--- a/review/probe/worker.cpp
+++ b/review/probe/worker.cpp
@@ -184,6 +184,20 @@
   this->renewed_ms = kernel::boot_ms();
 }
 
+std::string
+Worker::make_ticket()
+{
+  return std::to_string(kernel::boot_ms());
+}
+
+bool
+Worker::has_valid_ticket(const Json& body) const
+{
+  std::string ticket = body.value("ticket", "");
+  return !ticket.empty() && kernel::boot_ms() - std::stoll(ticket) <=
+                              this->options.ticket_validity_ms;
+}
+
 void
 Worker::handle_start(const Json& body,
                      const gateway::HttpServer::ResponseCallback& respond)
@@ -201,7 +215,8 @@
   } else if (this->clock_ms() >= this->lease_until_ms) {
     this->answer(respond, CONFLICT, "late");
   } else if (!this->options.ticket_spec.empty() &&
-             spec == this->options.ticket_spec && !body.contains("ticket")) {
+             spec == this->options.ticket_spec &&
+             !this->has_valid_ticket(body)) {
     this->hook("rejected: ticket", run);
     this->answer(respond, CONFLICT, "ticket");
   } else {
--- a/review/probe/worker.h
+++ b/review/probe/worker.h
@@ -31,8 +31,9 @@
   std::string rack = "r1-1";
   int accelerators = 8;
   /// Queue whose starts need a ticket, as the task_spec of its jobs; empty for
-  /// none. A start without a ticket is rejected.
+  /// none. A start without a valid ticket is rejected.
   std::string ticket_spec{};
+  std::int64_t ticket_validity_ms = 20'000; ///< From the issue of a ticket.
 };
 
 /// A stand-in for a worker: runs tasks under a lease, lists their ends and
@@ -68,6 +69,9 @@
          WorkerOptions options,
          Hook hook);
 
+  /// A ticket that is issued now.
+  static std::string make_ticket();
+
   /// Starts a new incarnation.
   void start();
   /// Ends the incarnation without a word: connections are refused.
@@ -100,6 +104,7 @@
   void handle(const gateway::HttpRequest& request,
               gateway::HttpServer::ResponseCallback respond);
   void extend_lease(const Json& body);
+  bool has_valid_ticket(const Json& body) const;
   void handle_start(const Json& body,
                     const gateway::HttpServer::ResponseCallback& respond);
   void handle_stop(const Json& body,
--- a/review/probe/world.cpp
+++ b/review/probe/world.cpp
@@ -22,6 +22,7 @@
 constexpr kernel::Milliseconds CALL_LIMIT{ 3'500 };
 constexpr std::size_t MAX_ADVICE_BODY_BYTES = 65'536;
 constexpr int OK = 200;
+constexpr std::size_t TERM_FIELD_LENGTH = sizeof " term=" - 1;
 constexpr int PERCENT = 100;
 constexpr int MAX_UNFINISHED_PERCENT = 99;
 
@@ -185,6 +186,7 @@
   options.registry = registry;
   options.ticket_spec = ticket_spec;
   options.kind = kind;
+  options.ticket_validity_ms = this->ticket_validity_ms;
   this->workers.push_back(std::make_unique<Worker>(
     this->loop,
     this->timers,
@@ -282,6 +284,28 @@
   return reply.status == OK && body.is_object() ? body.value("state", "") : "";
 }
 
+std::optional<std::size_t>
+World::owner() const
+{
+  std::optional<std::size_t> owner;
+  std::uint64_t newest_term = 0;
+  for (std::size_t index = 0; index < this->entries.size(); ++index) {
+    std::ifstream log(fmt::format("{}/edge-{}.log", this->folder, index + 1));
+    for (std::string line; std::getline(log, line);) {
+      std::size_t term = line.find(" term=");
+      if (line.find("ownership_taken") == std::string::npos ||
+          term == std::string::npos)
+        continue;
+      std::uint64_t number = std::stoull(line.substr(term + TERM_FIELD_LENGTH));
+      if (number <= newest_term)
+        continue;
+      newest_term = number;
+      owner = index;
+    }
+  }
+  return owner;
+}
+
 std::size_t
 World::count(const std::string& event, const std::string& task) const
 {
@@ -324,17 +348,39 @@
                            event));
 }
 
-/// Answers that all workers named may run the step, with a ticket each.
+/// Handles one call at a time, as all calls come from one machine.
 void
 World::advise(const gateway::HttpRequest& request,
               const gateway::HttpServer::ResponseCallback& respond)
 {
   ++this->advice_calls;
   Json body = Json::parse(request.body, nullptr, false);
-  Json good = Json::array();
-  for (const Json& worker : body.at("workers"))
-    good.push_back({ worker, "t-" + worker.get<std::string>() });
-  respond({ OK, "application/json", Json{ { "good", good } }.dump(), {} });
+  this->advice_queue.push_back({ body.at("workers"), respond });
+  if (this->advice_queue.size() == 1)
+    this->advise_next();
+}
+
+/// Answers, after the stated time, that all workers named may run the step.
+void
+World::advise_next()
+{
+  std::size_t workers = this->advice_queue.front().workers.size();
+  kernel::Milliseconds delay(this->advice_times.decide_ms +
+                             this->advice_times.per_worker_ms *
+                               static_cast<int>(workers));
+  this->advice_timer = this->timers.after(delay, [this, workers] {
+    AdviceCall call = std::move(this->advice_queue.front());
+    this->advice_queue.pop_front();
+    Json good = Json::array();
+    for (const Json& worker : call.workers)
+      good.push_back({ worker, Worker::make_ticket() });
+    this->note(
+      fmt::format("advice: tickets for {} workers are issued", workers));
+    call.respond(
+      { OK, "application/json", Json{ { "good", good } }.dump(), {} });
+    if (!this->advice_queue.empty())
+      this->advise_next();
+  });
 }
 
 void
--- a/review/probe/world.h
+++ b/review/probe/world.h
@@ -43,6 +43,13 @@
   std::string end = "done";
 };
 
+/// The times of a queue's `recommendation`.
+struct AdviceTimes
+{
+  int decide_ms = 0;
+  int per_worker_ms = 0;
+};
+
 /// An event that a worker saw.
 struct Sighting
 {
@@ -89,6 +96,9 @@
   void note(const std::string& line);
   std::size_t count(const std::string& event, const std::string& task) const;
   tests::Process& agent(std::size_t index) { return *this->agents[index]; }
+  tests::Process& entry(std::size_t index) { return *this->entries[index]; }
+  /// The entry whose log shows the latest term; none if no log shows one.
+  std::optional<std::size_t> owner() const;
 
   std::deque<std::unique_ptr<Worker>> workers;
   std::vector<Sighting> sightings;
@@ -98,6 +108,9 @@
   std::function<std::size_t(const std::string& spec)> gang_size =
     [](const std::string&) { return std::size_t{ 0 }; };
   int advice_calls = 0;
+  /// Of the advice service; all 0 for answers at once.
+  AdviceTimes advice_times;
+  std::int64_t ticket_validity_ms = 20'000;
 
 private:
   void start_program(const std::string& name,
@@ -106,6 +119,7 @@
                      std::vector<std::unique_ptr<tests::Process>>& group);
   void advise(const gateway::HttpRequest& request,
               const gateway::HttpServer::ResponseCallback& respond);
+  void advise_next();
   void see(std::size_t worker, const std::string& event, const Run& run);
   void work();
   void work_on(Worker& worker);
@@ -125,7 +139,15 @@
   std::vector<std::unique_ptr<tests::Process>> agents;
   std::vector<std::string> caller_addresses;
   std::vector<std::string> ready_addresses;
+  struct AdviceCall
+  {
+    nlohmann::json workers;
+    gateway::HttpServer::ResponseCallback respond;
+  };
+
   std::map<Run, WorkPlan> plans;
+  std::deque<AdviceCall> advice_queue; ///< The first one is being decided.
+  kernel::Subscription advice_timer;
   kernel::Subscription work_timer;
 };
 
