--- a/review/probe/cases.cpp
+++ b/review/probe/cases.cpp
@@ -490,7 +490,7 @@
   constexpr int WORK_MS = 1'000;
   constexpr int SETTLE_MS = 4'000;
   constexpr int VALIDITY_MS = 3'000;
-  constexpr AdviceTimes TIMES{ 500, 80 };
+  constexpr AdviceTimes TIMES{ 500, 90 };
   /// `finish_s` after the end of the traffic, jobs are asked for.
   constexpr int START_LIMIT_MS = 14'000;
   constexpr int LATER_LIMIT_MS = 26'000;
