--- a/review/probe/cases.cpp
+++ b/review/probe/cases.cpp
@@ -50,6 +50,7 @@
 find_case(const std::string& name)
 {
   static const std::map<std::string, Case> cases{
+    { "late-accept", &cancelled_before_stored },
     { "gang-budget", &gang_failure_behind_a_freeze },
     { "crashes", &given_up_after_crashes },
     { "lasting", &lasting_task_not_restarted },
@@ -63,6 +64,71 @@
   return found == cases.end() ? nullptr : found->second;
 }
 
+/// UNASKED: the store loses the answers of the writes of one submission and
+/// performs them late. The caller, told that the outcome is unknown, cancels
+/// the job; that is acknowledged, and the job runs all the same.
+Verdict
+cancelled_before_stored(World& world, bool trouble)
+{
+  constexpr int WORKERS = 3;
+  constexpr int ATTEMPTS = 4;
+  constexpr int WORK_MS = 10'000;
+  constexpr int OTHER_WORK_MS = 100;
+  constexpr int OTHER_JOBS = 24;
+  constexpr int OTHER_PERIOD_MS = 100;
+  constexpr kernel::Milliseconds LATE{ 5'900 };
+  constexpr std::int64_t CANCEL_MS = 3'000;
+  constexpr std::int64_t STOP_GRACE_MS = 900;
+  constexpr int RUN_LIMIT_MS = 10'000;
+  constexpr int UNKNOWN_JOB = 410;
+  world.configure(3, nlohmann::json::array({ World::route(QUEUE, ATTEMPTS) }));
+  world.plan = [](const Run&, const std::string& spec) {
+    return WorkPlan{ spec == "other" ? OTHER_WORK_MS : WORK_MS, "done" };
+  };
+  world.add_entry();
+  world.add_entry();
+  for (int index = 0; index < WORKERS; ++index)
+    world.add_worker();
+  if (!world.wait_ready())
+    return Verdict::NotRun;
+  world.store_front().lose_writes(trouble ? std::string("j/") + JOB : "", LATE);
+  std::vector<kernel::Subscription> others;
+  others.reserve(OTHER_JOBS);
+  for (int index = 0; index < OTHER_JOBS; ++index)
+    others.push_back(world.after(index * OTHER_PERIOD_MS, [&world, index] {
+      world.call_beside("POST",
+                        fmt::format("{}{:016x}", QUEUE, index + 1),
+                        submission("other", 1, 1, false),
+                        static_cast<std::size_t>(index % 2));
+    }));
+  Reply submitted = world.call(
+    "POST", std::string(QUEUE) + JOB, submission("text", 1, 1, false));
+  world.store_front().lose_writes("", LATE);
+  world.note(fmt::format("the store lost the answers of {} of {} writes",
+                         world.store_front().lost_writes,
+                         world.store_front().writes));
+  Reply cancelled = world.call("DELETE", std::string(QUEUE) + JOB);
+  if (cancelled.status != ACCEPTED && cancelled.status != UNKNOWN_JOB)
+    return Verdict::NotRun;
+  std::int64_t cancelled_ms = world.now_ms();
+  world.pause(RUN_LIMIT_MS);
+  bool broken = false;
+  std::string name = task(0, 0);
+  for (const Sighting& item : world.sightings) {
+    std::int64_t after_ms = item.at_ms - cancelled_ms;
+    if (item.run.first != name || after_ms <= 0)
+      continue;
+    world.note(
+      fmt::format("{} ms after the cancelling: {}", after_ms, item.event));
+    broken = broken || (item.event == "start" && after_ms > CANCEL_MS);
+  }
+  bool runs_on = world.worker_of({ name, 1 }).has_value() &&
+                 world.now_ms() - cancelled_ms > CANCEL_MS + STOP_GRACE_MS;
+  if (runs_on)
+    world.note("the job runs on");
+  return broken || runs_on ? Verdict::Broken : Verdict::Held;
+}
+
 /// BUDGET: a member of a gang fails in each attempt by its task's own fault.
 /// During the first attempt the member's agent is frozen for a moment.
 Verdict
--- a/review/probe/cases.h
+++ b/review/probe/cases.h
@@ -14,6 +14,8 @@
 Case
 find_case(const std::string& name);
 
+Verdict
+cancelled_before_stored(World& world, bool trouble);
 Verdict
 gang_failure_behind_a_freeze(World& world, bool trouble);
 Verdict
--- a/review/probe/world.cpp
+++ b/review/probe/world.cpp
@@ -141,7 +141,7 @@
   this->ready_addresses.push_back(tests::free_address());
   Json platform{ { "caller_listen", this->caller_addresses.back() },
                  { "ready_listen", this->ready_addresses.back() },
-                 { "store_address", this->store.address() },
+                 { "store_address", this->front.address() },
                  { "max_lease_ms", 6'000 },
                  { "advice_address",
                    fmt::format("127.0.0.1:{}", this->advice_server.port()) },
@@ -176,7 +176,7 @@
                         { "http", { { "listen", tests::free_address() } } },
                         { "platform",
                           { { "registry_listen", registry },
-                            { "store_address", this->store.address() },
+                            { "store_address", this->front.address() },
                             { "service", "planner" },
                             { "max_lease_ms", 6'000 },
                             { "heartbeat_ms", 1'500 } } } },
@@ -243,11 +243,17 @@
   this->wait(length_ms, [] { return false; });
 }
 
-Reply
-World::call(const std::string& method,
-            const std::string& path,
-            const std::string& body,
-            std::size_t entry)
+kernel::Subscription
+World::after(int delay_ms, std::function<void()> action)
+{
+  return this->timers.after(kernel::Milliseconds(delay_ms), std::move(action));
+}
+
+gateway::HttpClientRequest
+World::make_call(const std::string& method,
+                 const std::string& path,
+                 const std::string& body,
+                 std::size_t entry) const
 {
   gateway::HttpClientRequest request;
   request.method = method;
@@ -258,6 +264,27 @@
                       { "Deadline-Ms", "3000" } };
   request.body = body;
   request.timeout = CALL_LIMIT;
+  return request;
+}
+
+void
+World::call_beside(const std::string& method,
+                   const std::string& path,
+                   const std::string& body,
+                   std::size_t entry)
+{
+  this->client.call(this->make_call(method, path, body, entry),
+                    [](const gateway::HttpClient::Result&) {});
+}
+
+Reply
+World::call(const std::string& method,
+            const std::string& path,
+            const std::string& body,
+            std::size_t entry)
+{
+  gateway::HttpClientRequest request =
+    this->make_call(method, path, body, entry);
   std::shared_ptr<std::optional<Reply>> reply =
     std::make_shared<std::optional<Reply>>();
   this->client.call(
--- a/review/probe/world.h
+++ b/review/probe/world.h
@@ -4,6 +4,7 @@
 #include "gateway/http_server.h"
 #include "kernel/loop.h"
 #include "kernel/timer.h"
+#include "review/probe/store_front.h"
 #include "review/probe/worker.h"
 #include "tests/platform/row_store_standin.h"
 #include "tests/support/process.h"
@@ -80,10 +81,16 @@
   /// Runs the loop until the condition holds; false after the limit.
   bool wait(int limit_ms, const std::function<bool()>& condition);
   void pause(int length_ms);
+  kernel::Subscription after(int delay_ms, std::function<void()> action);
   Reply call(const std::string& method,
              const std::string& path,
              const std::string& body = "",
              std::size_t entry = 0);
+  /// The same without waiting for the response, which is not recorded.
+  void call_beside(const std::string& method,
+                   const std::string& path,
+                   const std::string& body,
+                   std::size_t entry);
   /// The state that a GET of the job returns.
   std::string state(const std::string& id, std::size_t entry = 0);
 
@@ -96,6 +103,7 @@
   void note(const std::string& line);
   std::size_t count(const std::string& event, const std::string& task) const;
   tests::Process& agent(std::size_t index) { return *this->agents[index]; }
+  StoreFront& store_front() { return this->front; }
   tests::Process& entry(std::size_t index) { return *this->entries[index]; }
   /// The entry whose log shows the latest term; none if no log shows one.
   std::optional<std::size_t> owner() const;
@@ -113,6 +121,10 @@
   std::int64_t ticket_validity_ms = 20'000;
 
 private:
+  gateway::HttpClientRequest make_call(const std::string& method,
+                                       const std::string& path,
+                                       const std::string& body,
+                                       std::size_t entry) const;
   void start_program(const std::string& name,
                      const std::string& program,
                      const nlohmann::json& settings,
@@ -133,6 +145,7 @@
   std::ofstream record;
   std::int64_t begin_ms = kernel::boot_ms();
   tests::RowStoreStandin store{ loop, timers };
+  StoreFront front{ loop, timers, store.address() };
   gateway::HttpClient client{ loop, timers, 16 };
   gateway::HttpServer advice_server;
   std::vector<std::unique_ptr<tests::Process>> entries;
