--- a/review/probe/cases.cpp
+++ b/review/probe/cases.cpp
@@ -550,8 +550,9 @@
 Verdict
 workers_added_beside_advice(World& world, bool trouble)
 {
-  constexpr int WORKERS = 20;
-  constexpr int ADDED = 5;
+  constexpr int WORKERS = 24;
+  constexpr int ADDED = 6;
+  constexpr int ADD_PERIOD_MS = 2'000;
   constexpr int ATTEMPTS = 4;
   constexpr int WORK_MS = 1'000;
   constexpr int SETTLE_MS = 4'000;
@@ -576,7 +577,10 @@
     world.add_worker("advised");
   if (!world.wait_ready())
     return Verdict::NotRun;
-  for (int index = 0; trouble && index < ADDED; ++index) {
+  for (int index = 0; index < ADDED; ++index) {
+    world.pause(ADD_PERIOD_MS);
+    if (!trouble)
+      continue;
     world.add_worker("advised");
     world.workers.back()->start();
     world.note(fmt::format("worker i-{} is added", world.workers.size()));
--- a/review/probe/world.cpp
+++ b/review/probe/world.cpp
@@ -33,6 +33,17 @@
   return task.substr(0, task.rfind('.') + 1);
 }
 
+/// Whether the policy of the queues with advice allows the worker: not every
+/// sixth one, from the third on.
+bool
+is_allowed(const std::string& worker)
+{
+  constexpr int PERIOD = 6;
+  constexpr int FIRST = 3;
+  constexpr std::size_t ID_PREFIX_LENGTH = sizeof "i-" - 1;
+  return std::stoi(worker.substr(ID_PREFIX_LENGTH)) % PERIOD != FIRST;
+}
+
 } // namespace
 
 std::string
@@ -387,7 +398,7 @@
     this->advise_next();
 }
 
-/// Answers, after the stated time, that all workers named may run the step.
+/// Answers, after the stated time, which of the workers named may run the step.
 void
 World::advise_next()
 {
@@ -399,10 +410,12 @@
     AdviceCall call = std::move(this->advice_queue.front());
     this->advice_queue.pop_front();
     Json good = Json::array();
-    for (const Json& worker : call.workers)
-      good.push_back({ worker, Worker::make_ticket() });
-    this->note(
-      fmt::format("advice: tickets for {} workers are issued", workers));
+    for (const Json& worker : call.workers) {
+      if (is_allowed(worker.get<std::string>()))
+        good.push_back({ worker, Worker::make_ticket() });
+    }
+    this->note(fmt::format(
+      "advice on {} workers: tickets for {} are issued", workers, good.size()));
     call.respond(
       { OK, "application/json", Json{ { "good", good } }.dump(), {} });
     if (!this->advice_queue.empty())
