Let a cancelled job's late submission find its cancelling

Cause: the store performed the writes of the submission 5.9 s late. They depended only on the absence of j/ID. The cancelling had found no such row, answered 410 and changed nothing, so that their condition still held.

Evidence, on: call_answered submit uncertain, call_answered cancel no_such_job, and 3.2 s later step_placed waited_ms=0 in the millisecond of the start, with no workflow_cancelled: the owner learned of the job only then, and nothing told it of the cancelling.

Change: a cancelling writes c/ID also if j/ID is absent, under that condition, and answers 410 once it is stored. A submission depends on the absence of c/ID too. The store applies one of the two first, and the other finds it. A submission that finds c/ID alone is stored as a cancelled job (200, state canceled). A cancelling that finds another version of j/ID is sent again for that version instead of answering 410.

The owner removes a cancel row without a workflow a retention period after it read it. Removals now depend on the versions of the rows, as one that is applied late could take the rows of a later submission with it, and follow each other without a pause of 10 s. They moved to entry/row_expiry.

Cost: one transaction in place of one read for each cancelling of an unknown identifier, one row however often it is repeated.

Tests: entry.caller_api_test, 7 of the 8 cases written by then failed before the change; entry.work_view_test, entry.row_expiry_test (late_removal_takes_newer_rows_with_it fails without the conditions); system.platform_path_test: cancelled_job_starts_by_a_late_submission.

system.platform_path_test, cancelled_job_is_stopped, cancelled the job's own identifier before it submitted it, and expected the job to run. By the rule a job must not start after its cancelling was acknowledged, and a submission that is sent again can't be told from a first one, so the test now cancels another identifier for its 410. The new case checks the former sequence.

--- a/entry/caller_api.cpp
+++ b/entry/caller_api.cpp
@@ -46,6 +46,32 @@
   return encode_workflow(left) == encode_workflow(other);
 }
 
+/// The row among those of a conflict; null if the store does not have it.
+const platform::StoredRow*
+find_row(const std::vector<platform::StoredRow>& rows,
+         const platform::RowName& name)
+{
+  std::vector<platform::StoredRow>::const_iterator found = std::find_if(
+    rows.begin(), rows.end(), [&name](const platform::StoredRow& row) {
+      return row.name == name;
+    });
+  return found == rows.end() ? nullptr : &*found;
+}
+
+/// The present version of a row of a failed condition, also if its value can't
+/// be read; 0 if the store does not have the row.
+std::uint64_t
+version_of(const platform::StoreError& conflict, const platform::RowName& name)
+{
+  for (const std::vector<platform::StoredRow>* rows :
+       { &conflict.current, &conflict.unreadable }) {
+    const platform::StoredRow* row = find_row(*rows, name);
+    if (row)
+      return row->version;
+  }
+  return 0;
+}
+
 /// Whether the result tells the caller that its change was not applied and will
 /// not be. `Malformed` is left out: it follows from the request or from a
 /// stored row, so no change is on its way.
@@ -211,11 +237,33 @@
                   same ? CallerResult::Accepted : CallerResult::Malformed);
     return;
   }
+  set_submission(call, 0);
+  this->try_submit(call);
+}
+
+/// Sets the change that stores the workflow. It depends on the version of the
+/// cancel row, so that a cancelling prevents a submission that the store
+/// performs later. `cancel_version` is 0 if there is no such row.
+void
+CallerApi::set_submission(const CallPointer& call, std::uint64_t cancel_version)
+{
   platform::RowName row = work_row(WorkRowKind::Workflow, call->id);
   call->change = {};
   call->change.conditions.push_back({ row, 0 });
+  call->change.conditions.push_back(
+    { work_row(WorkRowKind::Cancel, call->id), cancel_version });
   call->change.writes.push_back({ row, encode_workflow(call->workflow) });
-  this->try_submit(call);
+}
+
+/// Sets the change that stores a workflow which was cancelled before. The
+/// cancel row is written again, since one that is older than its workflow does
+/// not count.
+void
+CallerApi::set_cancelled_submission(const CallPointer& call,
+                                    const platform::StoredRow& cancel)
+{
+  set_submission(call, cancel.version);
+  call->change.writes.push_back({ cancel.name, cancel.value });
 }
 
 /// Time until the response must be sent.
@@ -261,24 +309,17 @@
                                 const platform::Store::CommitResult& result)
 {
   if (result) {
-    const platform::RowValue& write = call->change.writes.front();
-    this->view.apply(
-      platform::StoredRow{ write.name, write.value, *result, false });
+    for (const platform::RowValue& write : call->change.writes)
+      this->view.apply(
+        platform::StoredRow{ write.name, write.value, *result, false });
     this->hooks.workflow_accepted();
     this->respond(call, CallerResult::Accepted);
     return;
   }
   switch (result.error().kind) {
-    case platform::StoreErrorKind::Conflict: {
-      // This call or another one has submitted the workflow before.
-      std::optional<core::Workflow> stored;
-      if (!result.error().current.empty())
-        stored = decode_workflow(result.error().current.front().value);
-      bool other = stored && !same_submission(*stored, call->workflow);
-      this->respond(call,
-                    other ? CallerResult::Malformed : CallerResult::Accepted);
+    case platform::StoreErrorKind::Conflict:
+      this->handle_submit_conflict(call, result.error());
       return;
-    }
     case platform::StoreErrorKind::Refused:
       if (!call->ambiguous) {
         this->forward(call, CallerResult::NotApplied);
@@ -293,6 +334,34 @@
   this->retry(call, [this, call] { this->try_submit(call); });
 }
 
+void
+CallerApi::handle_submit_conflict(const CallPointer& call,
+                                  const platform::StoreError& conflict)
+{
+  platform::RowName workflow_row = work_row(WorkRowKind::Workflow, call->id);
+  platform::RowName cancel_row = work_row(WorkRowKind::Cancel, call->id);
+  if (version_of(conflict, workflow_row) != 0) {
+    // This call or another one has submitted the workflow before.
+    const platform::StoredRow* row = find_row(conflict.current, workflow_row);
+    std::optional<core::Workflow> stored =
+      row ? decode_workflow(row->value) : std::nullopt;
+    bool other = stored && !same_submission(*stored, call->workflow);
+    this->respond(call,
+                  other ? CallerResult::Malformed : CallerResult::Accepted);
+    return;
+  }
+  const platform::StoredRow* cancel = find_row(conflict.current, cancel_row);
+  std::uint64_t cancel_version = version_of(conflict, cancel_row);
+  if (cancel)
+    set_cancelled_submission(call, *cancel);
+  else
+    set_submission(call, cancel_version);
+  if (cancel_version != 0)
+    this->try_submit(call);
+  else
+    this->retry(call, [this, call] { this->try_submit(call); });
+}
+
 /// Handles a commit that got no response. Another entry can safely commit the
 /// same change, since the store applies only one of the two.
 void
@@ -341,21 +410,12 @@
     this->respond(call, CallerResult::Accepted);
     return;
   }
-  if (known) {
-    this->try_cancel(call, known->workflow_version);
-    return;
-  }
-  this->find_workflow(call,
-                      [this, call](const platform::Store::ReadResult& page) {
-                        if (!page)
-                          this->forward(call, CallerResult::NotApplied);
-                        else if (page->rows.empty())
-                          this->respond(call, CallerResult::NoSuchJob);
-                        else
-                          this->try_cancel(call, page->rows.front().version);
-                      });
+  this->try_cancel(call, known ? known->workflow_version : 0);
 }
 
+/// Stores the cancel row of the workflow whose row has `workflow_version`. At 0
+/// there is no such row, but a submission may still be on its way to the store;
+/// it then finds the cancel row.
 void
 CallerApi::try_cancel(const CallPointer& call, std::uint64_t workflow_version)
 {
@@ -372,13 +432,21 @@
       if (result) {
         this->view.apply(platform::StoredRow{ row, "", *result, false });
         this->hooks.workflow_accepted();
-        this->respond(call, CallerResult::Accepted);
+        this->respond(call,
+                      workflow_version == 0 ? CallerResult::NoSuchJob
+                                            : CallerResult::Accepted);
         return;
       }
       switch (result.error().kind) {
-        case platform::StoreErrorKind::Conflict:
-          this->respond(call, CallerResult::NoSuchJob);
-          return;
+        case platform::StoreErrorKind::Conflict: {
+          std::uint64_t present = version_of(
+            result.error(), work_row(WorkRowKind::Workflow, call->id));
+          if (present != workflow_version) {
+            this->try_cancel(call, present);
+            return;
+          }
+          break;
+        }
         case platform::StoreErrorKind::Refused:
           if (!call->ambiguous) {
             this->forward(call, CallerResult::NotApplied);
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -53,9 +53,15 @@
   void start(const CallPointer& call);
   void dispatch(const CallPointer& call);
   void submit(const CallPointer& call);
+  static void set_submission(const CallPointer& call,
+                             std::uint64_t cancel_version);
+  static void set_cancelled_submission(const CallPointer& call,
+                                       const platform::StoredRow& cancel);
   void try_submit(const CallPointer& call);
   void handle_submit_result(const CallPointer& call,
                             const platform::Store::CommitResult& result);
+  void handle_submit_conflict(const CallPointer& call,
+                              const platform::StoreError& conflict);
   void cancel(const CallPointer& call);
   void try_cancel(const CallPointer& call, std::uint64_t workflow_version);
   void get_state(const CallPointer& call);
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -14,9 +14,6 @@
 /// Occurrences that fall due and agents that become silent cause no event, so
 /// rounds also run at this period.
 constexpr kernel::Milliseconds ROUND_PERIOD{ 200 };
-constexpr kernel::Milliseconds EXPIRY_TIMEOUT{ 1'200 };
-constexpr kernel::Milliseconds EXPIRY_PERIOD{ 10'000 };
-constexpr std::size_t MAX_REMOVALS_PER_COMMIT = 24;
 /// A row that is too long may be so in every round.
 constexpr std::int64_t OVERSIZED_LOG_PERIOD_MS = 10'000;
 
@@ -50,6 +47,7 @@
                     const std::vector<platform::StoredRow>& current) {
                this->handle_conflict(still_owner, current);
              } })
+  , row_expiry(loop, timers, log, metrics, store, view, limits.retention_ms)
   , tracker(log, metrics, servers)
   , crash_tracker(log, metrics, servers)
   , oversized_rows(OVERSIZED_LOG_PERIOD_MS)
@@ -67,8 +65,7 @@
   this->crash_tracker.reset();
   this->round_timer =
     this->timers.every(ROUND_PERIOD, [this] { this->schedule_decision(); });
-  this->expiry_timer =
-    this->timers.every(EXPIRY_PERIOD, [this] { this->remove_expired_rows(); });
+  this->row_expiry.start_term(term);
   this->schedule_decision();
 }
 
@@ -79,7 +76,14 @@
   this->pending_ends.clear();
   this->writer.end_term();
   this->round_timer.reset();
-  this->expiry_timer.reset();
+  this->row_expiry.end_term();
+}
+
+void
+WorkScheduler::set_limits(const WorkSchedulerLimits& changed)
+{
+  this->limits = changed;
+  this->row_expiry.set_retention_ms(changed.retention_ms);
 }
 
 void
@@ -358,44 +362,4 @@
   this->schedule_decision();
 }
 
-void
-WorkScheduler::remove_expired_rows()
-{
-  if (this->term == 0)
-    return;
-  platform::RowChange removal;
-  removal.conditions.push_back({ owner_row(), this->term });
-  // Callers see an outcome only once it is stored, which may take as long as an
-  // outage of the store. A process that has just started keeps all outcomes for
-  // the whole period.
-  std::int64_t limit = kernel::boot_ms() - this->limits.retention_ms;
-  for (const std::pair<const std::string, WorkItem>& entry :
-       this->view.items()) {
-    const WorkItem& item = entry.second;
-    if (item.workflow_version != 0 && !item.usable)
-      this->log.write(ROW_MALFORMED, { { "key", entry.first } });
-    bool expired = item.workflow && item.outcome_read_ms != 0 &&
-                   item.outcome_read_ms < limit &&
-                   !core::has_runs(item.progress);
-    if (!expired || removal.removals.size() >= MAX_REMOVALS_PER_COMMIT)
-      continue;
-    removal.removals.push_back(work_row(WorkRowKind::Workflow, entry.first));
-    removal.removals.push_back(work_row(WorkRowKind::Progress, entry.first));
-    if (item.cancelled)
-      removal.removals.push_back(work_row(WorkRowKind::Cancel, entry.first));
-  }
-  if (removal.removals.empty())
-    return;
-  this->store.commit(
-    removal,
-    EXPIRY_TIMEOUT,
-    this->guarded([this](const platform::Store::CommitResult& result) {
-      if (!result)
-        this->log.write(
-          EXPIRY_FAILED,
-          { { "error",
-              name_of(platform::STORE_ERROR_NAMES, result.error().kind) } });
-    }));
-}
-
 } // namespace geraniumhinge::entry
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -4,6 +4,7 @@
 #include "core/round.h"
 #include "entry/crash_tracker.h"
 #include "entry/orders.h"
+#include "entry/row_expiry.h"
 #include "entry/run_tracker.h"
 #include "entry/server_table.h"
 #include "entry/work_view.h"
@@ -74,10 +75,7 @@
   void start_term(std::uint64_t term);
   void end_term();
 
-  void set_limits(const WorkSchedulerLimits& changed)
-  {
-    this->limits = changed;
-  }
+  void set_limits(const WorkSchedulerLimits& changed);
 
   /// Requests a scheduling round in the next turn of the loop.
   void schedule_decision();
@@ -117,7 +115,6 @@
                        const std::vector<platform::StoredRow>& current);
   bool apply_cancels(const std::vector<platform::StoredRow>& current);
   void log_round(const RoundInput& round);
-  void remove_expired_rows();
   /// Marks ends as stored. Returns the nodes whose agents need new orders that
   /// acknowledge these ends.
   std::set<std::string> mark_ends_stored(
@@ -138,6 +135,7 @@
   std::uint64_t term = 0; ///< 0 while no rounds are run.
   bool decision_scheduled = false;
   WorkWriter writer;
+  RowExpiry row_expiry;
   RoundInput pending;             ///< The round that `writer` is storing.
   std::set<RunName> pending_ends; ///< Runs whose end `writer` is storing.
   core::StepHistory history;
@@ -146,7 +144,6 @@
   std::uint64_t orders_sequence = 0;
   kernel::EventLimit oversized_rows;
   kernel::Subscription round_timer;
-  kernel::Subscription expiry_timer;
 };
 
 } // namespace geraniumhinge::entry
--- a/entry/work_view.cpp
+++ b/entry/work_view.cpp
@@ -29,6 +29,18 @@
   this->check();
 }
 
+void
+WorkItem::forget_workflow(std::uint64_t version)
+{
+  WorkItem left;
+  if (this->cancel_version > version) {
+    left.cancelled = true;
+    left.cancel_version = this->cancel_version;
+    left.cancel_read_ms = this->cancel_read_ms;
+  }
+  *this = std::move(left);
+}
+
 void
 WorkItem::check()
 {
@@ -65,10 +77,14 @@
   // Rows written after the page was read are newer than the page.
   std::erase_if(this->items_by_id, [&](const Items::value_type& entry) {
     const WorkItem& item = entry.second;
+    bool has_only_cancel =
+      item.workflow_version == 0 &&
+      present.contains(key_of(WorkRowKind::Cancel, entry.first));
     return std::max({ item.workflow_version,
                       item.progress_version,
                       item.cancel_version }) <= page.version &&
-           !present.contains(key_of(WorkRowKind::Workflow, entry.first));
+           !present.contains(key_of(WorkRowKind::Workflow, entry.first)) &&
+           !has_only_cancel;
   });
   for (Items::value_type& entry : this->items_by_id) {
     WorkItem& item = entry.second;
@@ -102,7 +118,9 @@
       item.workflow_version = row.version;
       if (is_new && item.progress_version < row.version)
         item.forget_progress();
-      item.cancelled = item.cancelled && item.cancel_version > row.version;
+      // A workflow that was cancelled before it was stored is stored together
+      // with its cancel row.
+      item.cancelled = item.cancelled && item.cancel_version >= row.version;
       item.check();
       return;
     }
@@ -121,12 +139,9 @@
       item.check();
       return;
     }
-    case WorkRowKind::Cancel: {
-      WorkItem& item = this->items_by_id[key.id];
-      item.cancelled = true;
-      item.cancel_version = row.version;
+    case WorkRowKind::Cancel:
+      apply_cancel(this->items_by_id[key.id], row);
       return;
-    }
     case WorkRowKind::Heartbeat:
       this->apply_heartbeat(row);
       return;
@@ -135,6 +150,16 @@
   }
 }
 
+void
+WorkView::apply_cancel(WorkItem& item, const platform::StoredRow& row)
+{
+  if (row.version <= item.cancel_version)
+    return;
+  item.cancelled = row.version >= item.workflow_version;
+  item.cancel_version = row.version;
+  item.cancel_read_ms = kernel::boot_ms();
+}
+
 void
 WorkView::apply_heartbeat(const platform::StoredRow& row)
 {
@@ -171,19 +196,26 @@
   if (found == this->items_by_id.end())
     return;
   WorkItem& item = found->second;
-  // The owner removes the rows of a workflow together.
-  bool is_workflow_removed =
-    key.kind == WorkRowKind::Workflow && item.workflow_version <= row.version;
-  bool has_workflow =
-    item.workflow_version != 0 || key.kind == WorkRowKind::Heartbeat;
-  if (is_workflow_removed || !has_workflow)
+  switch (key.kind) {
+    case WorkRowKind::Workflow:
+      // The owner removes the rows of a workflow together.
+      if (item.workflow_version <= row.version)
+        item.forget_workflow(row.version);
+      break;
+    case WorkRowKind::Progress:
+      if (item.progress_version <= row.version)
+        item.forget_progress();
+      break;
+    case WorkRowKind::Cancel:
+      if (item.cancel_version <= row.version)
+        item.cancel_version = 0;
+      break;
+    default:
+      break;
+  }
+  if (item.workflow_version == 0 && item.progress_version == 0 &&
+      item.cancel_version == 0)
     this->items_by_id.erase(found);
-  else if (key.kind == WorkRowKind::Progress &&
-           item.progress_version <= row.version)
-    item.forget_progress();
-  else if (key.kind == WorkRowKind::Cancel &&
-           item.cancel_version <= row.version)
-    item.cancel_version = 0;
 }
 
 void
--- a/entry/work_view.h
+++ b/entry/work_view.h
@@ -26,14 +26,22 @@
   bool progress_readable = true;
   /// The rows were read and fit each other. The owner leaves other items alone.
   bool usable = false;
+  /// A caller has cancelled the workflow, or this identifier before the
+  /// workflow was stored.
   bool cancelled = false;
   /// Of the row, also if it can't be read or was written for an earlier
   /// workflow of this identifier; 0 if there is none.
   std::uint64_t cancel_version = 0;
+  /// Boot time at which this version was first read.
+  std::int64_t cancel_read_ms = 0;
 
   /// Sets `usable` after a row has changed.
   void check();
 
+  /// Forgets the workflow and its rows, removed at `version`. Keeps a cancel
+  /// row that was written since.
+  void forget_workflow(std::uint64_t version);
+
   /// Forgets the removed row of the progress. If another writer removed it,
   /// what has run is unknown, and the item is not usable until the row is
   /// written again. If it is older than the row of the workflow, it was that of
@@ -65,7 +73,9 @@
   /// Applies all rows of the table, and drops those that it no longer has.
   void replace(const platform::RowPage& page);
 
+  /// The item of a stored workflow; null if there is none.
   const WorkItem* find(const std::string& id) const;
+  /// Also has the cancel rows of identifiers without a workflow.
   const Items& items() const { return this->items_by_id; }
 
   const OwnerHeartbeat& heartbeat() const { return this->newest_heartbeat; }
@@ -75,6 +85,7 @@
 
 private:
   void remove(const platform::StoredRow& row);
+  static void apply_cancel(WorkItem& item, const platform::StoredRow& row);
   void apply_heartbeat(const platform::StoredRow& row);
   void mark_unreadable(const platform::StoredRow& row);
   void drop_missing(const platform::RowPage& page);
