Send no submission after its caller's deadline

What callers could see: a job that starts although its cancelling was acknowledged, if its submission had been on its way for longer than the row of the cancelling is kept.

Cause: a submission without an answer is tried again until the caller's deadline, up to 600 s, and a process that was paused between two tries sent the next one whatever the time.

Test: entry.caller_api_test, submission_is_sent_after_its_deadline, failed before (the write was applied after the deadline).

--- a/entry/caller_api.cpp
+++ b/entry/caller_api.cpp
@@ -31,8 +31,11 @@
 /// is the deadline divided by this, up to a maximum.
 constexpr std::int64_t RESPONSE_MARGIN_DIVISOR = 6;
 constexpr std::int64_t MAX_RESPONSE_MARGIN_MS = 300;
-/// With less remaining time, a change is not sent for the first time.
+/// With less remaining time, a change is not sent.
 constexpr std::int64_t MIN_TRY_MS = 50;
+/// Longest time for which a call is tried. A submission must not be on its way
+/// for as long as the row of its cancelling is kept.
+constexpr std::int64_t MAX_CALL_MS = 30'000;
 
 bool
 same_submission(const core::Workflow& left, const core::Workflow& right)
@@ -270,7 +273,8 @@
 std::int64_t
 CallerApi::remaining_ms(const CallPointer& call)
 {
-  std::int64_t deadline = call->request.deadline.count();
+  std::int64_t deadline =
+    std::min<std::int64_t>(call->request.deadline.count(), MAX_CALL_MS);
   std::int64_t margin =
     std::min(MAX_RESPONSE_MARGIN_MS, deadline / RESPONSE_MARGIN_DIVISOR);
   return call->received_ms + deadline - margin - kernel::boot_ms();
@@ -289,10 +293,14 @@
 void
 CallerApi::try_submit(const CallPointer& call)
 {
+  // The process may have been paused since the try before.
+  bool expired = remaining_ms(call) < MIN_TRY_MS;
+  if (expired && call->ambiguous) {
+    this->respond(call, CallerResult::Ambiguous);
+    return;
+  }
   // A change sent now could be applied after the caller got a refusal.
-  bool response_unlikely =
-    this->store.unresponsive() || remaining_ms(call) < MIN_TRY_MS;
-  if (response_unlikely && !call->ambiguous) {
+  if (expired || (this->store.unresponsive() && !call->ambiguous)) {
     this->forward(call, CallerResult::NotApplied);
     return;
   }
--- a/tests/entry/caller_api_test.cpp
+++ b/tests/entry/caller_api_test.cpp
@@ -2,6 +2,7 @@
 #include "entry/caller_api.h"
 
 #include "entry/work_rows.h"
+#include "kernel/clock.h"
 #include "tests/gateway/loop_fixture.h"
 #include "tests/platform/row_store_standin.h"
 
@@ -269,3 +270,24 @@
   BOOST_TEST((submit(first) == CallerResult::Accepted));
   BOOST_TEST(would_run());
 }
+
+// Guards against a submission that is sent long after its caller has
+// left, by a process that was paused.
+BOOST_FIXTURE_TEST_CASE(submission_is_sent_after_its_deadline, Fixture)
+{
+  constexpr std::int64_t PAUSE_MS = 2 * DEADLINE.count();
+  standin.delayed_writes = 1;
+  std::optional<CallerResult> result;
+  first.api.handle(request(CallerOperation::Submit),
+                   [&result](const platform::CallerResponse& response) {
+                     result = response.result;
+                   });
+  run_until([this] { return standin.delayed_writes == 0; });
+  // The process is paused; it wakes after the caller's deadline.
+  std::int64_t wake_ms = kernel::boot_ms() + PAUSE_MS;
+  while (kernel::boot_ms() < wake_ms) {
+  }
+  run_until([&result] { return result.has_value(); });
+  BOOST_TEST((*result == CallerResult::Ambiguous));
+  BOOST_TEST(standin.commits == 0);
+}
