Use each response of the advice service, and ask only for what is needed

Cause: a ticket counted as valid from the sending of its request, less 500 ms, so that a response that took longer brought nothing; and each request named up to 30 servers, for one task too. The response on the 25 servers allowed took 2.75 s of 3.0 s of validity. Nothing made the next request differ from the one before.

Evidence, on: advice_given asked=25 good=25 took_ms=2751, 14 times in 40 s, with no step_placed (so no start was rejected) and no advice_failed.

Change: a request names the servers that the step needs among those known to be allowed, and others only if these may not suffice. For tasks that can start one by one it takes at most half of the time for which its tickets are used. A ticket is used for 1 s after its response in any case: whether validity counts from the request or the response is not specified. A start rejected for its ticket ends that ticket (end kind no_ticket). Preemption and reservations consider all servers allowed. Steps whose responses have no effect pause, and are logged (advice_unused, advice_denied).

Why it works: each response names a server not known before, of which there are finitely many, or brings the tickets of the very servers on which the step fits.

--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -86,6 +86,7 @@
     v1::RunOrder order;
     bool call_in_flight = false; ///< A start or stop request.
     bool start_sent = false;
+    bool ticket_rejected = false; ///< By the server, at the last start.
     /// Boot time of the first start request, 0 if this process sent none.
     std::int64_t first_start_ms = 0;
     std::int64_t phase_started_ms = 0;
--- a/agent/server_report.cpp
+++ b/agent/server_report.cpp
@@ -99,7 +99,10 @@
     v1::EndReport& end = *report.add_ended();
     end.set_task(item.first.first);
     end.set_attempt(item.first.second);
-    end.set_kind(static_cast<std::uint32_t>(core::RunEndKind::NeverStarted));
+    core::RunEndKind kind = item.second.ticket_rejected
+                              ? core::RunEndKind::TicketRejected
+                              : core::RunEndKind::NeverStarted;
+    end.set_kind(static_cast<std::uint32_t>(kind));
   }
   return report;
 }
--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -308,6 +308,7 @@
                     { "term", this->term },
                     { "orders", this->orders.sequence() } });
   run.next_call_ms = kernel::boot_ms() + CALL_RETRY_MS;
+  run.ticket_rejected = result == platform::StartResult::NoTicket;
   switch (result) {
     case platform::StartResult::Started:
       set_phase(run, RunPhase::Started);
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -13,10 +13,6 @@
 constexpr std::int64_t MAX_RACK_WAIT_MS = 4'000;
 /// Longest time that a step within a guarantee waits for a single rack.
 constexpr std::int64_t MAX_RECLAIM_RACK_WAIT_MS = 1'000;
-/// Most servers in one request to the advice service.
-constexpr std::size_t MAX_ADVICE_REQUEST_SERVERS = 30;
-/// Added to the response time according to the advice service's settings.
-constexpr std::int64_t ADVICE_TIMEOUT_MARGIN_MS = 1'000;
 
 /// Whether the workflow `left` is more urgent than `right`.
 bool
@@ -181,61 +177,47 @@
                               reservation.servers.end());
   }
   std::vector<std::string> servers = assign(this->pool, request);
-  if (servers.empty() && !request.avoided.empty()) {
+  if (servers.empty() && this->must_use_avoided(waiting)) {
     request.avoided.clear();
     servers = assign(this->pool, request);
   }
-  bool incomplete = servers.size() < request.tasks;
-  if (incomplete && waiting.round_workflow.advice)
-    this->request_advice(waiting);
-  if (incomplete && !this->must_isolate(waiting) && !this->preempt(waiting))
-    this->reserve_for_gang(waiting);
+  if (servers.size() < request.tasks)
+    this->wait_for_servers(waiting);
   if (!servers.empty())
     this->commit(waiting, servers);
 }
 
-/// Requests tickets, first for the servers that would be chosen without the
-/// advice service, then for eligible servers with the most free accelerators.
+/// Whether there is no choice but the servers that the step should avoid.
+bool
+SchedulingRound::must_use_avoided(const WaitingStep& waiting) const
+{
+  if (waiting.request.avoided.empty())
+    return false;
+  return !waiting.round_workflow.advice ||
+         this->servers_with_room(waiting).empty();
+}
+
+/// Prepares a later placement of the tasks that found no server: stops other
+/// runs, reserves servers, or requests tickets.
 void
-SchedulingRound::request_advice(const WaitingStep& waiting)
+SchedulingRound::wait_for_servers(WaitingStep& waiting)
 {
-  AssignRequest request = waiting.request;
-  request.allowed.reset();
-  AdviceRequest advice_request;
-  advice_request.step = waiting.key;
-  std::function<void(const std::string&)> add_server =
-    [this, &advice_request, &waiting](const std::string& id) {
-      std::vector<ServerInstance>& requested = advice_request.servers;
-      const PoolServer& server = this->pool.servers.at(id);
-      bool listed =
-        std::find(requested.begin(), requested.end(), server.instance) !=
-        requested.end();
-      if (requested.size() < MAX_ADVICE_REQUEST_SERVERS && !listed &&
-          this->history.advice.should_request(
-            waiting.key, server, this->now_ms))
-        requested.push_back(server.instance);
-    };
-  for (const std::string& server : assign(this->pool, request))
-    add_server(server);
-  std::vector<std::pair<std::int64_t, std::string>> others;
-  for (const std::pair<const std::string, PoolServer>& item :
-       this->pool.servers) {
-    if (eligible(item.second, request))
-      others.emplace_back(-this->pool.free.at(item.first).accelerators,
-                          item.first);
+  bool advised = waiting.round_workflow.advice.has_value();
+  if (advised)
+    waiting.request.allowed =
+      this->history.advice.allowed_servers(waiting.key, this->pool);
+  std::vector<std::string> planned;
+  if (advised)
+    planned = this->servers_with_room(waiting);
+  if (!this->must_isolate(waiting)) {
+    std::vector<std::string> freed = this->preempt(waiting);
+    if (freed.empty())
+      this->reserve_for_gang(waiting);
+    else
+      planned = std::move(freed);
   }
-  std::sort(others.begin(), others.end());
-  for (const std::pair<std::int64_t, std::string>& other : others)
-    add_server(other.second);
-  if (advice_request.servers.empty())
-    return;
-  const AdviceSettings& settings = *waiting.round_workflow.advice;
-  advice_request.timeout_ms =
-    settings.base_timeout_ms +
-    settings.timeout_per_server_ms *
-      static_cast<std::int64_t>(advice_request.servers.size()) +
-    ADVICE_TIMEOUT_MARGIN_MS;
-  this->result.advice_requests.push_back(std::move(advice_request));
+  if (advised)
+    this->request_advice(waiting, planned);
 }
 
 /// Whether the round may place this task of the step.
@@ -286,6 +268,7 @@
   }
   round_workflow.progress.started = true;
   round_workflow.changed = true;
+  this->history.advice.record_placement(key);
   this->history.ready_ms.erase(key);
   this->result.placements.push_back({ key, servers, waiting.waited_ms });
 }
--- a/core/round.h
+++ b/core/round.h
@@ -109,6 +109,8 @@
   std::vector<StepPreemption> preemptions;
   std::vector<StepRestart> restarts;
   std::vector<AdviceRequest> advice_requests; ///< Most urgent first.
+  /// Steps that no server may run by the advice service, not reported before.
+  std::vector<StepKey> denied_steps;
 };
 
 /// Most accelerators that one step of the workflow uses at the same time.
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -62,7 +62,15 @@
                                 const ReadyStep& ready);
   bool limit_tasks(WaitingStep& waiting) const;
   void place(WaitingStep& waiting);
-  void request_advice(const WaitingStep& waiting);
+  bool must_use_avoided(const WaitingStep& waiting) const;
+  void wait_for_servers(WaitingStep& waiting);
+  std::vector<std::string> servers_with_room(const WaitingStep& waiting) const;
+  void request_advice(const WaitingStep& waiting,
+                      const std::vector<std::string>& planned);
+  bool is_denied(const WaitingStep& waiting) const;
+  void add_servers_to_learn(const WaitingStep& waiting,
+                            std::size_t limit,
+                            std::vector<ServerInstance>& requested) const;
   void commit(const WaitingStep& waiting,
               const std::vector<std::string>& servers);
 
@@ -82,7 +90,7 @@
   std::optional<RestartReason> restart_reason(const RunGroup& group) const;
   bool must_leave_server(const RunGroup& group, std::int64_t min_stay_ms) const;
 
-  bool preempt(const WaitingStep& waiting);
+  std::vector<std::string> preempt(const WaitingStep& waiting);
   double allowed_loss(const WaitingStep& waiting) const;
   void find_run_groups();
   void add_run_groups(const RoundWorkflow& round_workflow,
--- a/core/round_stop.cpp
+++ b/core/round_stop.cpp
@@ -243,14 +243,14 @@
   return allowed;
 }
 
-/// Stops less urgent runs for the step and reserves their resources. Returns
-/// whether the step will get resources this way.
-bool
+/// Stops less urgent runs for the step and reserves their resources. Returns a
+/// server for each task; empty if the step gets no resources this way.
+std::vector<std::string>
 SchedulingRound::preempt(const WaitingStep& waiting)
 {
   double allowed = this->allowed_loss(waiting);
   if (!waiting.round_workflow.guaranteed && allowed <= 0)
-    return false;
+    return {};
   PreemptRequest request;
   request.assign_request = waiting.request;
   request.priority = waiting.round_workflow.priority;
@@ -264,7 +264,7 @@
   }
   if (!plan ||
       (!waiting.round_workflow.guaranteed && plan->loss_core_s > allowed))
-    return false;
+    return {};
   for (RunGroup* victim : plan->victims) {
     this->result.preemptions.push_back(
       { waiting.key, victim->step, victim->tasks.size(), victim->loss_core_s });
@@ -273,7 +273,7 @@
   // Reserves the resources against less urgent steps.
   for (const std::string& server : plan->servers)
     this->pool.allocate(server, resources_of_run(this->step_of(waiting)));
-  return true;
+  return plan->servers;
 }
 
 void
--- a/core/workflow.h
+++ b/core/workflow.h
@@ -121,6 +121,7 @@
   GangIncomplete, ///< The other gang members did not start in time.
   NeverStarted,   ///< Never started on the server, and will not start.
   Lost,           ///< The server instance has ended.
+  TicketRejected, ///< Never started: the server rejected its ticket.
 };
 
 inline constexpr NamedValue<RunEndKind> RUN_END_KIND_NAMES[] = {
@@ -132,6 +133,7 @@
   { RunEndKind::GangIncomplete, "alone" },
   { RunEndKind::NeverStarted, "absent" },
   { RunEndKind::Lost, "lost" },
+  { RunEndKind::TicketRejected, "no_ticket" },
 };
 
 /// Identifies one task of a workflow.
--- a/entry/events.h
+++ b/entry/events.h
@@ -311,6 +311,25 @@
   "The advice service named the servers that may run a step.",
   "None."
 };
+inline constexpr kernel::EventInfo ADVICE_UNUSED{
+  641,
+  kernel::Severity::Warning,
+  "advice_unused",
+  "Several responses of the advice service in a row brought nothing new, and "
+  "no "
+  "task of the step has started with their tickets; requests for the step are "
+  "made less often.",
+  "If it persists, compare the time that the service takes with the validity "
+  "of its tickets, and check whether the step fits on the servers allowed."
+};
+inline constexpr kernel::EventInfo ADVICE_DENIED{
+  642,
+  kernel::Severity::Warning,
+  "advice_denied",
+  "The advice service allows none of the servers of the queue's service to run "
+  "the step; it waits for other servers.",
+  "Check the policy of the queue, or cancel the job."
+};
 
 inline constexpr EventInfo ENTRY_EVENTS[] = {
   ENTRY_READY,
@@ -354,6 +373,8 @@
   STEP_RESTARTED,
   ADVICE_FAILED,
   ADVICE_GIVEN,
+  ADVICE_UNUSED,
+  ADVICE_DENIED,
 };
 
 } // namespace geraniumhinge::entry
--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -70,6 +70,7 @@
   this->progress = {};
   this->checkpoints.clear();
   this->broken_members.clear();
+  this->rejected_tickets.clear();
 }
 
 void
@@ -157,6 +158,9 @@
       this->apply_late_success(round_workflow, agent, ref, end);
     return;
   }
+  if (kind == core::RunEndKind::TicketRejected)
+    this->rejected_tickets.push_back(
+      { step_key(round_workflow, ref), *task->run });
   std::string checkpoint = end.checkpoint();
   if (checkpoint.empty())
     checkpoint = this->checkpoint_of(end.task());
@@ -347,6 +351,9 @@
   history.percent.clear();
   history.stalled.clear();
   history.suspects.clear();
+  for (const RejectedTicket& item : this->rejected_tickets)
+    history.advice.record_rejection(item.step, item.run, now_ms);
+  this->rejected_tickets.clear();
   for (const core::RoundWorkflow& round_workflow : workflows) {
     core::for_each_run(
       round_workflow.progress,
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -59,7 +59,8 @@
   /// False while the server is quarantined because of failures.
   bool is_trusted(const std::string& server, std::int64_t now_ms);
 
-  /// Sets the progress, the stalled runs and the suspected servers.
+  /// Sets the progress, the stalled runs, the suspected servers and the
+  /// rejected tickets.
   void update_history(const std::vector<core::RoundWorkflow>& workflows,
                       core::StepHistory& history,
                       std::int64_t now_ms);
@@ -99,6 +100,13 @@
                                       std::int64_t now_ms) const;
   std::string checkpoint_of(const std::string& task) const;
 
+  /// A run whose start was rejected for its ticket.
+  struct RejectedTicket
+  {
+    core::StepKey step;
+    core::Run run;
+  };
+
   const kernel::Log& log;
   kernel::Metrics& metrics;
   ServerTable& servers;
@@ -110,6 +118,8 @@
   /// Members of one attempt of a gang that ended because another one had.
   std::map<std::pair<core::StepKey, std::uint32_t>, std::set<std::uint32_t>>
     broken_members;
+  /// Since the last call of `update_history`.
+  std::vector<RejectedTicket> rejected_tickets;
 };
 
 } // namespace geraniumhinge::entry
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -14,6 +14,8 @@
 /// Occurrences that fall due and agents that become silent cause no event, so
 /// rounds also run at this period.
 constexpr kernel::Milliseconds ROUND_PERIOD{ 200 };
+/// Responses without effect before they are logged.
+constexpr std::size_t MIN_UNUSED_RESPONSES = 2;
 /// A row that is too long may be so in every round.
 constexpr std::int64_t OVERSIZED_LOG_PERIOD_MS = 10'000;
 
@@ -238,6 +240,7 @@
   round.result = core::run_scheduling_round(
     round.workflows, pool, this->history, limits, now);
   this->hooks.request_advice(round.result.advice_requests);
+  this->log_denied_steps(round.result.denied_steps);
   if (this->store_changes(round))
     return;
   // No row changed, so the reported ends count as stored already.
@@ -345,6 +348,31 @@
   }
 }
 
+/// Logs that requests for advice on a step repeat without effect.
+void
+WorkScheduler::log_unused_advice(const core::StepKey& step)
+{
+  std::size_t responses = this->history.advice.unused_responses(step);
+  if (responses < MIN_UNUSED_RESPONSES)
+    return;
+  this->metrics.counter("entry_advice_unused_total").add();
+  this->log.write(ADVICE_UNUSED,
+                  { { "job", step.workflow },
+                    { "occurrence", step.occurrence },
+                    { "step", step.step },
+                    { "responses", responses } });
+}
+
+void
+WorkScheduler::log_denied_steps(const std::vector<core::StepKey>& steps)
+{
+  for (const core::StepKey& step : steps)
+    this->log.write(ADVICE_DENIED,
+                    { { "job", step.workflow },
+                      { "occurrence", step.occurrence },
+                      { "step", step.step } });
+}
+
 void
 WorkScheduler::record_advice(const core::AdviceRequest& advice_request,
                              const std::vector<core::AdviceTicket>& tickets,
@@ -357,8 +385,11 @@
       : nullptr;
   if (this->term == 0 || !queue || !queue->advice)
     return;
-  this->history.advice.record_response(
-    advice_request, tickets, requested_ms, queue->advice->ticket_validity_ms);
+  this->history.advice.record_response(advice_request,
+                                       tickets,
+                                       { requested_ms, kernel::boot_ms() },
+                                       *queue->advice);
+  this->log_unused_advice(advice_request.step);
   this->schedule_decision();
 }
 
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -115,6 +115,8 @@
                        const std::vector<platform::StoredRow>& current);
   bool apply_cancels(const std::vector<platform::StoredRow>& current);
   void log_round(const RoundInput& round);
+  void log_unused_advice(const core::StepKey& step);
+  void log_denied_steps(const std::vector<core::StepKey>& steps);
   /// Marks ends as stored. Returns the nodes whose agents need new orders that
   /// acknowledge these ends.
   std::set<std::string> mark_ends_stored(
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -67,6 +67,20 @@
   BOOST_TEST(server.running.empty());
 }
 
+// Guards against an owner that uses a rejected ticket again, since it is not
+// told why the run never started.
+BOOST_FIXTURE_TEST_CASE(rejected_ticket_is_not_reported, Fixture)
+{
+  server.rejecting_tickets = true;
+  announce();
+  run_until([this] { return listed(); });
+  v1::ServerOrders ordered = orders();
+  add(ordered.mutable_runs(), TASK, 1);
+  send_orders_until(
+    ordered, [this] { return reports(core::RunEndKind::TicketRejected); });
+  BOOST_TEST(server.starts.empty());
+}
+
 // Guards against runs that are stopped or lost when their agent restarts.
 BOOST_FIXTURE_TEST_CASE(restarted_agent_adopts_running_runs, Fixture)
 {
--- a/tests/core/round_test.cpp
+++ b/tests/core/round_test.cpp
@@ -457,8 +457,10 @@
   BOOST_TEST(running(workflows.entries[0]) == 0U);
   BOOST_REQUIRE(result.advice_requests.size() == 1U);
   BOOST_TEST(result.advice_requests.front().servers.size() == 3U);
-  history.advice.record_response(
-    result.advice_requests.front(), { { "s1", "ticket-1" } }, NOW_MS, 5'000);
+  history.advice.record_response(result.advice_requests.front(),
+                                 { { "s1", "ticket-1" } },
+                                 { NOW_MS, NOW_MS },
+                                 *round_workflow.advice);
   Pool second = pool;
   result = run_round(workflows, second, history, {});
   BOOST_TEST(running(workflows.entries[0]) == 1U);
@@ -479,15 +481,19 @@
     step, { pool.servers["s0"].instance, pool.servers["s1"].instance }, 0
   };
   AdviceCache cache;
-  cache.record_response(advice_request, { { "s0", "ticket" } }, NOW_MS, 5'000);
+  cache.record_response(advice_request,
+                        { { "s0", "ticket" } },
+                        { NOW_MS, NOW_MS },
+                        AdviceSettings{ 0, 0, 5'000 });
   BOOST_TEST(cache.tickets(step, pool, NOW_MS + 4'000).size() == 1U);
   BOOST_TEST(cache.tickets(step, pool, NOW_MS + 4'600).empty());
-  BOOST_TEST(cache.should_request(step, pool.servers["s0"], NOW_MS + 4'600));
-  BOOST_TEST(!cache.should_request(step, pool.servers["s1"], NOW_MS + 4'600));
+  BOOST_TEST(cache.is_known(step, pool.servers["s1"]));
+  BOOST_TEST(cache.possible_servers(step, pool) ==
+             std::set<std::string>{ "s0" });
   pool.servers["s0"].instance.started_ms = 2;
   pool.servers["s1"].instance.started_ms = 2;
   BOOST_TEST(cache.tickets(step, pool, NOW_MS).empty());
-  BOOST_TEST(cache.should_request(step, pool.servers["s1"], NOW_MS));
+  BOOST_TEST(!cache.is_known(step, pool.servers["s1"]));
 }
 
 // The server restarts while the request is under way.
@@ -498,9 +504,12 @@
   AdviceRequest advice_request{ step, { pool.servers["s0"].instance }, 0 };
   pool.servers["s0"].instance.started_ms = 2;
   AdviceCache cache;
-  cache.record_response(advice_request, { { "s0", "ticket" } }, NOW_MS, 5'000);
+  cache.record_response(advice_request,
+                        { { "s0", "ticket" } },
+                        { NOW_MS, NOW_MS },
+                        AdviceSettings{ 0, 0, 5'000 });
   BOOST_TEST(cache.tickets(step, pool, NOW_MS).empty());
-  BOOST_TEST(cache.should_request(step, pool.servers["s0"], NOW_MS));
+  BOOST_TEST(!cache.is_known(step, pool.servers["s0"]));
 }
 
 // Guards against a slack that ignores the steps that depend on the step.
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -147,6 +147,29 @@
   BOOST_TEST(runs() == 0U);
 }
 
+// Guards against a task that is started with a rejected ticket again and again,
+// until the ticket counts as expired.
+BOOST_FIXTURE_TEST_CASE(rejected_ticket_is_used_again, Fixture)
+{
+  core::StepKey step{ JOB, 0, 0 };
+  core::Pool pool;
+  pool.servers[instance(0).id].instance = instance(0);
+  core::StepHistory history;
+  history.advice.record_response({ step, { instance(0) }, 0 },
+                                 { { instance(0).id, "ticket" } },
+                                 { NOW_MS, NOW_MS },
+                                 core::AdviceSettings{ 0, 0, 60'000 });
+  core::TaskState& task = workflows[0].progress.open_occurrences.at(0)[0][0];
+  task.run->ticket = "ticket";
+  BOOST_TEST(history.advice.tickets(step, pool, NOW_MS).size() == 1U);
+  report(0, NOW_MS, core::RunEndKind::TicketRejected);
+  apply(NOW_MS);
+  BOOST_TEST(!task.run.has_value());
+  tracker.update_history(workflows, history, NOW_MS);
+  BOOST_TEST(history.advice.tickets(step, pool, NOW_MS).empty());
+  BOOST_TEST(history.advice.allowed_servers(step, pool).size() == 1U);
+}
+
 // Guards against treating a member as ended that may still run: the gang was
 // broken for another reason, or the ends of two members are unknown.
 BOOST_FIXTURE_TEST_CASE(other_members_may_run_on, Fixture)
--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -192,9 +192,10 @@
   /// Number of starts to delay until `carry_out_delayed_starts`.
   int delayed_starts = 0;
   std::vector<gateway::HttpRequest> delayed; ///< The delayed starts.
-  bool ignoring_stops = false; ///< Stops are dropped without a response.
-  bool malformed_rows = false; ///< Lists of tasks can't be read row by row.
-  int accelerators = 8;        ///< Capacity in the announcement.
+  bool rejecting_tickets = false; ///< Starts are refused for their ticket.
+  bool ignoring_stops = false;    ///< Stops are dropped without a response.
+  bool malformed_rows = false;    ///< Lists of tasks can't be read row by row.
+  int accelerators = 8;           ///< Capacity in the announcement.
   std::string rack = "r1-1";
   std::int64_t min_stay_ms = 0;        ///< `remaining_ms` of the announcement.
   std::map<std::string, double> loads; ///< Load in the list of running tasks.
@@ -319,7 +320,9 @@
     this->expire();
     if (body.contains("deadline_ms"))
       this->extend_lease(body["deadline_ms"].get<std::int64_t>());
-    if (path == START_PATH)
+    if (path == START_PATH && this->rejecting_tickets)
+      this->refuse(respond, "ticket");
+    else if (path == START_PATH)
       this->start(body, respond);
     else if (path == STOP_PATH)
       this->stop(body, respond);
