Wait longer for an advice service after a timeout

What callers could see: jobs of a queue with advice that never start while the service takes longer than its settings say, by more than a second.

Cause: the service processes the calls of a machine one after the other, those too whose caller has left. After a timeout the next request waited behind the one before, and timed out as well.

Change: each timeout in a row doubles the next one, up to 16 times.

Test: entry.advice_requester_test, slow_service_is_never_waited_for, failed before (no response within 20 s).

--- a/entry/advice_requester.cpp
+++ b/entry/advice_requester.cpp
@@ -3,11 +3,15 @@
 #include "entry/events.h"
 #include "kernel/clock.h"
 
+#include <algorithm>
+
 namespace geraniumhinge::entry {
 
 namespace {
 
 constexpr kernel::Milliseconds RETRY_PAUSE{ 250 };
+/// The timeout is doubled up to this often while requests time out.
+constexpr std::size_t MAX_DOUBLINGS = 4;
 
 } // namespace
 
@@ -41,6 +45,9 @@
       !this->client.available())
     return;
   core::AdviceRequest advice_request = this->waiting.front();
+  // The service may still process a request that has timed out, and begins the
+  // next one only then.
+  advice_request.timeout_ms <<= std::min(this->timeouts, MAX_DOUBLINGS);
   // The scheduling round after the response sets new requests.
   this->waiting.clear();
   this->request_in_flight = true;
@@ -69,6 +76,8 @@
         { "step", advice_request.step.step },
         { "error", name_of(platform::ADVICE_ERROR_NAMES, result.error()) },
         { "took_ms", elapsed_ms } });
+    if (result.error() == platform::AdviceError::NoAnswer)
+      ++this->timeouts;
     this->retry_timer = this->timers.after(RETRY_PAUSE, [this] {
       this->request_in_flight = false;
       this->send_next();
@@ -76,6 +85,7 @@
     return;
   }
   this->request_in_flight = false;
+  this->timeouts = 0;
   this->log.write(ADVICE_GIVEN,
                   { { "job", advice_request.step.workflow },
                     { "step", advice_request.step.step },
--- a/entry/advice_requester.h
+++ b/entry/advice_requester.h
@@ -46,6 +46,7 @@
   ResponseHook on_response;
   std::vector<core::AdviceRequest> waiting;
   bool request_in_flight = false;
+  std::size_t timeouts = 0; ///< Requests in a row without a response.
   kernel::Subscription retry_timer;
 };
 
