Store the advice settings of a queue with its jobs

Cause: service, priority and attempts of a queue are stored with a job, for the case that the queue is removed, and its advice settings were not. The owner took the step for one that needs no ticket.

Change: WorkflowRow has the settings. They hold while the queue is not configured.

--- a/core/workflow.h
+++ b/core/workflow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/operator_config.h"
 #include "core/resources.h"
 #include "kernel/names.h"
 
@@ -49,6 +50,8 @@
   std::string service;
   std::uint32_t priority = 0;
   std::uint32_t max_failures = 1;
+  /// Of the queue at submission; set if the steps need tickets.
+  std::optional<AdviceSettings> advice{};
   std::string payload; ///< Passed to every task without being interpreted.
   std::vector<Step> steps;
   /// Number of scheduled runs of all steps, 0 for a single immediate run.
--- a/entry/caller_api.cpp
+++ b/entry/caller_api.cpp
@@ -46,6 +46,7 @@
   other.service = left.service;
   other.priority = left.priority;
   other.max_failures = left.max_failures;
+  other.advice = left.advice;
   return encode_workflow(left) == encode_workflow(other);
 }
 
@@ -228,6 +229,7 @@
   workflow->service = queue->service;
   workflow->priority = queue->priority;
   workflow->max_failures = std::max(queue->max_failures, 1U);
+  workflow->advice = queue->advice;
   call->workflow = std::move(*workflow);
   if (!this->hooks.can_be_stored(call->workflow)) {
     this->respond(call, CallerResult::TooLarge);
--- a/entry/work_rows.cpp
+++ b/entry/work_rows.cpp
@@ -70,6 +70,22 @@
   return step;
 }
 
+void
+encode_advice(const core::AdviceSettings& advice, v1::AdviceSettingsRow& row)
+{
+  row.set_base_timeout_ms(advice.base_timeout_ms);
+  row.set_timeout_per_server_ms(advice.timeout_per_server_ms);
+  row.set_ticket_validity_ms(advice.ticket_validity_ms);
+}
+
+core::AdviceSettings
+decode_advice(const v1::AdviceSettingsRow& row)
+{
+  return { row.base_timeout_ms(),
+           row.timeout_per_server_ms(),
+           row.ticket_validity_ms() };
+}
+
 void
 encode_task(const core::TaskState& task, v1::TaskRow& row)
 {
@@ -167,6 +183,8 @@
   row.set_service(workflow.service);
   row.set_priority(workflow.priority);
   row.set_attempts(workflow.max_failures);
+  if (workflow.advice)
+    encode_advice(*workflow.advice, *row.mutable_advice());
   return row.SerializeAsString();
 }
 
@@ -190,6 +208,8 @@
   workflow.service = row.service();
   workflow.priority = row.priority();
   workflow.max_failures = row.attempts();
+  if (row.has_advice())
+    workflow.advice = decode_advice(row.advice());
   // Another writer may have left the row.
   if (!platform::is_valid(workflow))
     return std::nullopt;
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -133,6 +133,17 @@
   return std::max(queue ? queue->max_failures : workflow.max_failures, 1U);
 }
 
+/// The advice settings of the workflow's queue, or those at its submission if
+/// the queue was removed since. Its servers still reject starts without a
+/// ticket.
+std::optional<core::AdviceSettings>
+WorkScheduler::advice_of(const core::Workflow& workflow) const
+{
+  const core::Queue* queue =
+    core::find_queue(this->hooks.operator_config(), workflow.queue);
+  return queue ? queue->advice : workflow.advice;
+}
+
 WorkScheduler::RoundInput
 WorkScheduler::prepare_round(std::int64_t now_ms)
 {
@@ -153,11 +164,10 @@
     round_workflow.service = queue ? queue->service : item.workflow->service;
     round_workflow.priority = queue ? queue->priority : item.workflow->priority;
     round_workflow.max_failures = this->max_failures_of(*item.workflow);
-    if (queue) {
+    round_workflow.advice = this->advice_of(*item.workflow);
+    if (queue)
       round_workflow.objective = { queue->objective_factor,
                                    queue->objective_ms };
-      round_workflow.advice = queue->advice;
-    }
     round_workflow.peak_accelerators =
       core::peak_accelerators_of(*item.workflow);
     round_workflow.max_runs =
@@ -379,16 +389,12 @@
                              std::int64_t requested_ms)
 {
   const WorkItem* item = this->view.find(advice_request.step.workflow);
-  const core::Queue* queue =
-    item
-      ? core::find_queue(this->hooks.operator_config(), item->workflow->queue)
-      : nullptr;
-  if (this->term == 0 || !queue || !queue->advice)
+  std::optional<core::AdviceSettings> advice =
+    item ? this->advice_of(*item->workflow) : std::nullopt;
+  if (this->term == 0 || !advice)
     return;
-  this->history.advice.record_response(advice_request,
-                                       tickets,
-                                       { requested_ms, kernel::boot_ms() },
-                                       *queue->advice);
+  this->history.advice.record_response(
+    advice_request, tickets, { requested_ms, kernel::boot_ms() }, *advice);
   this->log_unused_advice(advice_request.step);
   this->schedule_decision();
 }
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -124,6 +124,8 @@
   /// Runs that are stored as running and have ended in the changes of a round.
   std::set<RunName> ended_runs(const RoundInput& round) const;
   std::uint32_t max_failures_of(const core::Workflow& workflow) const;
+  std::optional<core::AdviceSettings> advice_of(
+    const core::Workflow& workflow) const;
 
   kernel::TimerService& timers;
   const kernel::Log& log;
--- a/tests/entry/work_scheduler_test.cpp
+++ b/tests/entry/work_scheduler_test.cpp
@@ -35,6 +35,7 @@
   bool work_is_current = true;
   bool acknowledged_early = false; ///< Not all ends were stored before.
   v1::ServerOrders sent;           ///< The last orders.
+  std::vector<core::AdviceRequest> advice_requests; ///< Of the last round.
   entry::WorkScheduler scheduler{ loop, timers,  log,      metrics, store,
                                   view, servers, limits(), hooks() };
   v1::Envelope envelope;
@@ -60,9 +61,12 @@
     run_until([this] { return view.find(JOB)->progress_version != 0; });
   }
 
-  void add_job(const std::string& id, std::uint32_t tasks = 1)
+  void add_job(const std::string& id,
+               std::uint32_t tasks = 1,
+               const std::optional<core::AdviceSettings>& advice = {})
   {
     core::Workflow workflow;
+    workflow.advice = advice;
     workflow.id = id;
     workflow.service = "planner";
     workflow.steps = { core::Step{} };
@@ -112,7 +116,10 @@
     };
     hooks.term_superseded = [this] { superseded = true; };
     hooks.reload_rows = [this] { reload_rows(); };
-    hooks.request_advice = [](const std::vector<core::AdviceRequest>&) {};
+    hooks.request_advice =
+      [this](const std::vector<core::AdviceRequest>& requests) {
+        advice_requests = requests;
+      };
     return hooks;
   }
 
@@ -311,6 +318,26 @@
   report_until([this] { return sent.stored_ends() == 2U; });
 }
 
+// Guards against starts without a ticket, which servers reject, after the queue
+// of an accepted job was removed.
+BOOST_FIXTURE_TEST_CASE(job_of_a_removed_queue_runs_without_a_ticket, Fixture)
+{
+  constexpr char ADVISED_JOB[] = "5c0e7a21d94b36f9";
+  report_until([this] { return sent.runs_size() == 1; });
+  add_job(ADVISED_JOB, 1, core::AdviceSettings{ 20, 2, 20'000 });
+  report_until(
+    [this] { return !advice_requests.empty() || sent.runs_size() == 2; });
+  BOOST_TEST(sent.runs_size() == 1);
+  BOOST_REQUIRE(!advice_requests.empty());
+  scheduler.record_advice(
+    advice_requests.front(), { { "i-1", "ticket" } }, kernel::boot_ms());
+  report_until([this] { return sent.runs_size() == 2; });
+  const v1::RunOrder& first = sent.runs(0);
+  const v1::RunOrder& advised =
+    first.task().starts_with(ADVISED_JOB) ? first : sent.runs(1);
+  BOOST_TEST(advised.ticket() == "ticket");
+}
+
 // Guards against orders of two owners at once.
 BOOST_FIXTURE_TEST_CASE(superseded_owner_places_work, Fixture)
 {
