Count a failure that is reported after its run had counted as lost

Cause: the owner took a gang member on a silent server for ended, and the next attempt ran. The failure that the server listed was reported later, for a run that was no longer the present one: it was acknowledged and not counted.

Change: the row of a job keeps the attempts that counted as lost, at most four for each task. A failure reported for one of them counts once, also after a takeover.

--- a/core/workflow.cpp
+++ b/core/workflow.cpp
@@ -114,15 +114,47 @@
     task.run->stopping = true;
 }
 
+/// Counts the failure of an attempt once.
 void
 count_failure(TaskState& task, std::uint32_t attempt)
 {
+  std::erase(task.lost_attempts, attempt);
   if (attempt <= task.failed_attempt)
     return;
   task.failed_attempt = attempt;
   ++task.failures;
 }
 
+/// Keeps an attempt that counts as lost. Other members of a gang may have lost
+/// the same one, or it may have failed already.
+void
+add_lost_attempt(TaskState& task, std::uint32_t attempt)
+{
+  std::vector<std::uint32_t>& lost = task.lost_attempts;
+  if (task.done || attempt == task.failed_attempt ||
+      std::find(lost.begin(), lost.end(), attempt) != lost.end())
+    return;
+  if (lost.size() == MAX_LOST_ATTEMPTS)
+    lost.erase(lost.begin());
+  lost.push_back(attempt);
+}
+
+bool
+has_failed(const Step& step,
+           const TaskState& primary,
+           std::uint32_t max_failures)
+{
+  return !step.runs_until_cancelled && primary.failures >= max_failures &&
+         !primary.done;
+}
+
+void
+fail(Progress& progress)
+{
+  progress.outcome = Outcome::Failed;
+  stop_all_runs(progress);
+}
+
 std::optional<std::uint32_t>
 parse_number(std::string_view text)
 {
@@ -249,21 +281,39 @@
     mark_done(step, members, *state);
   if (kind == RunEndKind::Failed)
     count_failure(primary, attempt);
+  if (kind == RunEndKind::Lost && !step.runs_until_cancelled)
+    add_lost_attempt(primary, attempt);
   if (step.gang)
     mark_stopping(members);
   if (progress.outcome == Outcome::Open) {
-    if (!step.runs_until_cancelled && primary.failures >= max_failures &&
-        !primary.done) {
-      progress.outcome = Outcome::Failed;
-      stop_all_runs(progress);
-    } else if (all_done(workflow, progress)) {
+    if (has_failed(step, primary, max_failures))
+      fail(progress);
+    else if (all_done(workflow, progress))
       progress.outcome = Outcome::Completed;
-    }
   }
   remove_finished(progress);
   return true;
 }
 
+bool
+apply_late_failure(const Workflow& workflow,
+                   Progress& progress,
+                   const TaskRef& task,
+                   std::uint32_t attempt,
+                   std::uint32_t max_failures)
+{
+  if (!find_task(progress, task) || progress.outcome != Outcome::Open)
+    return false;
+  const Step& step = workflow.steps[task.step];
+  TaskState& primary = primary_task(workflow, progress, task);
+  if (primary.done || std::erase(primary.lost_attempts, attempt) == 0)
+    return false;
+  ++primary.failures;
+  if (has_failed(step, primary, max_failures))
+    fail(progress);
+  return true;
+}
+
 bool
 apply_late_success(const Workflow& workflow,
                    Progress& progress,
--- a/core/workflow.h
+++ b/core/workflow.h
@@ -86,6 +86,9 @@
   /// Failed attempts. A gang counts them in its first task.
   std::uint32_t failures = 0;
   std::uint32_t failed_attempt = 0; ///< Last attempt counted as a failure.
+  /// Attempts that counted as lost and may still be reported as failed, at most
+  /// `MAX_LOST_ATTEMPTS`. A gang keeps them in its first task.
+  std::vector<std::uint32_t> lost_attempts;
   /// Crashes of backend servers that count against the task (core/crash.h). A
   /// gang counts them in its first task.
   std::uint32_t crashes = 0;
@@ -98,6 +101,9 @@
   std::optional<Run> run;
 };
 
+/// More attempts of a task are not kept; the oldest ones are dropped.
+inline constexpr std::size_t MAX_LOST_ATTEMPTS = 4;
+
 enum class Outcome
 {
   Open,
@@ -224,6 +230,15 @@
                    const TaskRef& task,
                    std::uint32_t attempt);
 
+/// Records that an attempt ended as failed after it had counted as lost. Each
+/// attempt counts once. Returns whether anything changed.
+bool
+apply_late_failure(const Workflow& workflow,
+                   Progress& progress,
+                   const TaskRef& task,
+                   std::uint32_t attempt,
+                   std::uint32_t max_failures);
+
 /// Marks every run of the workflow as stopping. Returns whether a run was not
 /// stopping before.
 bool
--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -156,6 +156,8 @@
   if (!current) {
     if (kind == core::RunEndKind::Done)
       this->apply_late_success(round_workflow, agent, ref, end);
+    else if (kind == core::RunEndKind::Failed)
+      this->apply_late_failure(round_workflow, agent, ref, end);
     return;
   }
   if (kind == core::RunEndKind::TicketRejected)
@@ -174,13 +176,7 @@
   round_workflow.changed = true;
   this->record_gang_end(round_workflow, ref, end.attempt(), kind);
   this->count_run_end(kind);
-  this->log.write(RUN_ENDED,
-                  { { "task", end.task() },
-                    { "attempt", end.attempt() },
-                    { "server", agent.report.life().id() },
-                    { "kind", name_of(core::RUN_END_KIND_NAMES, kind) },
-                    { "number", end.number() },
-                    { "report", agent.report.sequence() } });
+  this->log_run_end(agent, end);
   core::NameId server = this->names.intern(agent.report.life().id());
   if (kind == core::RunEndKind::Failed) {
     this->failures.record_failure(
@@ -216,6 +212,36 @@
                     { "report", agent.report.sequence() } });
 }
 
+/// Counts the failure of a run that had counted as lost.
+void
+RunTracker::apply_late_failure(core::RoundWorkflow& round_workflow,
+                               const AgentView& agent,
+                               const core::TaskRef& task,
+                               const v1::EndReport& end)
+{
+  if (!core::apply_late_failure(*round_workflow.definition,
+                                round_workflow.progress,
+                                task,
+                                end.attempt(),
+                                round_workflow.max_failures))
+    return;
+  round_workflow.changed = true;
+  this->log_run_end(agent, end);
+}
+
+void
+RunTracker::log_run_end(const AgentView& agent, const v1::EndReport& end)
+{
+  this->log.write(
+    RUN_ENDED,
+    { { "task", end.task() },
+      { "attempt", end.attempt() },
+      { "server", agent.report.life().id() },
+      { "kind", name_of(core::RUN_END_KIND_NAMES, end_kind(end.kind())) },
+      { "number", end.number() },
+      { "report", agent.report.sequence() } });
+}
+
 void
 RunTracker::count_run_end(core::RunEndKind kind)
 {
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -82,6 +82,11 @@
                           const AgentView& agent,
                           const core::TaskRef& task,
                           const v1::EndReport& end);
+  void apply_late_failure(core::RoundWorkflow& round_workflow,
+                          const AgentView& agent,
+                          const core::TaskRef& task,
+                          const v1::EndReport& end);
+  void log_run_end(const AgentView& agent, const v1::EndReport& end);
   void count_run_end(core::RunEndKind kind);
   void record_gang_end(const core::RoundWorkflow& round_workflow,
                        const core::TaskRef& task,
--- a/entry/work_rows.cpp
+++ b/entry/work_rows.cpp
@@ -92,6 +92,8 @@
   row.set_last_attempt(task.last_attempt);
   row.set_failures(task.failures);
   row.set_failed_attempt(task.failed_attempt);
+  for (std::uint32_t attempt : task.lost_attempts)
+    row.add_lost_attempts(attempt);
   row.set_crashes(task.crashes);
   row.set_early_crashes(task.early_crashes);
   row.set_crashed_attempt(task.crashed_attempt);
@@ -114,6 +116,13 @@
   task.last_attempt = row.last_attempt();
   task.failures = row.failures();
   task.failed_attempt = row.failed_attempt();
+  // Another writer may have left the row.
+  std::size_t lost =
+    std::min<std::size_t>(static_cast<std::size_t>(row.lost_attempts_size()),
+                          core::MAX_LOST_ATTEMPTS);
+  task.lost_attempts.assign(row.lost_attempts().begin(),
+                            row.lost_attempts().begin() +
+                              static_cast<std::ptrdiff_t>(lost));
   task.crashes = row.crashes();
   task.early_crashes = row.early_crashes();
   task.crashed_attempt = row.crashed_attempt();
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -123,6 +123,7 @@
   {
     workflow.steps.front().gang = false;
     task().last_attempt = 2;
+    task().lost_attempts = { 1 };
     task().run = core::Run{ 2, instance(1), node(1), false, "" };
   }
 
@@ -170,6 +171,71 @@
   BOOST_TEST(history.advice.allowed_servers(step, pool).size() == 1U);
 }
 
+// Guards against a task that is started more often than it may fail: the run
+// had counted as lost, and its agent reports the failure later.
+BOOST_FIXTURE_TEST_CASE(late_failure_is_not_counted, SingleTask)
+{
+  workflows[0].max_failures = 4;
+  report(0, NOW_MS, core::RunEndKind::Failed);
+  for (int round = 0; round < 3; ++round) {
+    workflows[0].changed = false;
+    tracker.apply_ends(workflows, NOW_MS);
+    BOOST_TEST(task().failures == 1U);
+    BOOST_TEST(task().run.has_value());
+    BOOST_TEST(workflows[0].changed == (round == 0));
+  }
+}
+
+// The same if the attempt after it has failed meanwhile.
+BOOST_FIXTURE_TEST_CASE(late_failure_behind_a_later_one_is_not_counted,
+                        SingleTask)
+{
+  workflows[0].max_failures = 4;
+  core::apply_run_end(workflow,
+                      workflows[0].progress,
+                      { 0, 0, 0 },
+                      2,
+                      core::RunEndKind::Failed,
+                      "",
+                      4);
+  report(0, NOW_MS, core::RunEndKind::Failed);
+  for (int round = 0; round < 2; ++round) {
+    tracker.apply_ends(workflows, NOW_MS);
+    BOOST_TEST(task().failures == 2U);
+    // The next owner reads the row.
+    std::optional<core::Progress> stored =
+      entry::decode_progress(entry::encode_progress(workflows[0].progress));
+    workflows[0].progress = stored.value();
+  }
+}
+
+// The same for the last failure that the task may have.
+BOOST_FIXTURE_TEST_CASE(last_failure_is_late_and_the_task_goes_on, SingleTask)
+{
+  workflows[0].max_failures = 1;
+  report(0, NOW_MS, core::RunEndKind::Failed);
+  tracker.apply_ends(workflows, NOW_MS);
+  BOOST_TEST((workflows[0].progress.outcome == core::Outcome::Failed));
+  BOOST_TEST(task().run->stopping);
+}
+
+// Guards against a gang that fails twice by one attempt.
+BOOST_FIXTURE_TEST_CASE(late_failure_of_a_gang_counts_twice, Fixture)
+{
+  workflows[0].max_failures = 4;
+  report(0, NOW_MS, core::RunEndKind::Failed);
+  report(1, NOW_MS, core::RunEndKind::GangBroken);
+  apply(NOW_MS);
+  core::StepState& members = workflows[0].progress.open_occurrences.at(0)[0];
+  for (core::TaskState& member : members) {
+    member.last_attempt = 2;
+    member.run.reset();
+  }
+  report(2, NOW_MS, core::RunEndKind::Failed);
+  apply(NOW_MS);
+  BOOST_TEST(members.front().failures == 1U);
+}
+
 // Guards against treating a member as ended that may still run: the gang was
 // broken for another reason, or the ends of two members are unknown.
 BOOST_FIXTURE_TEST_CASE(other_members_may_run_on, Fixture)
