Bound the wait of a long-running task behind reservations and quarantines

About 9 s are allowed.

Cause: such a task waited without a bound, in the first case for a server that is not reserved for a waiting gang, in the second for the end of a quarantine (6 to 24 s), although no other server could run it.

Change: after 3 s such a task may use reserved and quarantined servers, if it fits nowhere else. Quarantined servers are marked in the pool instead of counting as ones that accept no work. Steps with an end wait as before.

--- a/core/assign.cpp
+++ b/core/assign.cpp
@@ -135,7 +135,9 @@
 eligible(const PoolServer& server, const AssignRequest& request)
 {
   const Step& step = *request.step;
-  return server.accepts_work && server.service == request.service &&
+  return server.accepts_work &&
+         (!server.quarantined || request.allow_quarantined) &&
+         server.service == request.service &&
          (step.label.empty() || server.labels.contains(step.label)) &&
          !request.avoided.contains(server.instance.id) &&
          !request.reserved.contains(server.instance.id) &&
--- a/core/assign.h
+++ b/core/assign.h
@@ -22,6 +22,7 @@
   std::set<std::string> reserved; ///< Servers reserved for other steps.
   /// The only servers that may run the step; unset if all may.
   std::optional<std::set<std::string>> allowed;
+  bool allow_quarantined = false;
   /// Allows several racks, and racks other than the one of the data.
   bool allow_any_rack = false;
 };
--- a/core/pool.h
+++ b/core/pool.h
@@ -20,7 +20,9 @@
   std::string rack;
   std::set<std::string> labels;
   Resources capacity;       ///< Of the whole server, whatever runs.
-  bool accepts_work = true; ///< Ready, seen lately, and trusted.
+  bool accepts_work = true; ///< Ready and seen lately.
+  /// Several jobs failed on it lately.
+  bool quarantined = false;
   /// Set if the server is leaving: minimum time until it leaves.
   std::optional<std::int64_t> min_stay_ms;
 };
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -14,6 +14,11 @@
 /// Longest time that a step within a guarantee waits for a single rack.
 constexpr std::int64_t MAX_RECLAIM_RACK_WAIT_MS = 1'000;
 
+/// Longest time that a step which runs until it is cancelled waits for servers
+/// that are neither reserved nor quarantined. Its tasks must run again within
+/// about 9 s of their last run.
+constexpr std::int64_t MAX_LASTING_WAIT_MS = 3'000;
+
 /// Whether the workflow `left` is more urgent than `right`.
 bool
 more_urgent(const RoundWorkflow& left, const RoundWorkflow& right)
@@ -169,6 +174,34 @@
   if (!this->limit_suspects(waiting) || !this->limit_tasks(waiting))
     return;
   this->reserve_for_suspects(waiting);
+  std::vector<std::string> servers = this->find_servers(waiting);
+  if (servers.size() < request.tasks)
+    this->wait_for_servers(waiting);
+  if (!servers.empty())
+    this->commit(waiting, servers);
+}
+
+/// Servers for tasks of the step. One that runs until it is cancelled does not
+/// wait for good behind reservations and quarantines: nothing bounds them.
+std::vector<std::string>
+SchedulingRound::find_servers(WaitingStep& waiting) const
+{
+  AssignRequest& request = waiting.request;
+  std::set<std::string> reserved = request.reserved;
+  this->add_gang_reservations(request);
+  std::vector<std::string> servers = this->assign_or_use_avoided(waiting);
+  bool overdue = request.step->runs_until_cancelled &&
+                 waiting.waited_ms > MAX_LASTING_WAIT_MS;
+  if (servers.size() == request.tasks || !overdue)
+    return servers;
+  request.reserved = std::move(reserved);
+  request.allow_quarantined = true;
+  return this->assign_or_use_avoided(waiting);
+}
+
+void
+SchedulingRound::add_gang_reservations(AssignRequest& request) const
+{
   for (const GangReservation& reservation : this->gang_reservations) {
     if (request.step->estimate_ms == 0 ||
         reservation.free_in_ms <
@@ -176,15 +209,16 @@
       request.reserved.insert(reservation.servers.begin(),
                               reservation.servers.end());
   }
-  std::vector<std::string> servers = assign(this->pool, request);
-  if (servers.empty() && this->must_use_avoided(waiting)) {
-    request.avoided.clear();
-    servers = assign(this->pool, request);
-  }
-  if (servers.size() < request.tasks)
-    this->wait_for_servers(waiting);
-  if (!servers.empty())
-    this->commit(waiting, servers);
+}
+
+std::vector<std::string>
+SchedulingRound::assign_or_use_avoided(WaitingStep& waiting) const
+{
+  std::vector<std::string> servers = assign(this->pool, waiting.request);
+  if (!servers.empty() || !this->must_use_avoided(waiting))
+    return servers;
+  waiting.request.avoided.clear();
+  return assign(this->pool, waiting.request);
 }
 
 /// Whether there is no choice but the servers that the step should avoid.
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -62,6 +62,9 @@
                                 const ReadyStep& ready);
   bool limit_tasks(WaitingStep& waiting) const;
   void place(WaitingStep& waiting);
+  std::vector<std::string> find_servers(WaitingStep& waiting) const;
+  void add_gang_reservations(AssignRequest& request) const;
+  std::vector<std::string> assign_or_use_avoided(WaitingStep& waiting) const;
   bool must_use_avoided(const WaitingStep& waiting) const;
   void wait_for_servers(WaitingStep& waiting);
   std::vector<std::string> servers_with_room(const WaitingStep& waiting) const;
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -216,8 +216,8 @@
     if (agent.report.life().id().empty())
       continue;
     core::PoolServer server = pool_server(agent.report);
-    server.accepts_work = this->servers.accepts_work(agent, now_ms) &&
-                          this->tracker.is_trusted(server.instance.id, now_ms);
+    server.accepts_work = this->servers.accepts_work(agent, now_ms);
+    server.quarantined = !this->tracker.is_trusted(server.instance.id, now_ms);
     server.min_stay_ms = this->servers.min_stay_ms(agent, now_ms);
     this->history.nodes[server.instance.id] = entry.first;
     pool.free[server.instance.id] = server.capacity;
