Tell the other entries of ends that the owner can't store

Cause: the owner heard of the ends and could not store them; then it lost power, and the machines of the runs were removed. No other process knew.

Change: while the store has not applied the owner's change for 0.4 s, the owner sends the ends to the other entries, each once. A new owner takes one for the end of the run of that attempt and instance, and stores it (shared_end_applied).

--- a/entry/events.h
+++ b/entry/events.h
@@ -322,6 +322,14 @@
   "If it persists, compare the time that the service takes with the validity "
   "of its tickets, and check whether the step fits on the servers allowed."
 };
+inline constexpr kernel::EventInfo SHARED_END_APPLIED{
+  643,
+  kernel::Severity::Info,
+  "shared_end_applied",
+  "The former owner had heard of the end of a run and could not store it; this "
+  "entry, the new owner, stores it.",
+  "None."
+};
 inline constexpr kernel::EventInfo ADVICE_DENIED{
   642,
   kernel::Severity::Warning,
@@ -375,6 +383,7 @@
   ADVICE_GIVEN,
   ADVICE_UNUSED,
   ADVICE_DENIED,
+  SHARED_END_APPLIED,
 };
 
 } // namespace geraniumhinge::entry
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -20,6 +20,7 @@
 constexpr int EXIT_OK = 0;
 constexpr int EXIT_FAILED = 1;
 constexpr int HTTP_OK = 200;
+constexpr int HTTP_BAD_REQUEST = 400;
 constexpr int HTTP_NOT_FOUND = 404;
 constexpr int HTTP_UNAVAILABLE = 503;
 constexpr int HTTP_METHOD_NOT_ALLOWED = 405;
@@ -28,6 +29,8 @@
 constexpr int ADVICE_CONNECTIONS = 1;
 constexpr std::size_t MAX_BODY_BYTES = 1UL * 1'024 * 1'024;
 constexpr std::size_t MAX_READY_BODY_BYTES = 4'096;
+/// At the internal address of an entry: `v1::UnstoredEnds` of the owner.
+constexpr char UNSTORED_ENDS_PATH[] = "/unstored-ends";
 constexpr char READY_PATH[] = "/geraniumhinge/ready";
 /// Two waits must fit into the accepted age of the configuration.
 constexpr kernel::Milliseconds CONFIG_WAIT{ 700 };
@@ -136,6 +139,7 @@
               this->store,
               this->view,
               this->servers,
+              this->shared_ends,
               scheduler_limits(settings),
               this->scheduler_hooks())
   , advice_requester(loop,
@@ -164,6 +168,7 @@
           this->relay_client,
           settings.name,
           settings.relay_listen)
+  , end_sharer(timers, this->servers, this->end_sharer_hooks())
   , caller_api(loop,
                timers,
                log,
@@ -229,6 +234,17 @@
   return hooks;
 }
 
+EndSharerHooks
+PlatformProgram::end_sharer_hooks()
+{
+  EndSharerHooks hooks;
+  hooks.store_wait_ms = [this] { return this->scheduler.store_wait_ms(); };
+  hooks.send = [this](const v1::UnstoredEnds& message) {
+    this->relay.broadcast(UNSTORED_ENDS_PATH, message.SerializeAsString());
+  };
+  return hooks;
+}
+
 OwnershipHooks
 PlatformProgram::ownership_hooks()
 {
@@ -402,10 +418,24 @@
 {
   if (request.method == "GET" && request.path == "/metrics")
     respond({ HTTP_OK, "text/plain; version=0.0.4", this->metrics.text(), {} });
+  else if (request.method == "POST" && request.path == UNSTORED_ENDS_PATH)
+    this->handle_unstored_ends(request, respond);
   else
     this->handle_call(request, std::move(respond));
 }
 
+void
+PlatformProgram::handle_unstored_ends(
+  const gateway::HttpRequest& request,
+  const gateway::HttpServer::ResponseCallback& respond)
+{
+  v1::UnstoredEnds message;
+  bool valid = message.ParseFromString(request.body);
+  if (valid)
+    this->shared_ends.add(message, kernel::boot_ms());
+  respond({ valid ? HTTP_OK : HTTP_BAD_REQUEST, "application/json", "{}", {} });
+}
+
 bool
 PlatformProgram::ready() const
 {
--- a/entry/platform_program.h
+++ b/entry/platform_program.h
@@ -53,6 +53,7 @@
 
 private:
   WorkSchedulerHooks scheduler_hooks();
+  EndSharerHooks end_sharer_hooks();
   OwnershipHooks ownership_hooks();
   CallerApiHooks caller_hooks();
   void handle_configuration(const platform::RowPage& page);
@@ -60,6 +61,9 @@
   void handle_call(const gateway::HttpRequest& request,
                    gateway::HttpServer::ResponseCallback respond);
   /// Handles a request of another entry, or of a reader of /metrics.
+  void handle_unstored_ends(
+    const gateway::HttpRequest& request,
+    const gateway::HttpServer::ResponseCallback& respond);
   void handle_internal_request(const gateway::HttpRequest& request,
                                gateway::HttpServer::ResponseCallback respond);
   void start_term(std::uint64_t term);
@@ -85,12 +89,14 @@
   core::OperatorConfig operator_config;
   WorkView view;
   ServerTable servers;
+  SharedEnds shared_ends;
   platform::TableWatcher config_watcher;
   platform::TableWatcher work_watcher;
   WorkScheduler scheduler;
   AdviceRequester advice_requester;
   Ownership ownership;
   Relay relay;
+  EndSharer end_sharer;
   CallerApi caller_api;
   gateway::HttpServer caller_server;
   gateway::HttpServer ready_server;
--- a/entry/relay.cpp
+++ b/entry/relay.cpp
@@ -99,6 +99,22 @@
   }
 }
 
+void
+Relay::broadcast(const std::string& path, const std::string& body)
+{
+  for (const std::pair<const std::string, std::string>& item :
+       this->other_entries) {
+    gateway::HttpClientRequest call;
+    call.method = "POST";
+    call.url = "http://" + item.second + path;
+    call.body = body;
+    call.connect_timeout = CONNECT_TIMEOUT;
+    call.timeout = RESPONSE_TIMEOUT;
+    this->client.call(std::move(call),
+                      [](const gateway::HttpClient::Result&) {});
+  }
+}
+
 void
 Relay::forward(const platform::CallerRequest& request,
                platform::CallerRespond done)
--- a/entry/relay.h
+++ b/entry/relay.h
@@ -37,6 +37,10 @@
   void forward(const platform::CallerRequest& request,
                platform::CallerRespond done);
 
+  /// Sends a message to the internal address of each other entry, once. Lost
+  /// messages are not sent again.
+  void broadcast(const std::string& path, const std::string& body);
+
 private:
   void handle_rows(const platform::RowPage& page);
   void register_entry();
--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -160,9 +160,20 @@
       this->apply_late_failure(round_workflow, agent, ref, end);
     return;
   }
+  this->apply_end(round_workflow, ref, end, now_ms);
+  this->log_run_end(agent, end);
+}
+
+void
+RunTracker::apply_end(core::RoundWorkflow& round_workflow,
+                      const core::TaskRef& ref,
+                      const v1::EndReport& end,
+                      std::int64_t now_ms)
+{
+  core::Run run = *core::find_task(round_workflow.progress, ref)->run;
+  core::RunEndKind kind = end_kind(end.kind());
   if (kind == core::RunEndKind::TicketRejected)
-    this->rejected_tickets.push_back(
-      { step_key(round_workflow, ref), *task->run });
+    this->rejected_tickets.push_back({ step_key(round_workflow, ref), run });
   std::string checkpoint = end.checkpoint();
   if (checkpoint.empty())
     checkpoint = this->checkpoint_of(end.task());
@@ -176,13 +187,12 @@
   round_workflow.changed = true;
   this->record_gang_end(round_workflow, ref, end.attempt(), kind);
   this->count_run_end(kind);
-  this->log_run_end(agent, end);
-  core::NameId server = this->names.intern(agent.report.life().id());
+  core::NameId server = this->names.intern(run.server.id);
   if (kind == core::RunEndKind::Failed) {
     this->failures.record_failure(
       server, round_workflow.definition->id, now_ms);
     this->failures_by_workflow[round_workflow.definition->id].insert(
-      agent.report.life().id());
+      run.server.id);
   } else if (kind == core::RunEndKind::Done) {
     this->failures.record_success(
       server, round_workflow.definition->id, now_ms);
@@ -318,6 +328,32 @@
   return cause;
 }
 
+void
+RunTracker::apply_shared_ends(core::RoundWorkflow& round_workflow,
+                              const SharedEnds& shared_ends,
+                              std::int64_t now_ms)
+{
+  std::vector<std::pair<core::TaskRef, v1::EndReport>> ended;
+  core::for_each_run(
+    round_workflow.progress,
+    [&](const core::TaskRef& ref, const core::TaskState& task) {
+      const v1::EndReport* end = shared_ends.find(
+        core::task_name(round_workflow.definition->id, ref), *task.run);
+      if (end)
+        ended.emplace_back(ref, *end);
+    });
+  for (const std::pair<core::TaskRef, v1::EndReport>& item : ended) {
+    this->apply_end(round_workflow, item.first, item.second, now_ms);
+    this->log.write(
+      SHARED_END_APPLIED,
+      { { "task", item.second.task() },
+        { "attempt", item.second.attempt() },
+        { "kind",
+          name_of(core::RUN_END_KIND_NAMES, end_kind(item.second.kind())) },
+        { "number", item.second.number() } });
+  }
+}
+
 void
 RunTracker::apply_lost_runs(core::RoundWorkflow& round_workflow,
                             std::int64_t now_ms)
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -5,6 +5,7 @@
 #include "core/quarantine.h"
 #include "core/round.h"
 #include "entry/server_table.h"
+#include "entry/unstored_ends.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 
@@ -52,6 +53,11 @@
   void keep_ends(std::map<std::string, AppliedEnds>& applied,
                  const std::set<std::string>& workflows) const;
 
+  /// Applies ends that the former owner heard of and could not store.
+  void apply_shared_ends(core::RoundWorkflow& round_workflow,
+                         const SharedEnds& shared_ends,
+                         std::int64_t now_ms);
+
   /// Applies ends that no agent has reported, of runs that must have ended.
   void apply_lost_runs(core::RoundWorkflow& round_workflow,
                        std::int64_t now_ms);
@@ -78,6 +84,11 @@
                           const AgentView& agent,
                           const v1::EndReport& end,
                           std::int64_t now_ms);
+  /// Applies the end of the run that its task has now.
+  void apply_end(core::RoundWorkflow& round_workflow,
+                 const core::TaskRef& ref,
+                 const v1::EndReport& end,
+                 std::int64_t now_ms);
   void apply_late_success(core::RoundWorkflow& round_workflow,
                           const AgentView& agent,
                           const core::TaskRef& task,
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -28,6 +28,7 @@
                              platform::Store& store,
                              WorkView& view,
                              ServerTable& servers,
+                             const SharedEnds& shared_ends,
                              WorkSchedulerLimits limits,
                              WorkSchedulerHooks hooks)
   : Task(loop, "work_scheduler")
@@ -37,6 +38,7 @@
   , store(store)
   , view(view)
   , servers(servers)
+  , shared_ends(shared_ends)
   , limits(limits)
   , hooks(std::move(hooks))
   , writer(loop,
@@ -81,6 +83,12 @@
   this->row_expiry.end_term();
 }
 
+std::int64_t
+WorkScheduler::store_wait_ms() const
+{
+  return this->term == 0 ? 0 : this->writer.wait_ms(kernel::boot_ms());
+}
+
 void
 WorkScheduler::set_limits(const WorkSchedulerLimits& changed)
 {
@@ -178,6 +186,7 @@
   round.applied_ends = this->tracker.apply_ends(round.workflows, now_ms);
   this->crash_tracker.apply(round.workflows, this->history, now_ms);
   for (core::RoundWorkflow& round_workflow : round.workflows) {
+    this->tracker.apply_shared_ends(round_workflow, this->shared_ends, now_ms);
     this->tracker.apply_lost_runs(round_workflow, now_ms);
     this->apply_caller_changes(round_workflow);
   }
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -7,6 +7,7 @@
 #include "entry/row_expiry.h"
 #include "entry/run_tracker.h"
 #include "entry/server_table.h"
+#include "entry/unstored_ends.h"
 #include "entry/work_view.h"
 #include "entry/work_writer.h"
 #include "kernel/event_limit.h"
@@ -68,6 +69,7 @@
                 platform::Store& store,
                 WorkView& view,
                 ServerTable& servers,
+                const SharedEnds& shared_ends,
                 WorkSchedulerLimits limits,
                 WorkSchedulerHooks hooks);
 
@@ -75,6 +77,9 @@
   void start_term(std::uint64_t term);
   void end_term();
 
+  /// For how long the last change has waited for the store; 0 if none waits.
+  std::int64_t store_wait_ms() const;
+
   void set_limits(const WorkSchedulerLimits& changed);
 
   /// Requests a scheduling round in the next turn of the loop.
@@ -133,6 +138,7 @@
   platform::Store& store;
   WorkView& view;
   ServerTable& servers;
+  const SharedEnds& shared_ends;
   WorkSchedulerLimits limits;
   WorkSchedulerHooks hooks;
 
--- a/entry/work_writer.cpp
+++ b/entry/work_writer.cpp
@@ -1,6 +1,7 @@
 #include "entry/work_writer.h"
 
 #include "entry/work_rows.h"
+#include "kernel/clock.h"
 
 #include <algorithm>
 
@@ -46,6 +47,7 @@
 {
   this->change = std::move(change);
   this->in_flight = true;
+  this->written_ms = kernel::boot_ms();
   this->tries = 0;
   ++this->change_number;
   this->send();
--- a/entry/work_writer.h
+++ b/entry/work_writer.h
@@ -39,6 +39,13 @@
 
   bool busy() const { return this->in_flight; }
 
+  /// For how long the change in flight has waited for the store; 0 if there is
+  /// none.
+  std::int64_t wait_ms(std::int64_t now_ms) const
+  {
+    return this->in_flight ? now_ms - this->written_ms : 0;
+  }
+
   /// Must not be called while busy.
   void write(platform::RowChange change);
 
@@ -57,6 +64,7 @@
   std::uint64_t change_number = 0; ///< Identifies late responses.
   platform::RowChange change;
   bool in_flight = false;
+  std::int64_t written_ms = 0; ///< Boot time of the last call of `write`.
   int tries = 0;
   kernel::Subscription retry_timer;
 };
--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -2,6 +2,7 @@
 // Feeds every decoder of bytes from outside with valid inputs that were changed
 // at random. A decoder must return a value or an error; an exception that
 // leaves it would end the process.
+#include "entry/unstored_ends.h"
 #include "entry/work_rows.h"
 #include "entry/work_view.h"
 #include "gateway/unary_error.h"
@@ -344,6 +345,23 @@
        [](const std::string& body) { platform::decode_advice(body); });
 }
 
+BOOST_AUTO_TEST_CASE(unstored_ends)
+{
+  v1::UnstoredEnds message;
+  v1::ServerEnds& server = *message.add_servers();
+  server.mutable_life()->set_id("i-1");
+  v1::EndReport& end = *server.add_ended();
+  end.set_number(1);
+  end.set_task("5c0e7a21d94b36f8.0.0.0");
+  end.set_attempt(1);
+  feed(message.SerializeAsString(), [](const std::string& body) {
+    v1::UnstoredEnds read;
+    entry::SharedEnds ends;
+    if (read.ParseFromString(body))
+      ends.add(read, 1);
+  });
+}
+
 BOOST_AUTO_TEST_CASE(configurations)
 {
   feed(R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/",
--- a/tests/entry/work_scheduler_test.cpp
+++ b/tests/entry/work_scheduler_test.cpp
@@ -36,8 +36,11 @@
   bool acknowledged_early = false; ///< Not all ends were stored before.
   v1::ServerOrders sent;           ///< The last orders.
   std::vector<core::AdviceRequest> advice_requests; ///< Of the last round.
-  entry::WorkScheduler scheduler{ loop, timers,  log,      metrics, store,
-                                  view, servers, limits(), hooks() };
+  entry::SharedEnds shared_ends;
+  entry::WorkScheduler scheduler{
+    loop, timers,  log,         metrics,  store,
+    view, servers, shared_ends, limits(), hooks()
+  };
   v1::Envelope envelope;
   v1::ServerReport& report = *envelope.mutable_server_report();
 
