--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -354,12 +354,15 @@
   end.set_number(1);
   end.set_task("5c0e7a21d94b36f8.0.0.0");
   end.set_attempt(1);
-  feed(message.SerializeAsString(), [](const std::string& body) {
-    v1::UnstoredEnds read;
-    entry::SharedEnds ends;
-    if (read.ParseFromString(body))
-      ends.add(read, 1);
-  });
+  feed(
+    message.SerializeAsString(),
+    [](const std::string& body) {
+      v1::UnstoredEnds read;
+      entry::SharedEnds ends;
+      if (read.ParseFromString(body))
+        ends.add(read, 1);
+    },
+    false);
 }
 
 BOOST_AUTO_TEST_CASE(configurations)
