--- a/core/round.cpp
+++ b/core/round.cpp
@@ -19,6 +19,31 @@
 /// about 9 s of their last run.
 constexpr std::int64_t MAX_LASTING_WAIT_MS = 3'000;
 
+const std::string&
+workflow_of(const StepKey& key)
+{
+  return key.workflow;
+}
+
+const std::string&
+workflow_of(const TaskKey& key)
+{
+  return key.first.workflow;
+}
+
+/// Erases the keys of a workflow, of which `first` is the lowest.
+template<typename Key>
+void
+erase_workflow(std::map<Key, std::int64_t>& times,
+               const Key& first,
+               const std::string& workflow)
+{
+  typename std::map<Key, std::int64_t>::iterator item =
+    times.lower_bound(first);
+  while (item != times.end() && workflow_of(item->first) == workflow)
+    item = times.erase(item);
+}
+
 /// Whether the workflow `left` is more urgent than `right`.
 bool
 more_urgent(const RoundWorkflow& left, const RoundWorkflow& right)
@@ -307,6 +332,15 @@
   this->result.placements.push_back({ key, servers, waiting.waited_ms });
 }
 
+void
+StepHistory::forget(const std::string& workflow)
+{
+  StepKey first{ workflow, 0, 0 };
+  erase_workflow(this->placed_ms, TaskKey{ first, 0 }, workflow);
+  erase_workflow(this->ready_ms, first, workflow);
+  this->advice.forget(workflow);
+}
+
 std::int64_t
 peak_accelerators_of(const Workflow& workflow)
 {
--- a/core/round.h
+++ b/core/round.h
@@ -66,6 +66,9 @@
   std::set<TaskKey> stalled;      ///< Runs whose progress has stopped.
   std::set<std::string> suspects; ///< Servers to avoid where possible.
   AdviceCache advice;
+
+  /// Forgets the steps of a workflow that has ended.
+  void forget(const std::string& workflow);
 };
 
 struct StepPlacement
--- a/entry/caller_api.h
+++ b/entry/caller_api.h
@@ -76,6 +76,8 @@
   /// them can serve the call.
   void forward(const CallPointer& call, platform::CallerResult fallback);
   static std::int64_t remaining_ms(const CallPointer& call);
+  /// Whether too little time is left for another try.
+  static bool is_expired(const CallPointer& call);
   static kernel::Milliseconds next_timeout(const CallPointer& call);
   void retry(const CallPointer& call, std::function<void()> try_again);
   void run_after(kernel::Milliseconds delay, std::function<void()> action);
--- a/entry/work_scheduler_commit.cpp
+++ b/entry/work_scheduler_commit.cpp
@@ -179,7 +179,7 @@
     if (round_workflow.progress.outcome == core::Outcome::Open)
       continue;
     this->tracker.forget(*round_workflow.definition);
-    this->history.advice.forget(round_workflow.definition->id);
+    this->history.forget(round_workflow.definition->id);
   }
   this->pending = {};
   this->pending_ends.clear();
--- a/entry/work_writer.cpp
+++ b/entry/work_writer.cpp
@@ -3,8 +3,6 @@
 #include "entry/work_rows.h"
 #include "kernel/clock.h"
 
-#include <algorithm>
-
 namespace geraniumhinge::entry {
 
 namespace {
@@ -103,13 +101,9 @@
 {
   std::optional<std::uint64_t> version;
   for (const platform::RowValue& write : this->change.writes) {
-    std::vector<platform::StoredRow>::const_iterator found =
-      std::find_if(error.current.begin(),
-                   error.current.end(),
-                   [&write](const platform::StoredRow& row) {
-                     return row.name == write.name;
-                   });
-    if (found == error.current.end() || found->value != write.value)
+    const platform::StoredRow* found =
+      platform::find_row(error.current, write.name);
+    if (!found || found->value != write.value)
       return std::nullopt;
     version = found->version;
   }
--- a/tests/core/round_test.cpp
+++ b/tests/core/round_test.cpp
@@ -497,6 +497,25 @@
   }
 }
 
+// Guards against a history that grows with each job, as long as an owner lasts.
+BOOST_AUTO_TEST_CASE(history_of_ended_workflows_is_kept_for_good)
+{
+  Pool pool = make_pool(3, 3);
+  RoundWorkflows workflows;
+  StepHistory history;
+  for (const char* id : { "a", "b", "c" })
+    workflows.add(id, "x", 1, make_step(2, { 1'000, 1'024, 1 }));
+  workflows.add("large", "x", 1, make_step(1, { 1'000, 1'024, 9 }));
+  run_round(workflows, pool, history, {});
+  BOOST_TEST(history.placed_ms.size() == 6U);
+  BOOST_TEST(history.ready_ms.size() == 1U);
+  history.forget("b");
+  BOOST_TEST(history.placed_ms.size() == 4U);
+  BOOST_TEST(history.placed_ms.contains({ { "c", 0, 0 }, 1 }));
+  history.forget("large");
+  BOOST_TEST(history.ready_ms.empty());
+}
+
 // Guards against work on a quarantined server while another one has room.
 BOOST_AUTO_TEST_CASE(overdue_task_prefers_a_quarantined_server)
 {
