Split the hooks of PlatformProgram and the long tests of the round

The hooks are in entry/platform_program_hooks, the pools and workflows of tests in tests/core/round_fixture.h, and the tests of long-running steps in core.long_running_test.

--- a/core/round.cpp
+++ b/core/round.cpp
@@ -257,7 +257,8 @@
 }
 
 /// Prepares a later placement of the tasks that found no server: stops other
-/// runs, reserves servers, or requests tickets.
+/// runs, reserves servers, or requests tickets. From here on, the request
+/// allows all servers that may run the step, with or without a ticket.
 void
 SchedulingRound::wait_for_servers(WaitingStep& waiting)
 {
--- a/entry/caller_changes.cpp
+++ b/entry/caller_changes.cpp
@@ -33,6 +33,16 @@
   return encode_workflow(left) == encode_workflow(other);
 }
 
+/// The result of a submission whose identifier has a stored workflow, which is
+/// empty if its row can't be read.
+CallerResult
+repeated_submission_result(const std::optional<core::Workflow>& stored,
+                           const core::Workflow& submitted)
+{
+  bool other = stored && !same_submission(*stored, submitted);
+  return other ? CallerResult::Malformed : CallerResult::Accepted;
+}
+
 } // namespace
 
 void
@@ -66,9 +76,8 @@
   }
   const WorkItem* known = this->view.find(call->id);
   if (known) {
-    bool same = same_submission(*known->workflow, call->workflow);
     this->respond(call,
-                  same ? CallerResult::Accepted : CallerResult::Malformed);
+                  repeated_submission_result(known->workflow, call->workflow));
     return;
   }
   set_submission(call, 0);
@@ -162,6 +171,7 @@
   this->retry(call, [this, call] { this->try_submit(call); });
 }
 
+/// A row on whose absence the submission depends exists.
 void
 CallerApi::handle_submit_conflict(const CallPointer& call,
                                   const platform::StoreError& conflict)
@@ -169,16 +179,15 @@
   platform::RowName workflow_row = work_row(WorkRowKind::Workflow, call->id);
   platform::RowName cancel_row = work_row(WorkRowKind::Cancel, call->id);
   if (platform::version_of(conflict, workflow_row) != 0) {
-    // This call or another one has submitted the workflow before.
+    // An earlier try or another call has submitted the workflow.
     const platform::StoredRow* row =
       platform::find_row(conflict.current, workflow_row);
     std::optional<core::Workflow> stored =
       row ? decode_workflow(row->value) : std::nullopt;
-    bool other = stored && !same_submission(*stored, call->workflow);
-    this->respond(call,
-                  other ? CallerResult::Malformed : CallerResult::Accepted);
+    this->respond(call, repeated_submission_result(stored, call->workflow));
     return;
   }
+  // A cancel row that can't be read was left by another writer.
   const platform::StoredRow* cancel =
     platform::find_row(conflict.current, cancel_row);
   std::uint64_t cancel_version = platform::version_of(conflict, cancel_row);
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -2,7 +2,6 @@
 
 #include "core/owner_choice.h"
 #include "entry/events.h"
-#include "entry/row_budget.h"
 #include "entry/work_rows.h"
 #include "kernel/address.h"
 #include "kernel/clock.h"
@@ -29,8 +28,6 @@
 constexpr int ADVICE_CONNECTIONS = 1;
 constexpr std::size_t MAX_BODY_BYTES = 1UL * 1'024 * 1'024;
 constexpr std::size_t MAX_READY_BODY_BYTES = 4'096;
-/// At the internal address of an entry: `v1::UnstoredEnds` of the owner.
-constexpr char UNSTORED_ENDS_PATH[] = "/unstored-ends";
 constexpr char READY_PATH[] = "/geraniumhinge/ready";
 /// Two waits must fit into the accepted age of the configuration.
 constexpr kernel::Milliseconds CONFIG_WAIT{ 700 };
@@ -208,87 +205,6 @@
 {
 }
 
-WorkSchedulerHooks
-PlatformProgram::scheduler_hooks()
-{
-  WorkSchedulerHooks hooks;
-  hooks.operator_config = [this]() -> const core::OperatorConfig& {
-    return this->operator_config;
-  };
-  hooks.may_send_orders = [this] { return this->may_send_orders(); };
-  hooks.work_is_current = [this] { return this->work_is_current(); };
-  hooks.send = [this](const std::string& address, v1::ServerOrders orders) {
-    v1::Envelope envelope;
-    *envelope.mutable_server_orders() = std::move(orders);
-    this->node.send(address, std::move(envelope));
-  };
-  hooks.term_superseded = [this] { this->ownership.term_superseded(); };
-  hooks.request_advice =
-    [this](const std::vector<core::AdviceRequest>& advice_requests) {
-      this->advice_requester.set_requests(advice_requests);
-    };
-  hooks.reload_rows = [this] {
-    this->scheduler.end_term();
-    this->read_work(this->ownership.term());
-  };
-  return hooks;
-}
-
-EndSharerHooks
-PlatformProgram::end_sharer_hooks()
-{
-  EndSharerHooks hooks;
-  hooks.store_wait_ms = [this] { return this->scheduler.store_wait_ms(); };
-  hooks.send = [this](const v1::UnstoredEnds& message) {
-    this->relay.broadcast(UNSTORED_ENDS_PATH, message.SerializeAsString());
-  };
-  return hooks;
-}
-
-OwnershipHooks
-PlatformProgram::ownership_hooks()
-{
-  OwnershipHooks hooks;
-  hooks.acquired = [this](std::uint64_t term) { this->start_term(term); };
-  hooks.lost = [this] {
-    this->read_timer.reset();
-    this->scheduler.end_term();
-  };
-  hooks.heartbeat = [this]() -> const OwnerHeartbeat& {
-    return this->view.heartbeat();
-  };
-  hooks.withhold_silent_agents = [this] {
-    return this->servers.withhold_silent(this->view.nodes_with_runs(),
-                                         kernel::boot_ms());
-  };
-  hooks.heartbeat_stored = [this](const std::vector<SilentAgent>& silent) {
-    for (AgentView* agent : this->servers.release_withheld(silent))
-      this->scheduler.send_orders(*agent);
-  };
-  hooks.watch_healthy_since_ms = [this] {
-    return this->work_watcher.healthy_since_ms();
-  };
-  hooks.watch_confirmed_ms = [this] {
-    return this->work_watcher.confirmed_ms();
-  };
-  return hooks;
-}
-
-CallerApiHooks
-PlatformProgram::caller_hooks()
-{
-  CallerApiHooks hooks;
-  hooks.operator_config = [this]() -> const core::OperatorConfig& {
-    return this->operator_config;
-  };
-  hooks.data_is_current = [this] { return this->data_is_current(); };
-  hooks.can_be_stored = [this](const core::Workflow& workflow) {
-    return fits_rows(workflow, this->settings.max_row_bytes);
-  };
-  hooks.workflow_accepted = [this] { this->scheduler.schedule_decision(); };
-  return hooks;
-}
-
 bool
 PlatformProgram::start()
 {
--- a/entry/platform_program.h
+++ b/entry/platform_program.h
@@ -52,6 +52,9 @@
   void reload(const PlatformSettings& changed);
 
 private:
+  /// At the internal address of an entry: `v1::UnstoredEnds` of the owner.
+  static constexpr char UNSTORED_ENDS_PATH[] = "/unstored-ends";
+
   WorkSchedulerHooks scheduler_hooks();
   EndSharerHooks end_sharer_hooks();
   OwnershipHooks ownership_hooks();
@@ -60,10 +63,10 @@
   void handle_message(const v1::Envelope& envelope);
   void handle_call(const gateway::HttpRequest& request,
                    gateway::HttpServer::ResponseCallback respond);
-  /// Handles a request of another entry, or of a reader of /metrics.
   void handle_unstored_ends(
     const gateway::HttpRequest& request,
     const gateway::HttpServer::ResponseCallback& respond);
+  /// Handles a request of another entry, or of a reader of /metrics.
   void handle_internal_request(const gateway::HttpRequest& request,
                                gateway::HttpServer::ResponseCallback respond);
   void start_term(std::uint64_t term);
--- a/tests/core/round_test.cpp
+++ b/tests/core/round_test.cpp
@@ -1,119 +1,12 @@
 #define BOOST_TEST_MODULE round
-#include "core/round.h"
-
-#include "core/assign.h"
 #include "core/preempt.h"
+#include "tests/core/round_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
 using namespace geraniumhinge::core;
 
-namespace {
-
-constexpr Resources SERVER_CAPACITY{ 32'000, 131'072, 8 };
-constexpr std::int64_t NOW_MS = 100'000;
-
-/// A pool of servers s0, s1, ... in racks r0, r1, ... of `per_rack` servers.
-Pool
-make_pool(int servers, int per_rack)
-{
-  Pool pool;
-  for (int index = 0; index < servers; ++index) {
-    PoolServer server;
-    server.instance = { "s" + std::to_string(index), 1 };
-    server.service = "planner";
-    server.rack = "r" + std::to_string(index / per_rack);
-    server.labels = { "a", server.rack };
-    server.capacity = SERVER_CAPACITY;
-    pool.free[server.instance.id] = server.capacity;
-    pool.servers[server.instance.id] = server;
-  }
-  return pool;
-}
-
-Step
-make_step(std::uint32_t tasks, Resources demand, bool gang = false)
-{
-  Step step;
-  step.tasks = tasks;
-  step.demand = demand;
-  step.gang = gang;
-  return step;
-}
-
-AssignRequest
-request_for(const Step& step)
-{
-  AssignRequest request;
-  request.step = &step;
-  request.service = "planner";
-  request.tasks = step.tasks;
-  return request;
-}
-
-/// Workflows with one step each. The definitions keep their addresses.
-struct RoundWorkflows
-{
-  std::vector<std::unique_ptr<Workflow>> definitions;
-  std::vector<RoundWorkflow> entries;
-
-  RoundWorkflow& add(const std::string& id,
-                     const std::string& organisation,
-                     std::uint32_t priority,
-                     Step step)
-  {
-    std::unique_ptr<Workflow> workflow = std::make_unique<Workflow>();
-    workflow->id = id;
-    workflow->organisation = organisation;
-    workflow->accepted_ms = static_cast<std::int64_t>(this->definitions.size());
-    workflow->steps = { std::move(step) };
-    RoundWorkflow round_workflow;
-    round_workflow.definition = workflow.get();
-    round_workflow.service = "planner";
-    round_workflow.priority = priority;
-    round_workflow.peak_accelerators = peak_accelerators_of(*workflow);
-    open_due_occurrences(*workflow, round_workflow.progress, 0, 0);
-    this->definitions.push_back(std::move(workflow));
-    this->entries.push_back(std::move(round_workflow));
-    return this->entries.back();
-  }
-};
-
-std::size_t
-running(const RoundWorkflow& round_workflow)
-{
-  std::size_t count = 0;
-  for (const TaskState& task :
-       round_workflow.progress.open_occurrences.at(0)[0])
-    count += task.run && !task.run->stopping ? 1 : 0;
-  return count;
-}
-
-bool
-stopping(const RoundWorkflow& round_workflow)
-{
-  for (const TaskState& task :
-       round_workflow.progress.open_occurrences.at(0)[0]) {
-    if (task.run && task.run->stopping)
-      return true;
-  }
-  return false;
-}
-
-RoundResult
-run_round(RoundWorkflows& workflows,
-          Pool& pool,
-          StepHistory& history,
-          const std::map<std::string, std::int64_t>& guarantees)
-{
-  allocate_runs(workflows.entries, pool);
-  mark_guaranteed(workflows.entries, guarantees);
-  return run_scheduling_round(workflows.entries, pool, history, {}, NOW_MS);
-}
-
-} // namespace
-
 // Guards against a gang of which only some members get servers.
 BOOST_AUTO_TEST_CASE(gang_is_placed_whole_or_not_at_all)
 {
@@ -443,60 +336,6 @@
     server);
 }
 
-// Guards against a long-running task without a run beside idle servers, for as
-// long as a gang waits for other work to end.
-BOOST_AUTO_TEST_CASE(reservation_of_a_gang_stops_a_long_running_task_for_good)
-{
-  constexpr std::int64_t OVERDUE_MS = 3'500;
-  constexpr std::int64_t RESTART_LIMIT_MS = 6'000;
-  for (bool lasting : { true, false }) {
-    for (std::int64_t waited_ms :
-         { std::int64_t{ 0 }, OVERDUE_MS, RESTART_LIMIT_MS }) {
-      Pool pool = make_pool(3, 3);
-      RoundWorkflows workflows;
-      StepHistory history;
-      Step work = make_step(1, { 1'000, 1'024, 1 });
-      work.estimate_ms = 30'000;
-      workflows.add("work", "x", 1, work);
-      run_round(workflows, pool, history, {});
-      workflows.add("gang", "x", 1, make_step(3, { 1'000, 1'024, 8 }, true));
-      Step step = make_step(1, { 1'000, 1'024, 1 });
-      step.runs_until_cancelled = lasting;
-      workflows.add("task", "x", 2, step);
-      history.ready_ms[{ "task", 0, 0 }] = NOW_MS - waited_ms;
-      Pool again = make_pool(3, 3);
-      run_round(workflows, again, history, {});
-      BOOST_TEST(running(workflows.entries[1]) == 0U);
-      bool placed = lasting && waited_ms > 0;
-      BOOST_TEST(running(workflows.entries[2]) == (placed ? 1U : 0U));
-    }
-  }
-}
-
-// Guards against a long-running task without a run beside its only server,
-// which is quarantined for failures of other jobs and healthy again.
-BOOST_AUTO_TEST_CASE(quarantine_stops_a_long_running_task_for_good)
-{
-  constexpr std::int64_t OVERDUE_MS = 3'500;
-  for (bool lasting : { true, false }) {
-    for (std::int64_t waited_ms : { std::int64_t{ 0 }, OVERDUE_MS }) {
-      Pool pool = make_pool(2, 2);
-      pool.servers["s0"].labels.insert("b");
-      pool.servers["s0"].quarantined = true;
-      RoundWorkflows workflows;
-      StepHistory history;
-      Step step = make_step(1, { 1'000, 1'024, 1 });
-      step.label = "b";
-      step.runs_until_cancelled = lasting;
-      workflows.add("task", "x", 1, step);
-      history.ready_ms[{ "task", 0, 0 }] = NOW_MS - waited_ms;
-      run_round(workflows, pool, history, {});
-      bool placed = lasting && waited_ms > 0;
-      BOOST_TEST(running(workflows.entries[0]) == (placed ? 1U : 0U));
-    }
-  }
-}
-
 // Guards against a history that grows with each job, as long as an owner lasts.
 BOOST_AUTO_TEST_CASE(history_of_ended_workflows_is_kept_for_good)
 {
@@ -516,23 +355,6 @@
   BOOST_TEST(history.ready_ms.empty());
 }
 
-// Guards against work on a quarantined server while another one has room.
-BOOST_AUTO_TEST_CASE(overdue_task_prefers_a_quarantined_server)
-{
-  Pool pool = make_pool(2, 2);
-  pool.servers["s0"].quarantined = true;
-  pool.free["s0"].accelerators = 1;
-  RoundWorkflows workflows;
-  StepHistory history;
-  Step step = make_step(1, { 1'000, 1'024, 1 });
-  step.runs_until_cancelled = true;
-  workflows.add("task", "x", 1, step);
-  history.ready_ms[{ "task", 0, 0 }] = NOW_MS - 10'000;
-  RoundResult result = run_round(workflows, pool, history, {});
-  BOOST_REQUIRE(result.placements.size() == 1U);
-  BOOST_TEST(result.placements.front().servers.front() == "s1");
-}
-
 // Guards against placements without a ticket in a queue that needs advice.
 BOOST_AUTO_TEST_CASE(advised_step_runs_only_where_it_has_a_ticket)
 {
