Learn the speed of servers and choose servers by it

core/run_times learns the speed of each node from the ends and the progress of runs, entry/run_samples finds these in the agents' reports, and core/assign takes the slowest servers with which a step still meets its objective, or those with which it ends soonest. Whether and how many tasks fit is unchanged, and so are all placements while speeds do not differ.

--- a/core/assign.h
+++ b/core/assign.h
@@ -2,6 +2,7 @@
 
 #include "core/pool.h"
 
+#include <limits>
 #include <optional>
 #include <set>
 #include <string>
@@ -25,6 +26,11 @@
   bool allow_quarantined = false;
   /// Allows several racks, and racks other than the one of the data.
   bool allow_any_rack = false;
+  /// Largest factor of a server on the run time with which the step meets its
+  /// objective. Servers are chosen by their speed only if their factors differ.
+  double max_factor = std::numeric_limits<double>::infinity();
+  /// Factor on the run time of a task outside the rack of its data.
+  double rack_penalty = 1;
 };
 
 /// Resources that one run of the step allocates on its server.
@@ -37,7 +43,9 @@
 
 /// Finds a server for each task: all tasks of a gang or none, otherwise as many
 /// as fit. Prefers one rack and the fullest servers, to keep whole servers
-/// free. Empty if nothing fits.
+/// free. Among servers of different speed, prefers the slowest ones with which
+/// the step meets its objective, else those with which it ends soonest. Whether
+/// and how many tasks fit does not depend on the speeds. Empty if nothing fits.
 std::vector<std::string>
 assign(const Pool& pool, const AssignRequest& request);
 
--- a/core/pool.h
+++ b/core/pool.h
@@ -21,6 +21,8 @@
   std::set<std::string> labels;
   Resources capacity;       ///< Of the whole server, whatever runs.
   bool accepts_work = true; ///< Ready and seen lately.
+  /// Factor on the run time of tasks, 1 for the fleet's median.
+  double run_time_factor = 1;
   /// Several jobs failed on it lately.
   bool quarantined = false;
   /// Set if the server is leaving: minimum time until it leaves.
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -19,6 +19,10 @@
 /// about 9 s of their last run.
 constexpr std::int64_t MAX_LASTING_WAIT_MS = 3'000;
 
+/// The slowest task of a gang needs this much longer than expected: tasks of
+/// one step differ by about 30%, and declared times are off by 20%.
+constexpr double RUN_TIME_MARGIN = 1.3;
+
 const std::string&
 workflow_of(const StepKey& key)
 {
@@ -146,6 +150,8 @@
   AssignRequest& request = waiting.request;
   request.step = &step;
   request.service = round_workflow.service;
+  request.max_factor = this->max_run_time_factor(waiting);
+  request.rack_penalty = this->limits.rack_penalty;
   for (const TaskState& task : round_workflow.progress.open_occurrences.at(
          ready.occurrence)[ready.step]) {
     if (task.run)
@@ -175,6 +181,20 @@
   return waiting;
 }
 
+/// Slowest server, as factor on the run time, with which the step still meets
+/// its objective. Unlimited without an objective.
+double
+SchedulingRound::max_run_time_factor(const WaitingStep& waiting) const
+{
+  if (!waiting.slack_ms)
+    return std::numeric_limits<double>::infinity();
+  double expected_ms = this->step_of(waiting).estimate_ms;
+  if (expected_ms <= 0)
+    return 0;
+  double left_ms = static_cast<double>(*waiting.slack_ms) + expected_ms;
+  return left_ms / (expected_ms * RUN_TIME_MARGIN);
+}
+
 /// Limits the tasks to place to those that the workflow may run beside its
 /// other runs. Returns false if there are none.
 bool
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -60,6 +60,7 @@
   std::vector<WaitingStep> waiting_steps();
   WaitingStep make_waiting_step(RoundWorkflow& round_workflow,
                                 const ReadyStep& ready);
+  double max_run_time_factor(const WaitingStep& waiting) const;
   bool limit_tasks(WaitingStep& waiting) const;
   void place(WaitingStep& waiting);
   std::vector<std::string> find_servers(WaitingStep& waiting) const;
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -53,6 +53,7 @@
              } })
   , row_expiry(loop, timers, log, metrics, store, view, limits.retention_ms)
   , tracker(log, metrics, servers)
+  , samples(run_times, history, servers)
   , crash_tracker(log, metrics, servers)
   , oversized_rows(OVERSIZED_LOG_PERIOD_MS)
 {
@@ -66,6 +67,8 @@
   this->writer.start_term(term);
   this->history = {};
   this->tracker.reset();
+  this->run_times = {};
+  this->samples.reset();
   this->crash_tracker.reset();
   this->round_timer =
     this->timers.every(ROUND_PERIOD, [this] { this->schedule_decision(); });
@@ -112,6 +115,7 @@
 WorkScheduler::apply_report(AgentView& agent)
 {
   this->tracker.record_progress(agent, kernel::boot_ms());
+  this->samples.record_report(agent, kernel::boot_ms());
   this->send_orders(agent);
   // Progress and the passing of time are left to the periodic round.
   if (agent.report_changed)
@@ -183,6 +187,7 @@
     round_workflow.avoided = this->tracker.failed_on(entry.first);
     round.workflows.push_back(std::move(round_workflow));
   }
+  this->samples.record_run_times(round.workflows, now_ms);
   round.applied_ends = this->tracker.apply_ends(round.workflows, now_ms);
   this->crash_tracker.apply(round.workflows, this->history, now_ms);
   for (core::RoundWorkflow& round_workflow : round.workflows) {
@@ -228,6 +233,7 @@
     server.accepts_work = this->servers.accepts_work(agent, now_ms);
     server.quarantined = !this->tracker.is_trusted(server.instance.id, now_ms);
     server.min_stay_ms = this->servers.min_stay_ms(agent, now_ms);
+    server.run_time_factor = this->run_times.speed(entry.first);
     this->history.nodes[server.instance.id] = entry.first;
     pool.free[server.instance.id] = server.capacity;
     pool.servers[server.instance.id] = std::move(server);
@@ -242,6 +248,7 @@
     return;
   std::int64_t now = kernel::boot_ms();
   RoundInput round = this->prepare_round(now);
+  this->run_times.refresh(now);
   core::Pool pool = this->make_pool(now);
   core::allocate_runs(round.workflows, pool);
   std::map<std::string, std::int64_t> guarantees;
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -2,9 +2,11 @@
 
 #include "core/operator_config.h"
 #include "core/round.h"
+#include "core/run_times.h"
 #include "entry/crash_tracker.h"
 #include "entry/orders.h"
 #include "entry/row_expiry.h"
+#include "entry/run_samples.h"
 #include "entry/run_tracker.h"
 #include "entry/server_table.h"
 #include "entry/unstored_ends.h"
@@ -149,7 +151,9 @@
   RoundInput pending;             ///< The round that `writer` is storing.
   std::set<RunName> pending_ends; ///< Runs whose end `writer` is storing.
   core::StepHistory history;
+  core::RunTimes run_times;
   RunTracker tracker;
+  RunSamples samples;
   CrashTracker crash_tracker;
   std::uint64_t orders_sequence = 0;
   kernel::EventLimit oversized_rows;
--- a/entry/work_scheduler_commit.cpp
+++ b/entry/work_scheduler_commit.cpp
@@ -179,6 +179,7 @@
     if (round_workflow.progress.outcome == core::Outcome::Open)
       continue;
     this->tracker.forget(*round_workflow.definition);
+    this->samples.forget(round_workflow.definition->id);
     // Until its last run has ended, decisions depend on when that was placed.
     if (!core::has_runs(round_workflow.progress))
       this->history.forget(round_workflow.definition->id);
