Keep learned speeds of servers in a row of the store

A new owner had to learn the speeds of all servers again, about three runs on each. entry/speed_store writes them to the row estimates/main/speeds on the condition of the owner row, at most every 2 s and 1,000 bytes/s and only when they have changed noticeably, and the next owner reads them. Nothing is written while speeds do not differ.

--- a/entry/events.h
+++ b/entry/events.h
@@ -338,6 +338,22 @@
   "the step; it waits for other servers.",
   "Check the policy of the queue, or cancel the job."
 };
+inline constexpr EventInfo SPEEDS_DIFFER{
+  647,
+  Severity::Info,
+  "speeds_differ",
+  "The speeds of backend servers have been found to differ, or (differ=false) "
+  "no longer do. nodes= counts those that differ from the median.",
+  "None. If a machine is slower than others of its kind, check it."
+};
+inline constexpr EventInfo SPEEDS_MALFORMED{
+  648,
+  Severity::Warning,
+  "speeds_malformed",
+  "The stored speeds of backend servers can't be parsed; they are learned "
+  "again.",
+  "Check which program version wrote the row speeds."
+};
 
 inline constexpr EventInfo ENTRY_EVENTS[] = {
   ENTRY_READY,
@@ -384,6 +400,8 @@
   ADVICE_UNUSED,
   ADVICE_DENIED,
   SHARED_END_APPLIED,
+  SPEEDS_DIFFER,
+  SPEEDS_MALFORMED,
 };
 
 } // namespace geraniumhinge::entry
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -54,6 +54,7 @@
   , row_expiry(loop, timers, log, metrics, store, view, limits.retention_ms)
   , tracker(log, metrics, servers)
   , samples(run_times, history, servers)
+  , speed_store(loop, timers, log, metrics, store, run_times)
   , crash_tracker(log, metrics, servers)
   , oversized_rows(OVERSIZED_LOG_PERIOD_MS)
 {
@@ -69,6 +70,7 @@
   this->tracker.reset();
   this->run_times = {};
   this->samples.reset();
+  this->speed_store.start_term(term);
   this->crash_tracker.reset();
   this->round_timer =
     this->timers.every(ROUND_PERIOD, [this] { this->schedule_decision(); });
@@ -82,6 +84,7 @@
   this->term = 0;
   this->pending_ends.clear();
   this->writer.end_term();
+  this->speed_store.end_term();
   this->round_timer.reset();
   this->row_expiry.end_term();
 }
@@ -249,6 +252,7 @@
   std::int64_t now = kernel::boot_ms();
   RoundInput round = this->prepare_round(now);
   this->run_times.refresh(now);
+  this->speed_store.update(now);
   core::Pool pool = this->make_pool(now);
   core::allocate_runs(round.workflows, pool);
   std::map<std::string, std::int64_t> guarantees;
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -9,6 +9,7 @@
 #include "entry/run_samples.h"
 #include "entry/run_tracker.h"
 #include "entry/server_table.h"
+#include "entry/speed_store.h"
 #include "entry/unstored_ends.h"
 #include "entry/work_view.h"
 #include "entry/work_writer.h"
@@ -154,6 +155,7 @@
   core::RunTimes run_times;
   RunTracker tracker;
   RunSamples samples;
+  SpeedStore speed_store;
   CrashTracker crash_tracker;
   std::uint64_t orders_sequence = 0;
   kernel::EventLimit oversized_rows;
