Evacuate zones at the operators' request

Nothing read the rows evacuate/ZONE of the table op, so work was placed and started in zones that operators were evacuating.

The owner places nothing in a closed zone. Runs that it placed before may start for a limited time; after that the orders of the zone's agents start nothing, and runs that their agents do not list are stopped and placed elsewhere. Where evacuation_ms is set, orders start runs only while the owner knows the requests as of a short time ago, and an agent starts runs only on orders that reply to a report of the last 2 s, so that delayed orders, a paused agent, a run that waits for resources and a repeated start request keep the bound as well.

--- a/agent/platform_program.cpp
+++ b/agent/platform_program.cpp
@@ -42,6 +42,7 @@
   options.lease = settings.lease - LEASE_MARGIN;
   options.orphan_timeout = settings.orphan_timeout;
   options.heartbeat_period = settings.heartbeat_period;
+  options.limit_order_age = settings.evacuation.count() > 0;
   return options;
 }
 
--- a/agent/platform_settings.cpp
+++ b/agent/platform_settings.cpp
@@ -19,6 +19,7 @@
   { "/platform/orphan_ms", SettingType::Integer, "ms", 500, 600'000, "4000", "How long the agent keeps renewing leases after the last orders of the owner; must be the same for agents and entries." },
   { "/platform/heartbeat_ms", SettingType::Integer, "ms", 10, 60'000, "1500", "Time between two announcements of the backend server. After more than two missing ones the agent starts no runs, since the server's capacity may have changed." },
   { "/platform/report_ms", SettingType::Integer, "ms", 100, 60'000, "1000", "Time between two reports to the owner." },
+  { "/platform/evacuation_ms", SettingType::Integer, "ms", 0, 600'000, "0", "Time from an operator's request to evacuate a zone until nothing may start there; 0 if zones are never evacuated. Must be the same for agents and entries. If set, the agent starts runs only on orders that reply to a report of the last 2000 ms." },
   { "/name", SettingType::Text, "", 0, 0, "", "Name of this VM, unique in the deployment." },
   { "/zone", SettingType::Text, "", 0, 0, "", "Availability zone." },
   { "/peer/listen", SettingType::Address, "", 0, 0, "", "Address at which the agent receives messages of other processes." },
@@ -68,6 +69,7 @@
   settings.orphan_timeout = duration("/platform/orphan_ms");
   settings.heartbeat_period = duration("/platform/heartbeat_ms");
   settings.report_period = duration("/platform/report_ms");
+  settings.evacuation = duration("/platform/evacuation_ms");
   tl::expected<kernel::Severity, kernel::SettingFault> level =
     kernel::parse_severity(reader.text(setting_of(LEVEL_POINTER)),
                            LEVEL_POINTER);
--- a/agent/platform_settings.h
+++ b/agent/platform_settings.h
@@ -27,6 +27,9 @@
   kernel::Milliseconds orphan_timeout{ 0 };
   kernel::Milliseconds heartbeat_period{ 0 };
   kernel::Milliseconds report_period{ 0 };
+  /// From the request to evacuate a zone until nothing starts there; 0 if the
+  /// deployment evacuates no zones.
+  kernel::Milliseconds evacuation{ 0 };
   kernel::Severity log_level = kernel::Severity::Info;
 };
 
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -35,6 +35,9 @@
   kernel::Milliseconds poll_wait{ 700 }; ///< Longest wait of one poll.
   /// Time between two announcements of the server.
   kernel::Milliseconds heartbeat_period{ 1'500 };
+  /// Runs start only on orders that reply to a recent report, because the zone
+  /// may be evacuated.
+  bool limit_order_age = false;
 };
 
 /// Carries out the owner's orders on one backend server: starts and stops
@@ -105,6 +108,7 @@
   /// an announcement of another writer does not end the predecessor.
   bool unknown_leases_expired() const;
   bool owner_seen_lately() const;
+  bool orders_allow_starts() const;
   bool may_renew_lease() const;
   std::int64_t grant_lease(std::int64_t now_ms);
   std::int64_t no_lease_ms(std::int64_t now_ms) const;
@@ -182,6 +186,9 @@
   std::uint64_t stored_ends = 0;
   std::uint64_t last_acknowledged_end = 0; ///< To the server.
   v1::ServerOrders orders;
+  /// Boot time at which the report was sent to which `orders` reply; 0 if not
+  /// known.
+  std::int64_t orders_report_ms = 0;
   /// `orders` are for this instance and not discarded.
   bool orders_are_current = false;
   std::uint64_t term = 0; ///< Of the owner.
--- a/agent/server_runs.cpp
+++ b/agent/server_runs.cpp
@@ -4,6 +4,7 @@
 
 #include "agent/events.h"
 #include "kernel/clock.h"
+#include "platform/start_limits.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,16 +13,15 @@
 
 namespace {
 
-constexpr kernel::Milliseconds CALL_TIMEOUT{ 700 };
+constexpr kernel::Milliseconds CALL_TIMEOUT = platform::SERVER_CALL_TIMEOUT;
 constexpr std::int64_t CALL_RETRY_MS = 200;
 constexpr int MAX_MISSED_HEARTBEATS = 2;
 constexpr kernel::Milliseconds HEARTBEAT_SLACK{ 500 };
 /// Pace of a run that an earlier agent started. It differs from each valid
 /// percentage, so that the next update sets the pace of the run.
 constexpr std::uint32_t UNKNOWN_PACE_PERCENT = 255;
-/// Longest time that a run waits for free resources, or for the effect of its
-/// start request, before the agent gives the run up.
-constexpr std::int64_t START_LIMIT_MS = 2'000;
+/// After this time without a start the agent gives a run up.
+constexpr std::int64_t START_LIMIT_MS = platform::START_LIMIT.count();
 
 core::Resources
 demand_of(const v1::RunOrder& order)
@@ -72,6 +72,8 @@
   if (!newer)
     return;
   this->orders = orders;
+  this->orders_report_ms =
+    this->reports.sent_ms(orders.report_sequence()).value_or(0);
   this->orders_are_current = for_this_instance;
   if (!for_this_instance) {
     this->orders.clear_runs();
@@ -257,10 +259,23 @@
   return free.covers(demand_of(run.order));
 }
 
+/// Whether the present orders may start runs now. Orders are at most as old as
+/// the report that they reply to, however late they arrived and however long
+/// this process was paused. The limit also holds for a repeated start request
+/// and for a run that waits for resources.
+bool
+ServerAgent::orders_allow_starts() const
+{
+  if (this->orders.no_starts())
+    return false;
+  return !this->options.limit_order_age ||
+         kernel::boot_ms() - this->orders_report_ms < START_LIMIT_MS;
+}
+
 void
 ServerAgent::start_run(const RunKey& key, TrackedRun& run)
 {
-  if (!this->may_renew_lease() || this->orders.no_starts())
+  if (!this->may_renew_lease() || !this->orders_allow_starts())
     return;
   if (run.phase == RunPhase::Waiting)
     set_phase(run, RunPhase::Starting);
--- a/core/pool.h
+++ b/core/pool.h
@@ -19,8 +19,11 @@
   std::string zone;
   std::string rack;
   std::set<std::string> labels;
-  Resources capacity;       ///< Of the whole server, whatever runs.
-  bool accepts_work = true; ///< Ready and seen lately.
+  Resources capacity; ///< Of the whole server, whatever runs.
+  /// Ready, seen lately, and not in an evacuated zone.
+  bool accepts_work = true;
+  /// Would accept work if its zone were not evacuated.
+  bool evacuated = false;
   /// Several jobs failed on it lately.
   bool quarantined = false;
   /// Set if the server is leaving: minimum time until it leaves.
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -81,8 +81,10 @@
   this->find_run_groups();
   this->find_probation_servers();
   this->restart_runs();
-  for (WaitingStep& waiting : this->waiting_steps())
+  std::vector<WaitingStep> steps = this->waiting_steps();
+  for (WaitingStep& waiting : steps)
     this->place(waiting);
+  this->report_held_steps(steps);
   return std::move(this->result);
 }
 
@@ -271,6 +273,7 @@
     planned = this->servers_with_room(waiting);
   if (!this->must_isolate(waiting)) {
     std::vector<std::string> freed = this->preempt(waiting);
+    waiting.without_servers = freed.empty();
     if (freed.empty())
       this->reserve_for_gang(waiting);
     else
@@ -340,6 +343,10 @@
   erase_workflow(this->placed_ms, TaskKey{ first, 0 }, workflow);
   erase_workflow(this->ready_ms, first, workflow);
   this->advice.forget(workflow);
+  for (std::pair<const std::string, std::set<StepKey>>& zone : this->held_steps)
+    std::erase_if(zone.second, [&workflow](const StepKey& key) {
+      return key.workflow == workflow;
+    });
 }
 
 std::int64_t
--- a/core/round.h
+++ b/core/round.h
@@ -63,7 +63,11 @@
   std::map<StepKey, std::int64_t> ready_ms;
   std::map<std::string, std::string> nodes; ///< Agent node, by server.
   std::map<TaskKey, std::uint32_t> percent; ///< Reported progress.
-  std::set<TaskKey> stalled;      ///< Runs whose progress has stopped.
+  std::set<TaskKey> stalled; ///< Runs whose progress has stopped.
+  /// Runs in evacuated zones that have not started.
+  std::set<TaskKey> recalled;
+  /// Waiting steps that were reported to fit in an evacuated zone, by zone.
+  std::map<std::string, std::set<StepKey>> held_steps;
   std::set<std::string> suspects; ///< Servers to avoid where possible.
   AdviceCache advice;
 
@@ -92,11 +96,13 @@
 {
   ServerLeaves,
   NoProgress,
+  ZoneEvacuated, ///< They have not started, and may not start there any more.
 };
 
 inline constexpr NamedValue<RestartReason> RESTART_REASON_NAMES[] = {
   { RestartReason::ServerLeaves, "server_leaves" },
   { RestartReason::NoProgress, "no_progress" },
+  { RestartReason::ZoneEvacuated, "zone_evacuated" },
 };
 
 struct StepRestart
@@ -106,6 +112,13 @@
   RestartReason reason = RestartReason::ServerLeaves;
 };
 
+/// A waiting step that would fit now if a zone were not evacuated.
+struct HeldStep
+{
+  StepKey step;
+  std::string zone;
+};
+
 struct RoundResult
 {
   std::vector<StepPlacement> placements;
@@ -114,6 +127,7 @@
   std::vector<AdviceRequest> advice_requests; ///< Most urgent first.
   /// Steps that no server may run by the advice service, not reported before.
   std::vector<StepKey> denied_steps;
+  std::vector<HeldStep> held_steps; ///< Not reported before.
 };
 
 /// Most accelerators that one step of the workflow uses at the same time.
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -37,6 +37,8 @@
     /// The only task to place; empty for any task.
     std::optional<std::uint32_t> only_task{};
     bool isolated = false; ///< Needs servers without other runs.
+    /// Found no servers, and nothing is stopped for it.
+    bool without_servers = false;
   };
 
   /// Whether a task may crash its server. It is a suspect if its last attempt
@@ -74,6 +76,8 @@
   void add_servers_to_learn(const WaitingStep& waiting,
                             std::size_t limit,
                             std::vector<ServerInstance>& requested) const;
+  void report_held_steps(const std::vector<WaitingStep>& steps);
+  void report_held_step(const WaitingStep& waiting, const Pool& open_pool);
   void commit(const WaitingStep& waiting,
               const std::vector<std::string>& servers);
 
--- a/core/round_stop.cpp
+++ b/core/round_stop.cpp
@@ -1,5 +1,5 @@
-// Stops runs: for more urgent steps, because their progress has stopped, or
-// because their server leaves.
+// Stops runs: for more urgent steps, because their progress has stopped,
+// because their server leaves, or because they may not start in their zone.
 
 #include "core/round_state.h"
 
@@ -208,6 +208,8 @@
   for (std::uint32_t index : group.tasks) {
     if (this->history.stalled.contains({ group.step, index }))
       return RestartReason::NoProgress;
+    if (this->history.recalled.contains({ group.step, index }))
+      return RestartReason::ZoneEvacuated;
   }
   return std::nullopt;
 }
--- a/entry/events.h
+++ b/entry/events.h
@@ -293,7 +293,9 @@
   kernel::Severity::Info,
   "step_restarted",
   "Runs of a step are stopped and start again on other servers, because the "
-  "runs make no progress or their server leaves before they can end.",
+  "runs make no progress, their server leaves before they can end, or they "
+  "have "
+  "not started in a zone that is being evacuated.",
   "Check the server if the reason is no_progress."
 };
 inline constexpr kernel::EventInfo ADVICE_FAILED{
@@ -339,6 +341,34 @@
   "Check the policy of the queue, or cancel the job."
 };
 
+inline constexpr EventInfo ZONE_CLOSED{
+  644,
+  Severity::Info,
+  "zone_closed",
+  "An operator requests the evacuation of a zone: nothing more is placed on "
+  "its "
+  "backend servers, and what was placed there and has not started is placed "
+  "elsewhere. Running work is left to end.",
+  "None. Remove the row evacuate/ZONE of the table op to open the zone again."
+};
+inline constexpr EventInfo ZONE_OPENED{
+  645,
+  Severity::Info,
+  "zone_opened",
+  "The request to evacuate a zone was removed; its backend servers are used "
+  "again.",
+  "None."
+};
+inline constexpr EventInfo STEP_HELD{
+  646,
+  Severity::Warning,
+  "step_held",
+  "A step finds no servers and would fit in a zone that is being evacuated. It "
+  "waits for servers of other zones, or until the zone opens. Logged once for "
+  "each evacuation by each owner.",
+  "Open the zone, or add backend servers to other zones, if the step is urgent."
+};
+
 inline constexpr EventInfo ENTRY_EVENTS[] = {
   ENTRY_READY,
   ENTRY_DRAINING,
@@ -384,6 +414,9 @@
   ADVICE_UNUSED,
   ADVICE_DENIED,
   SHARED_END_APPLIED,
+  ZONE_CLOSED,
+  ZONE_OPENED,
+  STEP_HELD,
 };
 
 } // namespace geraniumhinge::entry
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -100,6 +100,7 @@
          log,
          this->metrics,
          { settings.name, kernel::random_id(), settings.peer_listen })
+  , evacuations(log, this->metrics, settings.evacuation.count())
   , servers(lease_bounds(settings))
   , config_watcher(loop,
                    timers,
@@ -107,10 +108,10 @@
                    this->store,
                    config_options(),
                    { [this](const platform::RowPage& page) {
-                      this->handle_configuration(page);
+                      this->handle_operator_rows(page, true);
                     },
                      [this](const platform::RowPage& page) {
-                       this->handle_configuration(page);
+                       this->handle_operator_rows(page, false);
                      } })
   , work_watcher(loop,
                  timers,
@@ -137,6 +138,7 @@
               this->view,
               this->servers,
               this->shared_ends,
+              this->evacuations,
               scheduler_limits(settings),
               this->scheduler_hooks())
   , advice_requester(loop,
@@ -242,6 +244,7 @@
                  changed.orphan_timeout != this->settings.orphan_timeout;
   this->settings.max_config_age = changed.max_config_age;
   this->settings.max_row_bytes = changed.max_row_bytes;
+  this->evacuations.set_evacuate_ms(changed.evacuation.count());
   this->scheduler.set_limits(scheduler_limits(changed));
   this->log.write(kernel::SETTINGS_RELOADED, { { "restart", restart } });
 }
@@ -263,6 +266,16 @@
   return this->work_watcher.confirmed_ms() > limit;
 }
 
+/// Always true where zones are never evacuated.
+bool
+PlatformProgram::evacuations_are_current() const
+{
+  std::int64_t max_age_ms =
+    this->evacuations.max_data_age_ms(this->settings.max_config_age.count());
+  return max_age_ms == 0 ||
+         this->config_watcher.confirmed_ms() > kernel::boot_ms() - max_age_ms;
+}
+
 bool
 PlatformProgram::may_send_orders() const
 {
@@ -271,6 +284,17 @@
   return this->ownership.confirmed_ms() > limit;
 }
 
+void
+PlatformProgram::handle_operator_rows(const platform::RowPage& page, bool all)
+{
+  std::int64_t known_until_ms = this->config_watcher.confirmed_before_ms();
+  bool changed = all ? this->evacuations.replace(page, known_until_ms)
+                     : this->evacuations.apply(page, known_until_ms);
+  this->handle_configuration(page);
+  if (changed)
+    this->scheduler.schedule_decision();
+}
+
 void
 PlatformProgram::handle_configuration(const platform::RowPage& page)
 {
--- a/entry/platform_program.h
+++ b/entry/platform_program.h
@@ -3,6 +3,7 @@
 #include "core/operator_config.h"
 #include "entry/advice_requester.h"
 #include "entry/caller_api.h"
+#include "entry/evacuations.h"
 #include "entry/ownership.h"
 #include "entry/platform_settings.h"
 #include "entry/relay.h"
@@ -60,6 +61,8 @@
   OwnershipHooks ownership_hooks();
   CallerApiHooks caller_hooks();
   void handle_configuration(const platform::RowPage& page);
+  /// Applies rows of the operators' table, all of them or those that changed.
+  void handle_operator_rows(const platform::RowPage& page, bool all);
   void handle_message(const v1::Envelope& envelope);
   void handle_call(const gateway::HttpRequest& request,
                    gateway::HttpServer::ResponseCallback respond);
@@ -78,6 +81,7 @@
   void announce_ownership(std::uint64_t term);
   bool may_send_orders() const;
   bool work_is_current() const;
+  bool evacuations_are_current() const;
 
   kernel::TimerService& timers;
   const kernel::Log& log;
@@ -90,6 +94,7 @@
   platform::AdviceClient advice;
   peer::PeerNode node;
   core::OperatorConfig operator_config;
+  Evacuations evacuations;
   WorkView view;
   ServerTable servers;
   SharedEnds shared_ends;
--- a/entry/platform_program_hooks.cpp
+++ b/entry/platform_program_hooks.cpp
@@ -15,6 +15,9 @@
   };
   hooks.may_send_orders = [this] { return this->may_send_orders(); };
   hooks.work_is_current = [this] { return this->work_is_current(); };
+  hooks.evacuations_are_current = [this] {
+    return this->evacuations_are_current();
+  };
   hooks.send = [this](const std::string& address, v1::ServerOrders orders) {
     v1::Envelope envelope;
     *envelope.mutable_server_orders() = std::move(orders);
--- a/entry/platform_settings.h
+++ b/entry/platform_settings.h
@@ -30,6 +30,9 @@
   kernel::Milliseconds retention{ 0 };
   std::size_t max_row_bytes = 65'536; ///< Longest value of a row.
   kernel::Milliseconds max_config_age{ 0 };
+  /// From the request to evacuate a zone until nothing starts there; 0 if the
+  /// deployment evacuates no zones.
+  kernel::Milliseconds evacuation{ 0 };
   kernel::Milliseconds stop_grace{ 0 };
   kernel::Milliseconds checkpoint_period{ 2'000 };
   double core_share = 1; ///< Share of a processor core that this entry has.
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/events.h"
 #include "entry/row_budget.h"
+#include "entry/run_recall.h"
 #include "entry/work_rows.h"
 #include "kernel/clock.h"
 
@@ -29,6 +30,7 @@
                              WorkView& view,
                              ServerTable& servers,
                              const SharedEnds& shared_ends,
+                             const Evacuations& evacuations,
                              WorkSchedulerLimits limits,
                              WorkSchedulerHooks hooks)
   : Task(loop, "work_scheduler")
@@ -39,6 +41,7 @@
   , view(view)
   , servers(servers)
   , shared_ends(shared_ends)
+  , evacuations(evacuations)
   , limits(limits)
   , hooks(std::move(hooks))
   , writer(loop,
@@ -65,6 +68,7 @@
   this->pending_ends.clear();
   this->writer.start_term(term);
   this->history = {};
+  this->zones_without_starts.clear();
   this->tracker.reset();
   this->crash_tracker.reset();
   this->round_timer =
@@ -128,11 +132,42 @@
                                         agent,
                                         { this->term, ++this->orders_sequence },
                                         this->pending_ends);
-  orders.set_no_starts(!this->hooks.work_is_current());
+  orders.set_no_starts(!this->may_start_runs(agent));
   agent.orders_sequence = orders.sequence();
   this->hooks.send(agent.address, std::move(orders));
 }
 
+/// Whether orders may let the agent start runs. What an owner does not know of
+/// must not start: cancelled jobs, and runs in evacuated zones.
+bool
+WorkScheduler::may_start_runs(const AgentView& agent) const
+{
+  return this->hooks.work_is_current() &&
+         this->hooks.evacuations_are_current() &&
+         this->evacuations.allows_starts(agent.report.zone(),
+                                         kernel::boot_ms());
+}
+
+/// Tells the agents of evacuated zones once that they may start nothing more.
+void
+WorkScheduler::end_starts_in_zones(std::int64_t now_ms)
+{
+  std::set<std::string> before = this->evacuations.zones_without_starts(now_ms);
+  std::swap(before, this->zones_without_starts);
+  std::erase_if(
+    this->history.held_steps,
+    [this](const std::pair<const std::string, std::set<core::StepKey>>& item) {
+      return !this->evacuations.is_closed(item.first);
+    });
+  if (before == this->zones_without_starts)
+    return;
+  for (std::pair<const std::string, AgentView>& entry : this->servers.all()) {
+    const std::string& zone = entry.second.report.zone();
+    if (this->zones_without_starts.contains(zone) && !before.contains(zone))
+      this->send_orders(entry.second);
+  }
+}
+
 std::uint32_t
 WorkScheduler::max_failures_of(const core::Workflow& workflow) const
 {
@@ -225,7 +260,9 @@
     if (agent.report.life().id().empty())
       continue;
     core::PoolServer server = pool_server(agent.report);
-    server.accepts_work = this->servers.accepts_work(agent, now_ms);
+    bool usable = this->servers.accepts_work(agent, now_ms);
+    server.evacuated = usable && this->evacuations.is_closed(server.zone);
+    server.accepts_work = usable && !server.evacuated;
     server.quarantined = !this->tracker.is_trusted(server.instance.id, now_ms);
     server.min_stay_ms = this->servers.min_stay_ms(agent, now_ms);
     this->history.nodes[server.instance.id] = entry.first;
@@ -238,9 +275,12 @@
 void
 WorkScheduler::run_round()
 {
-  if (this->term == 0 || this->writer.busy())
+  if (this->term == 0)
     return;
   std::int64_t now = kernel::boot_ms();
+  this->end_starts_in_zones(now);
+  if (this->writer.busy())
+    return;
   RoundInput round = this->prepare_round(now);
   core::Pool pool = this->make_pool(now);
   core::allocate_runs(round.workflows, pool);
@@ -251,6 +291,8 @@
   core::mark_guaranteed(round.workflows, guarantees);
   this->update_gauges(round, guarantees);
   this->tracker.update_history(round.workflows, this->history, now);
+  this->history.recalled =
+    runs_to_recall(round.workflows, this->servers, this->evacuations, now);
   core::RoundLimits limits;
   limits.rack_penalty = this->limits.rack_penalty;
   limits.stop_ms = this->limits.stop_ms;
@@ -260,6 +302,7 @@
     round.workflows, pool, this->history, limits, now);
   this->hooks.request_advice(round.result.advice_requests);
   this->log_denied_steps(round.result.denied_steps);
+  this->log_held_steps(round.result.held_steps);
   if (this->store_changes(round))
     return;
   // No row changed, so the reported ends count as stored already.
@@ -338,7 +381,11 @@
                       { "loss_core_s", preemption.loss_core_s } });
   }
   for (const core::StepRestart& restart : round.result.restarts) {
-    this->tracker.record_restart(restart);
+    if (restart.reason == core::RestartReason::ZoneEvacuated)
+      this->metrics.counter("entry_runs_recalled_total")
+        .add(restart.tasks.size());
+    else
+      this->tracker.record_restart(restart);
     this->metrics
       .counter(fmt::format("entry_steps_restarted_total{{reason=\"{}\"}}",
                            name_of(core::RESTART_REASON_NAMES, restart.reason)))
@@ -392,6 +439,17 @@
                       { "step", step.step } });
 }
 
+void
+WorkScheduler::log_held_steps(const std::vector<core::HeldStep>& steps)
+{
+  for (const core::HeldStep& held : steps)
+    this->log.write(STEP_HELD,
+                    { { "job", held.step.workflow },
+                      { "occurrence", held.step.occurrence },
+                      { "step", held.step.step },
+                      { "zone", held.zone } });
+}
+
 void
 WorkScheduler::record_advice(const core::AdviceRequest& advice_request,
                              const std::vector<core::AdviceTicket>& tickets,
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -3,6 +3,7 @@
 #include "core/operator_config.h"
 #include "core/round.h"
 #include "entry/crash_tracker.h"
+#include "entry/evacuations.h"
 #include "entry/orders.h"
 #include "entry/row_expiry.h"
 #include "entry/run_tracker.h"
@@ -35,6 +36,9 @@
   /// Whether the rows of the work are known as they were a short time ago. If
   /// not, callers may have cancelled workflows since, so nothing is started.
   std::function<bool()> work_is_current;
+  /// Whether the operators' requests to evacuate zones are known as they were a
+  /// short time ago. If not, nothing is started.
+  std::function<bool()> evacuations_are_current;
   std::function<void(const std::string& address, v1::ServerOrders)> send;
   /// Called when a transaction fails because another term has begun.
   std::function<void()> term_superseded;
@@ -70,6 +74,7 @@
                 WorkView& view,
                 ServerTable& servers,
                 const SharedEnds& shared_ends,
+                const Evacuations& evacuations,
                 WorkSchedulerLimits limits,
                 WorkSchedulerHooks hooks);
 
@@ -110,6 +115,8 @@
   RoundInput prepare_round(std::int64_t now_ms);
   void apply_caller_changes(core::RoundWorkflow& round_workflow);
   core::Pool make_pool(std::int64_t now_ms);
+  bool may_start_runs(const AgentView& agent) const;
+  void end_starts_in_zones(std::int64_t now_ms);
   void update_gauges(const RoundInput& round,
                      const std::map<std::string, std::int64_t>& guarantees);
   /// Stores the changes of a round; false if there are none.
@@ -122,6 +129,7 @@
   void log_round(const RoundInput& round);
   void log_unused_advice(const core::StepKey& step);
   void log_denied_steps(const std::vector<core::StepKey>& steps);
+  void log_held_steps(const std::vector<core::HeldStep>& steps);
   /// Marks ends as stored. Returns the nodes whose agents need new orders that
   /// acknowledge these ends.
   std::set<std::string> mark_ends_stored(
@@ -139,6 +147,7 @@
   WorkView& view;
   ServerTable& servers;
   const SharedEnds& shared_ends;
+  const Evacuations& evacuations;
   WorkSchedulerLimits limits;
   WorkSchedulerHooks hooks;
 
@@ -152,6 +161,8 @@
   RunTracker tracker;
   CrashTracker crash_tracker;
   std::uint64_t orders_sequence = 0;
+  /// Evacuated zones whose agents were told to start nothing more.
+  std::set<std::string> zones_without_starts;
   kernel::EventLimit oversized_rows;
   kernel::Subscription round_timer;
 };
--- a/tests/entry/work_scheduler_test.cpp
+++ b/tests/entry/work_scheduler_test.cpp
@@ -37,10 +37,10 @@
   v1::ServerOrders sent;           ///< The last orders.
   std::vector<core::AdviceRequest> advice_requests; ///< Of the last round.
   entry::SharedEnds shared_ends;
-  entry::WorkScheduler scheduler{
-    loop, timers,  log,         metrics,  store,
-    view, servers, shared_ends, limits(), hooks()
-  };
+  entry::Evacuations evacuations{ log, metrics, 0 };
+  entry::WorkScheduler scheduler{ loop,        timers,   log,     metrics,
+                                  store,       view,     servers, shared_ends,
+                                  evacuations, limits(), hooks() };
   v1::Envelope envelope;
   v1::ServerReport& report = *envelope.mutable_server_report();
 
@@ -112,6 +112,7 @@
     };
     hooks.may_send_orders = [] { return true; };
     hooks.work_is_current = [this] { return work_is_current; };
+    hooks.evacuations_are_current = [] { return true; };
     hooks.send = [this](const std::string&, v1::ServerOrders orders) {
       bool too_early = orders.stored_ends() > 0 && !all_completed();
       acknowledged_early = acknowledged_early || too_early;
