--- a/entry/explain.cpp
+++ b/entry/explain.cpp
@@ -35,6 +35,7 @@
   std::size_t starts = 0;
   std::size_t lost = 0;
   std::size_t stopped = 0;
+  std::string held_by;
   for (const LogLine& line : lines) {
     if (line.event == "call_answered" &&
         field_value(line, "operation") == "submit")
@@ -43,22 +44,31 @@
     else if (line.event == "workflow_ended")
       outcome =
         fmt::format("{} at {}", field_value(line, "outcome"), line.time);
-    else if (line.event == "step_placed")
-      ++starts;
+    else if (line.event == "step_held")
+      held_by = field_value(line, "zone");
     else if (line.event == "run_lost")
       ++lost;
     else if (line.event == "step_preempted" &&
              field_value(line, "victim") == job)
       ++stopped;
+    if (line.event == "step_placed") {
+      ++starts;
+      held_by.clear();
+    }
   }
+  std::string waits =
+    held_by.empty()
+      ? std::string()
+      : fmt::format("; waits, fits in the evacuated zone {}", held_by);
   return fmt::format("{}: {}; {}; placed {} times, {} runs lost, preempted {} "
-                     "times\n",
+                     "times{}\n",
                      job,
                      submitted,
                      outcome,
                      starts,
                      lost,
-                     stopped);
+                     stopped,
+                     waits);
 }
 
 } // namespace
--- a/tests/entry/explain_test.cpp
+++ b/tests/entry/explain_test.cpp
@@ -79,3 +79,26 @@
   BOOST_TEST(!names_job(*line, "5c0e7a21d94b36f"));
   BOOST_TEST(line->node == "edge-1");
 }
+
+// Guards against callers who can't learn that their job waits because a zone is
+// being evacuated, and against a reason that no longer holds.
+BOOST_AUTO_TEST_CASE(wait_for_an_evacuated_zone_is_explained)
+{
+  std::vector<std::string> texts{
+    line("2026-04-01T13:27:20.501Z info 631",
+         "call_answered node=edge-1 job=5c0e7a21d94b36f8",
+         "operation=submit result=accepted took_ms=13"),
+    line("2026-04-01T13:27:21.000Z warning 646",
+         "step_held node=edge-2 job=5c0e7a21d94b36f8",
+         "occurrence=0 step=0 zone=north"),
+  };
+  std::string waiting = explain(JOB, parse(texts));
+  BOOST_TEST(waiting.find("step_held") != std::string::npos);
+  BOOST_TEST(waiting.find("waits, fits in the evacuated zone north") !=
+             std::string::npos);
+  texts.push_back(line("2026-04-01T13:27:25.000Z info 628",
+                       "step_placed node=edge-2 job=5c0e7a21d94b36f8",
+                       "occurrence=0 step=0 servers=i-1 waited_ms=4499"));
+  std::string placed = explain(JOB, parse(texts));
+  BOOST_TEST(placed.find("waits, fits") == std::string::npos);
+}
--- a/tests/entry/work_scheduler_test.cpp
+++ b/tests/entry/work_scheduler_test.cpp
@@ -33,6 +33,7 @@
   std::uint64_t term = 0;
   bool superseded = false;
   bool work_is_current = true;
+  bool evacuations_are_current = true;
   bool acknowledged_early = false; ///< Not all ends were stored before.
   v1::ServerOrders sent;           ///< The last orders.
   std::vector<core::AdviceRequest> advice_requests; ///< Of the last round.
@@ -95,6 +96,13 @@
                    });
   }
 
+  void evacuate(const std::string& zone, std::int64_t known_until_ms)
+  {
+    platform::RowPage page;
+    page.rows.push_back({ { "op", "", "evacuate/" + zone }, "{}", 1, false });
+    evacuations.apply(page, known_until_ms);
+  }
+
   bool has_run() const { return core::has_runs(view.find(JOB)->progress); }
 
   static entry::WorkSchedulerLimits limits()
@@ -112,7 +120,7 @@
     };
     hooks.may_send_orders = [] { return true; };
     hooks.work_is_current = [this] { return work_is_current; };
-    hooks.evacuations_are_current = [] { return true; };
+    hooks.evacuations_are_current = [this] { return evacuations_are_current; };
     hooks.send = [this](const std::string&, v1::ServerOrders orders) {
       bool too_early = orders.stored_ends() > 0 && !all_completed();
       acknowledged_early = acknowledged_early || too_early;
@@ -264,6 +272,70 @@
   BOOST_TEST(sent.runs_size() == 1);
 }
 
+// Guards against starts by an owner that can't know of an evacuation.
+BOOST_FIXTURE_TEST_CASE(runs_start_on_outdated_evacuations, Fixture)
+{
+  report_until([this] { return sent.runs_size() == 1; });
+  BOOST_TEST(!sent.no_starts());
+  evacuations_are_current = false;
+  send_report();
+  BOOST_TEST(sent.no_starts());
+  BOOST_TEST(sent.runs_size() == 1);
+}
+
+// Guards against a run that starts in an evacuated zone although the owner
+// knows of the evacuation, and against one that never starts elsewhere. The
+// agent learns of the end of starts without a report of its own.
+BOOST_FIXTURE_TEST_CASE(placed_run_starts_in_an_evacuated_zone, Fixture)
+{
+  report.set_zone("north");
+  report_until([this] { return sent.runs_size() == 1; });
+  std::uint64_t before = sent.sequence();
+  evacuate("north", kernel::boot_ms());
+  scheduler.schedule_decision();
+  run_until([this, before] { return sent.sequence() > before; });
+  BOOST_TEST(sent.no_starts());
+  BOOST_TEST(sent.runs_size() == 1);
+  report_until([this] { return sent.stops_size() == 1; });
+  BOOST_TEST(sent.runs_size() == 0);
+  BOOST_TEST(metrics.counter("entry_runs_recalled_total").value() == 1U);
+  add_end(core::RunEndKind::NeverStarted);
+  report_until([this] { return !has_run(); });
+  for (int reports = 0; reports < 5; ++reports)
+    send_report();
+  BOOST_TEST(!has_run());
+  evacuations.replace({}, kernel::boot_ms());
+  report_until([this] { return sent.runs_size() == 1; });
+  BOOST_TEST(!sent.no_starts());
+}
+
+// Guards against work in other zones that an evacuation holds up.
+BOOST_FIXTURE_TEST_CASE(evacuation_stops_starts_in_other_zones, Fixture)
+{
+  report.set_zone("south");
+  evacuate("north", 0);
+  report_until([this] { return sent.runs_size() == 1; });
+  BOOST_TEST(!sent.no_starts());
+}
+
+// Guards against running work that is stopped by an evacuation.
+BOOST_FIXTURE_TEST_CASE(evacuation_stops_running_work, Fixture)
+{
+  report.set_zone("north");
+  report_until([this] { return sent.runs_size() == 1; });
+  v1::RunReport& run = *report.add_running();
+  run.set_task(core::task_name(JOB, { 0, 0, 0 }));
+  run.set_attempt(1);
+  evacuate("north", 0);
+  report_until([this] { return sent.no_starts(); });
+  int commits = standin.commits;
+  std::uint64_t before = sent.sequence();
+  report_until([this, before] { return sent.sequence() > before + 10; });
+  BOOST_TEST(sent.runs_size() == 1);
+  BOOST_TEST(sent.stops_size() == 0);
+  BOOST_TEST(standin.commits == commits);
+}
+
 // Guards against the next attempt of a task that no row shows, and against
 // orders for the attempt before.
 BOOST_FIXTURE_TEST_CASE(task_is_placed_again_before_its_end_is_stored, Fixture)
--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -154,7 +154,7 @@
     return { { "remaining_ms", this->min_stay_ms },
              { "service", "planner" },
              { "address", this->address() },
-             { "zone", "zone-1" },
+             { "zone", this->zone },
              { "version", "v1" },
              { "slots", 8 },
              { "state", state },
@@ -197,6 +197,7 @@
   bool malformed_rows = false;    ///< Lists of tasks can't be read row by row.
   int accelerators = 8;           ///< Capacity in the announcement.
   std::string rack = "r1-1";
+  std::string zone = "zone-1";
   std::int64_t min_stay_ms = 0;        ///< `remaining_ms` of the announcement.
   std::map<std::string, double> loads; ///< Load in the list of running tasks.
   std::map<std::string, int> paces;    ///< Last requested pace.
