Use expected run times for remaining times, slack and reservations

Remaining times of runs, the time that a step may wait, reservations and the choice of runs to stop used the declared run times, also for runs on slow servers. They now use the learned run time of the kind, if declared times are known to be wrong by a factor of 1.5 or more, times the factor of the server.

--- a/bench/speed_replay.cpp
+++ b/bench/speed_replay.cpp
@@ -91,6 +91,7 @@
   std::size_t on_time[3] = {};
   std::size_t stops = 0;
   std::size_t rounds = 0;
+  std::size_t rounds_with_speeds = 0;
   double max_round_us = 0;
   double sum_round_us = 0;
 };
@@ -376,6 +377,11 @@
       pool.free[item.first] = server.capacity;
       pool.servers[item.first] = std::move(server);
     }
+    for (core::RoundWorkflow& round_workflow : this->workflows)
+      round_workflow.expected =
+        this->knowledge == Knowledge::Learned
+          ? entry::expected_times(this->run_times, *round_workflow.definition)
+          : core::ExpectedTimes();
     core::allocate_runs(this->workflows, pool);
     core::mark_guaranteed(this->workflows, {});
     core::RoundLimits limits;
@@ -392,6 +398,7 @@
     this->result.max_round_us = std::max(this->result.max_round_us, us);
     this->result.sum_round_us += us;
     ++this->result.rounds;
+    this->result.rounds_with_speeds += this->run_times.speeds_differ() ? 1 : 0;
     for (const core::StepPreemption& preemption : round.preemptions)
       this->result.stops += preemption.stopped_tasks;
   }
@@ -437,13 +444,14 @@
     { "mixed, 1200 servers", { 0.6, 1.0, 1.6 }, 1, 1'200 },
   };
   std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
-  fmt::print("{:<20} {:<8} {:>6} {:>6} {:>6} {:>6} {:>9} {:>9}\n",
+  fmt::print("{:<20} {:<8} {:>6} {:>6} {:>6} {:>6} {:>6} {:>9} {:>9}\n",
              "scenario",
              "speeds",
              "p0",
              "p1",
              "p2",
              "stops",
+             "differ",
              "round us",
              "max us");
   std::string_view only = argc > 2 ? argv[2] : "";
@@ -462,6 +470,7 @@
         }
         sum.stops += result.stops;
         sum.rounds += result.rounds;
+        sum.rounds_with_speeds += result.rounds_with_speeds;
         sum.sum_round_us += result.sum_round_us;
         sum.max_round_us = std::max(sum.max_round_us, result.max_round_us);
       }
@@ -469,15 +478,18 @@
       for (int priority = 0; priority < 3; ++priority)
         share[priority] = static_cast<double>(sum.on_time[priority]) /
                           static_cast<double>(sum.jobs[priority]);
-      fmt::print("{:<20} {:<8} {:6.3f} {:6.3f} {:6.3f} {:6} {:9.0f} {:9.0f}\n",
-                 scenario.name,
-                 name_of(KNOWLEDGE_NAMES, knowledge),
-                 share[0],
-                 share[1],
-                 share[2],
-                 sum.stops,
-                 sum.sum_round_us / static_cast<double>(sum.rounds),
-                 sum.max_round_us);
+      fmt::print(
+        "{:<20} {:<8} {:6.3f} {:6.3f} {:6.3f} {:6} {:6.2f} {:9.0f} {:9.0f}\n",
+        scenario.name,
+        name_of(KNOWLEDGE_NAMES, knowledge),
+        share[0],
+        share[1],
+        share[2],
+        sum.stops,
+        static_cast<double>(sum.rounds_with_speeds) /
+          static_cast<double>(sum.rounds),
+        sum.sum_round_us / static_cast<double>(sum.rounds),
+        sum.max_round_us);
     }
   }
   return 0;
--- a/core/objective.cpp
+++ b/core/objective.cpp
@@ -5,12 +5,24 @@
 namespace geraniumhinge::core {
 
 std::int64_t
-chain_ms(const Workflow& workflow, std::uint32_t step)
+expected_ms(const Workflow& workflow,
+            const ExpectedTimes& expected,
+            std::uint32_t step)
+{
+  return step < expected.size() ? expected[step]
+                                : workflow.steps[step].estimate_ms;
+}
+
+std::int64_t
+chain_ms(const Workflow& workflow,
+         std::uint32_t step,
+         const ExpectedTimes& expected)
 {
   // Steps depend on earlier steps only: one backward pass suffices.
   std::vector<std::int64_t> chains(workflow.steps.size(), 0);
-  for (std::size_t index = workflow.steps.size(); index-- > step;) {
-    chains[index] += workflow.steps[index].estimate_ms;
+  for (std::uint32_t index = static_cast<std::uint32_t>(workflow.steps.size());
+       index-- > step;) {
+    chains[index] += expected_ms(workflow, expected, index);
     for (std::uint32_t earlier : workflow.steps[index].dependencies)
       chains[earlier] = std::max(chains[earlier], chains[index]);
   }
@@ -33,14 +45,15 @@
          const Objective& objective,
          std::uint32_t occurrence,
          std::uint32_t step,
-         std::int64_t unix_now_ms)
+         std::int64_t unix_now_ms,
+         const ExpectedTimes& expected)
 {
   std::int64_t begin_ms =
     workflow.occurrences > 0
       ? workflow.first_due_ms + occurrence * workflow.period_ms
       : workflow.accepted_ms;
-  return begin_ms + allowed_ms(workflow, objective) - chain_ms(workflow, step) -
-         unix_now_ms;
+  return begin_ms + allowed_ms(workflow, objective) -
+         chain_ms(workflow, step, expected) - unix_now_ms;
 }
 
 } // namespace geraniumhinge::core
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -78,6 +78,10 @@
 {
   for (std::pair<const std::string, Resources>& item : this->idle_pool.free)
     item.second = this->pool.servers.at(item.first).capacity;
+  for (const std::pair<const std::string, PoolServer>& item :
+       this->pool.servers)
+    this->speeds_differ =
+      this->speeds_differ || item.second.run_time_factor != 1;
 }
 
 RoundResult
@@ -97,6 +101,14 @@
   return waiting.round_workflow.definition->steps[waiting.key.step];
 }
 
+std::int64_t
+SchedulingRound::expected_ms_of(const WaitingStep& waiting) const
+{
+  return expected_ms(*waiting.round_workflow.definition,
+                     waiting.round_workflow.expected,
+                     waiting.key.step);
+}
+
 /// Ready steps, most urgent first. At equal urgency, steps that can still meet
 /// their objective come before late ones, then older ones before newer ones.
 std::vector<SchedulingRound::WaitingStep>
@@ -147,7 +159,8 @@
                                 round_workflow.objective,
                                 ready.occurrence,
                                 ready.step,
-                                this->now_ms + this->limits.unix_offset_ms);
+                                this->now_ms + this->limits.unix_offset_ms,
+                                round_workflow.expected);
   AssignRequest& request = waiting.request;
   request.step = &step;
   request.service = round_workflow.service;
@@ -172,9 +185,10 @@
   // A step that waits longer for one rack ends later than if it had started
   // immediately outside the rack.
   std::int64_t max_rack_wait_ms = MAX_RACK_WAIT_MS;
-  if (step.estimate_ms > 0)
+  std::int64_t expected_ms = this->expected_ms_of(waiting);
+  if (expected_ms > 0)
     max_rack_wait_ms = static_cast<std::int64_t>(
-      (this->limits.rack_penalty - 1) * step.estimate_ms);
+      (this->limits.rack_penalty - 1) * static_cast<double>(expected_ms));
   if (round_workflow.guaranteed)
     max_rack_wait_ms = std::min(max_rack_wait_ms, MAX_RECLAIM_RACK_WAIT_MS);
   request.allow_any_rack = waiting.waited_ms > max_rack_wait_ms ||
@@ -189,7 +203,7 @@
 {
   if (!waiting.slack_ms)
     return std::numeric_limits<double>::infinity();
-  double expected_ms = this->step_of(waiting).estimate_ms;
+  double expected_ms = static_cast<double>(this->expected_ms_of(waiting));
   if (expected_ms <= 0)
     return 0;
   double left_ms = static_cast<double>(*waiting.slack_ms) + expected_ms;
@@ -234,7 +248,7 @@
 {
   AssignRequest& request = waiting.request;
   std::set<std::string> reserved = request.reserved;
-  this->add_gang_reservations(request);
+  this->add_gang_reservations(waiting);
   std::vector<std::string> servers = this->assign_or_use_avoided(waiting);
   bool overdue = request.step->runs_until_cancelled &&
                  waiting.waited_ms > MAX_LASTING_WAIT_MS;
@@ -245,15 +259,20 @@
   return this->assign_or_use_avoided(waiting);
 }
 
+/// Reserves the servers on which a task of the step would not end before the
+/// gang that they are reserved for starts.
 void
-SchedulingRound::add_gang_reservations(AssignRequest& request) const
+SchedulingRound::add_gang_reservations(WaitingStep& waiting) const
 {
+  std::int64_t expected_ms = this->expected_ms_of(waiting);
   for (const GangReservation& reservation : this->gang_reservations) {
-    if (request.step->estimate_ms == 0 ||
-        reservation.free_in_ms <
-          static_cast<std::int64_t>(request.step->estimate_ms))
-      request.reserved.insert(reservation.servers.begin(),
-                              reservation.servers.end());
+    for (const std::string& server : reservation.servers) {
+      double run_ms = static_cast<double>(expected_ms) *
+                      this->pool.servers.at(server).run_time_factor;
+      if (expected_ms == 0 ||
+          static_cast<double>(reservation.free_in_ms) < run_ms)
+        waiting.request.reserved.insert(server);
+    }
   }
 }
 
--- a/core/round.h
+++ b/core/round.h
@@ -32,6 +32,7 @@
   bool guaranteed = false;       ///< Within the organisation's guarantee.
   std::set<std::string> avoided; ///< Servers on which the workflow failed.
   Objective objective;
+  ExpectedTimes expected;               ///< Of the steps; empty if as declared.
   std::optional<AdviceSettings> advice; ///< Set if the steps need tickets.
   bool changed = false;                 ///< The round changed `progress`.
 };
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -57,6 +57,7 @@
   };
 
   const Step& step_of(const WaitingStep& waiting) const;
+  std::int64_t expected_ms_of(const WaitingStep& waiting) const;
   std::vector<WaitingStep> waiting_steps();
   WaitingStep make_waiting_step(RoundWorkflow& round_workflow,
                                 const ReadyStep& ready);
@@ -64,7 +65,7 @@
   bool limit_tasks(WaitingStep& waiting) const;
   void place(WaitingStep& waiting);
   std::vector<std::string> find_servers(WaitingStep& waiting) const;
-  void add_gang_reservations(AssignRequest& request) const;
+  void add_gang_reservations(WaitingStep& waiting) const;
   std::vector<std::string> assign_or_use_avoided(WaitingStep& waiting) const;
   bool must_use_avoided(const WaitingStep& waiting) const;
   void wait_for_servers(WaitingStep& waiting);
@@ -104,7 +105,11 @@
                                   const StepKey& key,
                                   const StepState& tasks) const;
   std::int64_t elapsed_ms(const TaskKey& task) const;
-  std::int64_t remaining_ms(const TaskKey& task, const Step& step) const;
+  std::int64_t remaining_ms(const RoundWorkflow& round_workflow,
+                            const TaskKey& task) const;
+  /// Factor on the run time of the task on its server.
+  double run_time_factor(const RoundWorkflow& round_workflow,
+                         const TaskKey& task) const;
   double on_time_value(const RoundWorkflow& round_workflow,
                        const Step& step) const;
   bool stop_misses_objective(const RoundWorkflow& round_workflow,
@@ -122,6 +127,7 @@
   const RoundLimits& limits;
   std::int64_t now_ms;
   Pool idle_pool;               ///< The servers without any runs.
+  bool speeds_differ = false;   ///< Some servers are faster than others.
   std::vector<RunGroup> groups; ///< Runs at the start of the round.
   std::vector<GangReservation> gang_reservations;
   /// Servers of suspects that may still crash them.
--- a/core/round_stop.cpp
+++ b/core/round_stop.cpp
@@ -46,17 +46,41 @@
            : this->now_ms - placed->second;
 }
 
+double
+SchedulingRound::run_time_factor(const RoundWorkflow& round_workflow,
+                                 const TaskKey& task) const
+{
+  if (!this->speeds_differ)
+    return 1;
+  const StepKey& key = task.first;
+  const std::optional<Run>& run = round_workflow.progress.open_occurrences
+                                    .at(key.occurrence)[key.step][task.second]
+                                    .run;
+  if (!run)
+    return 1;
+  std::map<std::string, PoolServer>::const_iterator server =
+    this->pool.servers.find(run->server.id);
+  return server == this->pool.servers.end() ? 1
+                                            : server->second.run_time_factor;
+}
+
 std::int64_t
-SchedulingRound::remaining_ms(const TaskKey& task, const Step& step) const
+SchedulingRound::remaining_ms(const RoundWorkflow& round_workflow,
+                              const TaskKey& task) const
 {
   std::map<TaskKey, std::uint32_t>::const_iterator percent =
     this->history.percent.find(task);
-  std::int64_t estimate = step.estimate_ms;
+  std::int64_t expected = expected_ms(
+    *round_workflow.definition, round_workflow.expected, task.first.step);
+  double factor = this->run_time_factor(round_workflow, task);
+  if (factor != 1)
+    expected =
+      static_cast<std::int64_t>(static_cast<double>(expected) * factor);
   if (percent != this->history.percent.end())
-    return estimate *
+    return expected *
            std::max<std::int64_t>(COMPLETE_PERCENT - percent->second, 0) /
            COMPLETE_PERCENT;
-  return std::max<std::int64_t>(estimate - this->elapsed_ms(task), 0);
+  return std::max<std::int64_t>(expected - this->elapsed_ms(task), 0);
 }
 
 /// Value of meeting the objective with one task of the step, in core seconds.
@@ -84,9 +108,18 @@
              round_workflow.objective,
              key.occurrence,
              key.step,
-             this->now_ms + this->limits.unix_offset_ms);
-  std::int64_t done_ms = step.estimate_ms - this->remaining_ms(task, step);
-  std::int64_t saved_ms = step.checkpoints ? done_ms : 0;
+             this->now_ms + this->limits.unix_offset_ms,
+             round_workflow.expected);
+  std::int64_t expected =
+    expected_ms(*round_workflow.definition, round_workflow.expected, key.step);
+  std::int64_t remaining = this->remaining_ms(round_workflow, task);
+  std::int64_t done_ms = expected - remaining;
+  // The rest may run on a server of another speed.
+  double factor = this->run_time_factor(round_workflow, task);
+  if (factor != 1)
+    remaining =
+      static_cast<std::int64_t>(static_cast<double>(remaining) / factor);
+  std::int64_t saved_ms = step.checkpoints ? expected - remaining : 0;
   std::int64_t interruption_ms = this->limits.stop_ms + RESTART_DELAY_MS;
   return start_slack_ms + done_ms >= 0 &&
          start_slack_ms + saved_ms < interruption_ms;
@@ -152,8 +185,8 @@
     ++group.servers[task.run->server.id];
     group.stopping = group.stopping || task.run->stopping;
     group.loss_core_s += this->stop_loss_core_s(round_workflow, task_key);
-    group.remaining_ms =
-      std::max(group.remaining_ms, this->remaining_ms(task_key, step));
+    group.remaining_ms = std::max(group.remaining_ms,
+                                  this->remaining_ms(round_workflow, task_key));
   }
 }
 
--- a/core/run_times.cpp
+++ b/core/run_times.cpp
@@ -23,7 +23,9 @@
 /// Variance of the logarithm of run time / declared time.
 constexpr double UNKNOWN_KIND_VARIANCE = 0.25;
 constexpr double UNDECLARED_VARIANCE = 100;
-constexpr double KIND_DRIFT = 0.002; ///< For each step.
+/// For each step. Larger values let a few steps in a row that take too long
+/// change the expected times of all.
+constexpr double KIND_DRIFT = 0.0002;
 constexpr double KIND_SCATTER = 0.15;
 constexpr double MIN_SCATTER = 0.01;
 constexpr double MAX_SCATTER = 1;
@@ -66,9 +68,10 @@
 constexpr double MAX_FACTOR = 20;
 
 /// Steps of a kind after which its declared times may be corrected, and the
-/// smallest correction.
+/// smallest correction, a factor of 1.5: starts, reports and tasks that take
+/// far too long let right times look up to 1.3 times too short.
 constexpr std::uint64_t MIN_KIND_STEPS = 8;
-constexpr double MIN_CORRECTION_LOG = 0.2;
+constexpr double MIN_CORRECTION_LOG = 0.4;
 constexpr double MIN_CORRECTION_DEVIATIONS = 3;
 
 constexpr std::int64_t REFRESH_PERIOD_MS = 1'000;
@@ -105,19 +108,17 @@
 }
 
 RunTimes::Need&
-RunTimes::need_of(const StepKey& step,
-                  const std::string& kind,
-                  std::int64_t declared_ms)
+RunTimes::need_of(const StepKey& step, const StepEstimate& estimate)
 {
   std::pair<std::map<StepKey, Need>::iterator, bool> inserted =
     this->needs.try_emplace(step);
   Need& need = inserted.first->second;
   if (!inserted.second)
     return need;
-  need.declared = declared_ms > 0;
-  need.kind = kind_key(kind, need.declared);
-  need.log_declared =
-    std::log(static_cast<double>(std::max<std::int64_t>(declared_ms, 1)));
+  need.declared = estimate.declared_ms > 0;
+  need.kind = kind_key(estimate.kind, need.declared);
+  need.log_declared = std::log(
+    static_cast<double>(std::max<std::int64_t>(estimate.declared_ms, 1)));
   need.log_ms.mean = need.log_declared;
   need.log_ms.variance = KIND_SCATTER + (need.declared ? UNKNOWN_KIND_VARIANCE
                                                        : UNDECLARED_VARIANCE);
@@ -133,51 +134,68 @@
 
 void
 RunTimes::record(const StepKey& step,
-                 const std::string& kind,
-                 std::int64_t declared_ms,
+                 const StepEstimate& estimate,
                  const std::vector<RunSample>& samples,
                  std::int64_t now_ms)
 {
-  std::vector<RunSample> usable;
+  if (!this->needs.contains(step) && this->needs.size() >= MAX_STEPS)
+    return;
+  Need& need = this->need_of(step, estimate);
   for (const RunSample& sample : samples) {
-    bool known = this->nodes.contains(sample.node);
-    if (sample.run_ms > 0 && !sample.node.empty() &&
-        (known || this->nodes.size() + usable.size() < MAX_NODES))
-      usable.push_back(sample);
+    if (sample.run_ms > 0 && !sample.node.empty())
+      need.waiting.push_back(sample);
   }
-  if (usable.empty() ||
-      (!this->needs.contains(step) && this->needs.size() >= MAX_STEPS))
-    return;
-  this->record_batch(this->need_of(step, kind, declared_ms), usable, now_ms);
+  // A single sample would be compared with the declared time alone. If that is
+  // wrong, all nodes of the step look slow or fast.
+  bool enough = need.sampled || need.waiting.size() >=
+                                  std::min(estimate.tasks, MIN_MEDIAN_SAMPLES);
+  if (enough)
+    this->record_waiting(need, now_ms);
 }
 
-/// Compares each sample with what the step needs by all other samples.
-void
-RunTimes::record_batch(Need& need,
-                       const std::vector<RunSample>& samples,
-                       std::int64_t now_ms)
+/// Joins the samples of each node.
+std::vector<RunTimes::Observed>
+RunTimes::observe(Need& need)
 {
-  struct Observed
-  {
-    Node* node = nullptr;
-    double log_ms = 0;    ///< Of the sample.
-    double need = 0;      ///< What the sample shows of the step's need.
-    double precision = 0; ///< Of `need`, 0 if it is not used.
-  };
+  std::map<std::string, std::vector<double>> logs;
+  for (const RunSample& sample : need.waiting) {
+    if (this->nodes.contains(sample.node) ||
+        this->nodes.size() + logs.size() < MAX_NODES)
+      logs[sample.node].push_back(std::log(static_cast<double>(sample.run_ms)));
+  }
+  need.waiting.clear();
   std::vector<Observed> observed;
+  observed.reserve(logs.size());
+  for (std::pair<const std::string, std::vector<double>>& item : logs) {
+    Observed joined;
+    joined.node = &this->node_of(item.first);
+    joined.log_ms = median_of(item.second);
+    joined.variance =
+      this->task_scatter / static_cast<double>(item.second.size());
+    joined.need = joined.log_ms - joined.node->log_factor.mean;
+    joined.precision = 1 / (joined.node->log_factor.variance + joined.variance);
+    // All samples of one step share the error of its need, which must not count
+    // twice against a node.
+    joined.counts = need.nodes.insert(item.first).second;
+    observed.push_back(joined);
+  }
+  return observed;
+}
+
+/// Compares each node with what the step needs by the samples of all others.
+void
+RunTimes::record_waiting(Need& need, std::int64_t now_ms)
+{
+  std::vector<Observed> observed = this->observe(need);
+  if (observed.empty())
+    return;
   std::vector<double> needs;
-  for (const RunSample& sample : samples) {
-    Observed item;
-    item.node = &this->node_of(sample.node);
-    item.log_ms = std::log(static_cast<double>(sample.run_ms));
-    item.need = item.log_ms - item.node->log_factor.mean;
-    item.precision = 1 / (item.node->log_factor.variance + this->task_scatter);
+  needs.reserve(observed.size());
+  for (const Observed& item : observed)
     needs.push_back(item.need);
-    observed.push_back(item);
-  }
   Estimate prior = need.log_ms;
   double median = median_of(needs);
-  bool reliable_median = samples.size() >= MIN_MEDIAN_SAMPLES;
+  bool reliable_median = observed.size() >= MIN_MEDIAN_SAMPLES;
   // A step that needs far more than declared says nothing about its servers.
   if (reliable_median && !need.sampled)
     prior.variance = std::max(prior.variance, std::pow(median - prior.mean, 2));
@@ -198,24 +216,25 @@
     double other_precision = precision - item.precision;
     double other_mean =
       (weighted - item.need * item.precision) / other_precision;
-    this->update_node(
-      *item.node, { item.log_ms - other_mean, 1 / other_precision }, now_ms);
+    if (item.counts)
+      this->update_node(
+        *item.node,
+        { item.log_ms - other_mean, item.variance + 1 / other_precision },
+        now_ms);
   }
   need.log_ms = { weighted / precision, 1 / precision };
   need.sampled = true;
 }
 
-/// `innovation`: the sample's logarithm of the node's factor, with the
-/// uncertainty of what its step needs.
+/// `sample`: the logarithm of the node's factor, with the scatter of its tasks
+/// and the uncertainty of what their step needs.
 void
-RunTimes::update_node(Node& node,
-                      const Estimate& innovation,
-                      std::int64_t now_ms)
+RunTimes::update_node(Node& node, const Estimate& sample, std::int64_t now_ms)
 {
-  this->compare(node, innovation.mean);
-  double noise = this->task_scatter + innovation.variance;
+  this->compare(node, sample.mean);
+  double noise = sample.variance;
   double variance = node.log_factor.variance + noise;
-  double off = innovation.mean - node.log_factor.mean;
+  double off = sample.mean - node.log_factor.mean;
   this->task_scatter = std::clamp(
     this->task_scatter +
       SCATTER_WEIGHT *
@@ -272,27 +291,31 @@
   std::map<StepKey, Need>::iterator item =
     this->needs.lower_bound({ workflow, 0, 0 });
   while (item != this->needs.end() && item->first.workflow == workflow) {
+    this->record_waiting(item->second, this->refreshed_ms);
     this->learn_kind(item->second);
     item = this->needs.erase(item);
   }
 }
 
+/// Whether declared times of the kind are known to be wrong.
+bool
+RunTimes::is_wrong(const Kind& kind)
+{
+  double off = std::abs(kind.log_ratio.mean);
+  return kind.steps >= MIN_KIND_STEPS && off > MIN_CORRECTION_LOG &&
+         off > MIN_CORRECTION_DEVIATIONS * std::sqrt(kind.log_ratio.variance);
+}
+
 std::int64_t
 RunTimes::expected_ms(const std::string& kind, std::int64_t declared_ms) const
 {
   std::map<std::string, Kind>::const_iterator found =
     this->kinds.find(kind_key(kind, declared_ms > 0));
-  if (found == this->kinds.end() || found->second.steps < MIN_KIND_STEPS)
-    return declared_ms;
-  const Estimate& ratio = found->second.log_ratio;
-  bool significant = std::abs(ratio.mean) > MIN_CORRECTION_LOG &&
-                     std::abs(ratio.mean) >
-                       MIN_CORRECTION_DEVIATIONS * std::sqrt(ratio.variance);
-  if (!significant)
+  if (found == this->kinds.end() || !is_wrong(found->second))
     return declared_ms;
   return std::llround(
     static_cast<double>(std::max<std::int64_t>(declared_ms, 1)) *
-    std::exp(ratio.mean));
+    std::exp(found->second.log_ratio.mean));
 }
 
 double
@@ -323,6 +346,12 @@
     this->agreement.products > limit * std::sqrt(this->agreement.squares);
   this->differ =
     this->nodes.size() >= MIN_NODES && (agree || this->node_is_far_off());
+  this->corrects =
+    std::any_of(this->kinds.begin(),
+                this->kinds.end(),
+                [](const std::pair<const std::string, Kind>& item) {
+                  return is_wrong(item.second);
+                });
 }
 
 /// Makes the figures of all nodes less certain, and forgets those of nodes that
--- a/core/run_times.h
+++ b/core/run_times.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,15 @@
   std::int64_t run_ms = 0;
 };
 
+/// What is known of a step before it runs.
+struct StepEstimate
+{
+  /// Names tasks whose declared times are wrong by similar factors.
+  std::string kind;
+  std::int64_t declared_ms = 0; ///< 0 if not declared.
+  std::size_t tasks = 1;
+};
+
 /// Learned speed of one node.
 struct NodeSpeed
 {
@@ -50,12 +60,10 @@
 class RunTimes
 {
 public:
-  /// Records run times of tasks of one step, each run once. `kind` names tasks
-  /// whose declared times are wrong by similar factors. `declared_ms` is 0 if
-  /// the step has no estimate.
+  /// Records run times of tasks of one step, each run once. The first ones wait
+  /// until they can be compared with each other.
   void record(const StepKey& step,
-              const std::string& kind,
-              std::int64_t declared_ms,
+              const StepEstimate& estimate,
               const std::vector<RunSample>& samples,
               std::int64_t now_ms);
 
@@ -67,6 +75,9 @@
   std::int64_t expected_ms(const std::string& kind,
                            std::int64_t declared_ms) const;
 
+  /// Whether `expected_ms` differs from the declared time for any kind.
+  bool corrects_times() const { return this->corrects; }
+
   /// Factor on the run time of tasks on the node: 1 for the fleet's median and
   /// for unknown nodes. Always 1 unless `speeds_differ()`.
   double speed(const std::string& node) const;
@@ -118,16 +129,27 @@
     double log_declared = 0;
     bool declared = false;
     bool sampled = false;
+    std::vector<RunSample> waiting; ///< Not compared yet.
+    std::set<std::string> nodes;    ///< Those compared by this step.
+  };
+
+  /// The samples of one node in one step.
+  struct Observed
+  {
+    Node* node = nullptr;
+    double log_ms = 0;
+    double variance = 0;
+    double need = 0;      ///< What the samples show of the step's need.
+    double precision = 0; ///< Of `need`, 0 if it is not used.
+    bool counts = false;  ///< The step has not been counted for the node.
   };
 
-  Need& need_of(const StepKey& step,
-                const std::string& kind,
-                std::int64_t declared_ms);
-  void record_batch(Need& need,
-                    const std::vector<RunSample>& samples,
-                    std::int64_t now_ms);
-  void update_node(Node& node, const Estimate& innovation, std::int64_t now_ms);
+  Need& need_of(const StepKey& step, const StepEstimate& estimate);
+  std::vector<Observed> observe(Need& need);
+  void record_waiting(Need& need, std::int64_t now_ms);
+  void update_node(Node& node, const Estimate& sample, std::int64_t now_ms);
   void learn_kind(const Need& need);
+  static bool is_wrong(const Kind& kind);
   Node& node_of(const std::string& name);
   void decay(double passed_s, std::int64_t now_ms);
   void center();
@@ -141,6 +163,7 @@
   double task_scatter = 0.12;
   SpeedAgreement agreement;
   bool differ = false;
+  bool corrects = false;
   std::int64_t refreshed_ms = 0;
 };
 
--- a/entry/run_samples.cpp
+++ b/entry/run_samples.cpp
@@ -40,6 +40,19 @@
          std::to_string(step);
 }
 
+core::ExpectedTimes
+expected_times(const core::RunTimes& run_times, const core::Workflow& workflow)
+{
+  core::ExpectedTimes expected;
+  if (!run_times.corrects_times())
+    return expected;
+  expected.reserve(workflow.steps.size());
+  for (std::uint32_t step = 0; step < workflow.steps.size(); ++step)
+    expected.push_back(run_times.expected_ms(kind_of(workflow, step),
+                                             workflow.steps[step].estimate_ms));
+  return expected;
+}
+
 RunSamples::RunSamples(core::RunTimes& run_times,
                        const core::StepHistory& history,
                        const ServerTable& servers)
@@ -194,8 +207,9 @@
 {
   const core::Workflow& workflow = *round_workflow.definition;
   this->run_times.record(step_key(round_workflow, task),
-                         kind_of(workflow, task.step),
-                         workflow.steps[task.step].estimate_ms,
+                         { kind_of(workflow, task.step),
+                           workflow.steps[task.step].estimate_ms,
+                           workflow.steps[task.step].tasks },
                          run_samples,
                          now_ms);
 }
--- a/entry/run_samples.h
+++ b/entry/run_samples.h
@@ -97,8 +97,12 @@
   std::map<std::string, DoneRun> ends; ///< Reported since the last round.
 };
 
-/// Tasks whose declared run times are wrong by similar factors.
+/// Names tasks whose declared run times are wrong by similar factors.
 std::string
 kind_of(const core::Workflow& workflow, std::uint32_t step);
 
+/// Expected run times of the workflow's steps; empty if all are as declared.
+core::ExpectedTimes
+expected_times(const core::RunTimes& run_times, const core::Workflow& workflow);
+
 } // namespace geraniumhinge::entry
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -188,6 +188,7 @@
     round_workflow.max_runs =
       max_runs(*item.workflow, item.progress, this->limits.max_row_bytes);
     round_workflow.avoided = this->tracker.failed_on(entry.first);
+    round_workflow.expected = expected_times(this->run_times, *item.workflow);
     round.workflows.push_back(std::move(round_workflow));
   }
   this->samples.record_run_times(round.workflows, now_ms);
--- a/tests/core/run_times_test.cpp
+++ b/tests/core/run_times_test.cpp
@@ -55,7 +55,8 @@
     samples.reserve(nodes.size());
     for (std::size_t node : nodes)
       samples.push_back(this->sample(node, need_ms));
-    this->run_times.record({ id, 0, 0 }, "q", declared_ms, samples, now_ms);
+    this->run_times.record(
+      { id, 0, 0 }, { "q", declared_ms, samples.size() }, samples, now_ms);
     this->run_times.forget(id);
   }
   /// Gangs of five on random nodes, until each node has had `runs` on average.
@@ -184,8 +185,7 @@
     // Node 1 has the median speed.
     double before = fleet.speed(1);
     fleet.run_times.record({ "straggler", 0, 0 },
-                           "q",
-                           2'000,
+                           { "q", 2'000, 4 },
                            { { "node-0", 1'200 },
                              { "node-1", 14'000 },
                              { "node-2", 3'200 },
@@ -197,8 +197,10 @@
     // A single task, without others of its step.
     fleet.run(8);
     before = fleet.speed(1);
-    fleet.run_times.record(
-      { "single", 0, 0 }, "q", 2'000, { { "node-1", 14'000 } }, fleet.now_ms);
+    fleet.run_times.record({ "single", 0, 0 },
+                           { "q", 2'000, 1 },
+                           { { "node-1", 14'000 } },
+                           fleet.now_ms);
     fleet.now_ms += 1'000;
     fleet.run_times.refresh(fleet.now_ms);
     BOOST_TEST(fleet.speed(1) < before * 1.15);
@@ -214,8 +216,7 @@
   double before = fleet.speed(1);
   for (const char* id : { "a", "b" })
     fleet.run_times.record({ id, 0, 0 },
-                           "q",
-                           2'000,
+                           { "q", 2'000, 4 },
                            { { "node-0", 8'400 },
                              { "node-1", 14'000 },
                              { "node-2", 22'400 },
@@ -285,7 +286,7 @@
   RunTimes run_times{};
   for (int index = 0; index < 20'000; ++index) {
     std::string name = std::to_string(index);
-    run_times.record({ name, 0, 0 }, name, 100, { { name, 100 } }, 1);
+    run_times.record({ name, 0, 0 }, { name, 100, 1 }, { { name, 100 } }, 1);
   }
   BOOST_TEST(run_times.speeds().nodes.size() <= 4'096U);
 }
