--- a/tests/system/platform_fixture.h
+++ b/tests/system/platform_fixture.h
@@ -70,6 +70,8 @@
   std::string store_address;
   /// Time for which the next entries keep ended workflows.
   kernel::Milliseconds retention{ 60'000 };
+  /// `evacuation_ms` of the next entries and agents.
+  kernel::Milliseconds evacuation{ 0 };
   kernel::Subscription heartbeats;
 
   PlatformFixture()
@@ -99,6 +101,7 @@
     settings.max_early = kernel::Milliseconds(250);
     settings.retention = retention;
     settings.max_config_age = kernel::Milliseconds(1'800);
+    settings.evacuation = evacuation;
     entry_settings.push_back(settings);
     entries.push_back(
       std::make_unique<entry::PlatformProgram>(loop, timers, log, settings));
@@ -124,6 +127,7 @@
     settings.orphan_timeout = kernel::Milliseconds(1'500);
     servers.back()->max_lease = settings.max_lease;
     settings.report_period = kernel::Milliseconds(200);
+    settings.evacuation = evacuation;
     settings.heartbeat_period = HEARTBEAT_PERIOD;
     agent_settings.push_back(settings);
     agents.push_back(std::make_unique<agent::PlatformProgram>(
--- a/tests/system/platform_path_test.cpp
+++ b/tests/system/platform_path_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE platform_path
-#include "tests/system/platform_fixture.h"
+#include "tests/system/store_proxy.h"
 
 using namespace geraniumhinge;
 using namespace geraniumhinge::tests;
@@ -8,59 +8,6 @@
 
 using Fixture = PlatformFixture;
 
-/// HTTP proxy to the store. While `blackholed` is set, it does not respond.
-struct StoreProxy
-{
-  gateway::HttpClient& client;
-  std::string target;
-  bool blackholed = false;
-  std::vector<gateway::HttpServer::ResponseCallback> unanswered;
-  gateway::HttpServer server;
-
-  StoreProxy(Fixture& fixture)
-    : client(fixture.client)
-    , target(fixture.store.address())
-    , server(fixture.loop,
-             fixture.timers,
-             "127.0.0.1:0",
-             1'000'000,
-             [this](const gateway::HttpRequest& request,
-                    gateway::HttpServer::ResponseCallback respond) {
-               this->forward(request, std::move(respond));
-             })
-  {
-    BOOST_REQUIRE(server.listen().has_value());
-  }
-
-  void forward(const gateway::HttpRequest& request,
-               gateway::HttpServer::ResponseCallback respond)
-  {
-    if (blackholed) {
-      unanswered.push_back(std::move(respond));
-      return;
-    }
-    gateway::HttpClientRequest call;
-    call.method = request.method;
-    call.url = "http://" + target + request.path;
-    char separator = '?';
-    for (const std::pair<const std::string, std::string>& item :
-         request.query) {
-      call.url += separator + item.first + '=' + item.second;
-      separator = '&';
-    }
-    call.body = request.body;
-    client.call(
-      std::move(call),
-      [this, respond = std::move(respond)](
-        const gateway::HttpClient::Result& response) mutable {
-        if (blackholed)
-          unanswered.push_back(std::move(respond));
-        else if (response)
-          respond({ response->status, "application/json", response->body, {} });
-      });
-  }
-};
-
 } // namespace
 
 // Guards against a job that does not get from submission to its outcome, and
