--- a/tests/gateway/loop_fixture.h
+++ b/tests/gateway/loop_fixture.h
@@ -19,10 +19,11 @@
   kernel::Loop loop;
   kernel::TimerService timers{ loop };
 
-  void run_until(const std::function<bool()>& condition)
+  void run_until(const std::function<bool()>& condition,
+                 kernel::Milliseconds limit = BOUND)
   {
     bool expired = false;
-    kernel::Subscription bound = this->timers.after(BOUND, [&] {
+    kernel::Subscription bound = this->timers.after(limit, [&] {
       expired = true;
       this->loop.stop();
     });
