Let a new owner wait for the reports of agents before it places all work

A new owner started rounds as soon as it had read the rows, when only some of the agents had reported: less urgent work took the servers known first, runs there were stopped for urgent work although other servers were free, and gangs were spread over racks.

Agents that reported while the rows were read got no orders until their next report, up to 1 s later, and renewed no lease meanwhile. They get orders as soon as the term starts; early_report_gets_no_orders failed before the change.

--- a/core/round.cpp
+++ b/core/round.cpp
@@ -170,8 +170,9 @@
       (this->limits.rack_penalty - 1) * step.estimate_ms);
   if (round_workflow.guaranteed)
     max_rack_wait_ms = std::min(max_rack_wait_ms, MAX_RECLAIM_RACK_WAIT_MS);
-  request.allow_any_rack = waiting.waited_ms > max_rack_wait_ms ||
-                           !fits_one_rack(this->idle_pool, request);
+  request.allow_any_rack =
+    !this->limits.settling && (waiting.waited_ms > max_rack_wait_ms ||
+                               !fits_one_rack(this->idle_pool, request));
   return waiting;
 }
 
@@ -196,6 +197,8 @@
 SchedulingRound::place(WaitingStep& waiting)
 {
   AssignRequest& request = waiting.request;
+  if (this->limits.settling && waiting.round_workflow.priority > 0)
+    return;
   if (!this->limit_suspects(waiting) || !this->limit_tasks(waiting))
     return;
   this->reserve_for_suspects(waiting);
@@ -269,7 +272,7 @@
   std::vector<std::string> planned;
   if (advised)
     planned = this->servers_with_room(waiting);
-  if (!this->must_isolate(waiting)) {
+  if (!this->limits.settling && !this->must_isolate(waiting)) {
     std::vector<std::string> freed = this->preempt(waiting);
     if (freed.empty())
       this->reserve_for_gang(waiting);
--- a/core/round.h
+++ b/core/round.h
@@ -50,6 +50,9 @@
   /// Value of meeting the objective, as a multiple of the step's own work, by
   /// priority. The last entry holds for all lower priorities.
   std::array<double, 3> on_time_value{ 2.5, 1, 0.2 };
+  /// Not all agents have reported to a new owner; see core/settle.h. Only
+  /// urgent steps are placed, and no run is stopped for them.
+  bool settling = false;
 };
 
 /// A task of a step, by its index.
--- a/entry/events.h
+++ b/entry/events.h
@@ -330,6 +330,14 @@
   "entry, the new owner, stores it.",
   "None."
 };
+inline constexpr kernel::EventInfo AGENTS_REPORTED{
+  649,
+  kernel::Severity::Info,
+  "agents_reported",
+  "As the new owner, this entry now places all work: all agents have reported, "
+  "or the limit of the setting settle_ms has passed.",
+  "If reported is below agents, check whether the missing agents run."
+};
 inline constexpr kernel::EventInfo ADVICE_DENIED{
   642,
   kernel::Severity::Warning,
@@ -384,6 +392,7 @@
   ADVICE_UNUSED,
   ADVICE_DENIED,
   SHARED_END_APPLIED,
+  AGENTS_REPORTED,
 };
 
 } // namespace geraniumhinge::entry
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -77,6 +77,7 @@
   limits.checkpoint_ms = settings.checkpoint_period.count();
   limits.rack_penalty = settings.rack_penalty;
   limits.max_row_bytes = settings.max_row_bytes;
+  limits.settle_ms = settings.settle_limit.count();
   return limits;
 }
 
@@ -437,6 +438,7 @@
         if (agent.last_seen_ms == 0)
           this->scheduler.send_orders(agent);
       }
+      this->servers.set_agents_listed();
     }));
 }
 
--- a/entry/platform_settings.cpp
+++ b/entry/platform_settings.cpp
@@ -26,6 +26,7 @@
   { "/platform/retention_s", SettingType::Integer, "s", 1, 604'800, "150", "How long ended workflows, and cancellings of unknown ones, are kept; a submission is tried for up to 30 s." },
   { "/platform/max_row_bytes", SettingType::Integer, "bytes", 4'096, 16'777'216, "65536", "Longest value of a row that the store accepts. It limits the tasks of a job." },
   { "/platform/config_age_ms", SettingType::Integer, "ms", 200, 60'000, "1800", "Callers are served only while this entry's data on configuration and work is at most this old." },
+  { "/platform/settle_ms", SettingType::Integer, "ms", 0, 10'000, "0", "Longest time for which a new owner places only work of priority 0, and stops no run for it, until all agents have reported to it; 0 turns this off." },
   { "/name", SettingType::Text, "", 0, 0, "", "Name of this entry, unique among the entries." },
   { "/zone", SettingType::Text, "", 0, 0, "", "Availability zone of this entry." },
   { "/peer/listen", SettingType::Address, "", 0, 0, "", "Address at which agents connect." },
@@ -84,6 +85,7 @@
   settings.max_row_bytes =
     static_cast<std::size_t>(reader.integer(row_of("/platform/max_row_bytes")));
   settings.max_config_age = duration("/platform/config_age_ms");
+  settings.settle_limit = duration("/platform/settle_ms");
   tl::expected<kernel::Severity, kernel::SettingFault> level =
     kernel::parse_severity(reader.text(row_of(LEVEL_POINTER)), LEVEL_POINTER);
   if (level)
--- a/entry/platform_settings.h
+++ b/entry/platform_settings.h
@@ -30,6 +30,9 @@
   kernel::Milliseconds retention{ 0 };
   std::size_t max_row_bytes = 65'536; ///< Longest value of a row.
   kernel::Milliseconds max_config_age{ 0 };
+  /// Longest time for which a new owner waits for the reports of all agents
+  /// before it places work of any priority; 0 for none.
+  kernel::Milliseconds settle_limit{ 0 };
   kernel::Milliseconds stop_grace{ 0 };
   kernel::Milliseconds checkpoint_period{ 2'000 };
   double core_share = 1; ///< Share of a processor core that this entry has.
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -87,6 +87,7 @@
 {
   this->agents.clear();
   this->withheld.clear();
+  this->agents_listed = false;
   this->owner_since_ms = now_ms;
   this->set_former_owner({ now_ms, {} });
 }
@@ -101,6 +102,21 @@
     this->former_reply_ms[agent.node] = former.confirmed_ms - agent.silent_ms;
 }
 
+core::FirstReports
+ServerTable::first_reports(std::int64_t now_ms) const
+{
+  core::FirstReports reports;
+  reports.term_age_ms = now_ms - this->owner_since_ms;
+  reports.listed = this->agents_listed;
+  for (const std::pair<const std::string, AgentView>& entry : this->agents) {
+    bool reported = entry.second.last_seen_ms != 0;
+    bool silent = this->former_reply_ms.contains(entry.first);
+    reports.agents += reported || !silent ? 1 : 0;
+    reports.reported += reported ? 1 : 0;
+  }
+  return reports;
+}
+
 /// Latest boot time at which an owner may have replied to a report of the
 /// agent.
 std::int64_t
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/pool.h"
+#include "core/settle.h"
 #include "core/workflow.h"
 
 #include "geraniumhinge/v1/peer.pb.h"
@@ -116,6 +117,12 @@
 
   void set_former_owner(const FormerOwner& former);
 
+  /// All agents were added, also those that have not reported.
+  void set_agents_listed() { this->agents_listed = true; }
+
+  /// Which agents have reported since ownership began.
+  core::FirstReports first_reports(std::int64_t now_ms) const;
+
   /// Of these nodes, those whose agents have been silent for so long that they
   /// renew no lease. No orders may be sent to them until `release_withheld` is
   /// called without them, so that the next owner need not wait for such orders.
@@ -191,6 +198,7 @@
   /// The same by node, of agents that the former owner withheld orders from.
   std::map<std::string, std::int64_t> former_reply_ms;
   std::set<std::string> withheld;
+  bool agents_listed = false; ///< Since ownership began.
   std::map<std::string, AgentView> agents;
 };
 
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -70,6 +70,13 @@
   this->round_timer =
     this->timers.every(ROUND_PERIOD, [this] { this->schedule_decision(); });
   this->row_expiry.start_term(term);
+  // Agents that reported while the rows were read have got no orders yet. Their
+  // next report may be a second away, and until then they renew no lease.
+  for (std::pair<const std::string, AgentView>& entry : this->servers.all()) {
+    AgentView& agent = entry.second;
+    if (agent.last_seen_ms != 0 && agent.orders_sequence == 0)
+      this->apply_report(agent);
+  }
   this->schedule_decision();
 }
 
@@ -235,6 +242,23 @@
   return pool;
 }
 
+/// Whether the reports of agents to this new owner are still incomplete. Logs
+/// the end of that time.
+bool
+WorkScheduler::is_settling(std::int64_t now_ms)
+{
+  core::FirstReports reports = this->servers.first_reports(now_ms);
+  bool settling = core::is_settling(reports, this->limits.settle_ms);
+  if (this->was_settling && !settling)
+    this->log.write(AGENTS_REPORTED,
+                    { { "term", this->term },
+                      { "agents", reports.agents },
+                      { "reported", reports.reported },
+                      { "after_ms", reports.term_age_ms } });
+  this->was_settling = settling;
+  return settling;
+}
+
 void
 WorkScheduler::run_round()
 {
@@ -256,6 +280,7 @@
   limits.stop_ms = this->limits.stop_ms;
   limits.checkpoint_ms = this->limits.checkpoint_ms;
   limits.unix_offset_ms = kernel::unix_ms() - now;
+  limits.settling = this->is_settling(now);
   round.result = core::run_scheduling_round(
     round.workflows, pool, this->history, limits, now);
   this->hooks.request_advice(round.result.advice_requests);
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -54,6 +54,9 @@
   /// Factor on the duration of a step that does not run in its rack.
   double rack_penalty = 1;
   std::size_t max_row_bytes = 65'536; ///< Longest value of a row.
+  /// Longest time for which a new owner places only urgent work, until all
+  /// agents have reported; 0 for none.
+  std::int64_t settle_ms = 0;
 };
 
 /// Runs the scheduling rounds of the owner: records the ends of runs, places
@@ -110,6 +113,7 @@
   RoundInput prepare_round(std::int64_t now_ms);
   void apply_caller_changes(core::RoundWorkflow& round_workflow);
   core::Pool make_pool(std::int64_t now_ms);
+  bool is_settling(std::int64_t now_ms);
   void update_gauges(const RoundInput& round,
                      const std::map<std::string, std::int64_t>& guarantees);
   /// Stores the changes of a round; false if there are none.
@@ -144,6 +148,7 @@
 
   std::uint64_t term = 0; ///< 0 while no rounds are run.
   bool decision_scheduled = false;
+  bool was_settling = false; ///< In the last round; see `is_settling`.
   WorkWriter writer;
   RowExpiry row_expiry;
   RoundInput pending;             ///< The round that `writer` is storing.
--- a/tests/entry/work_scheduler_test.cpp
+++ b/tests/entry/work_scheduler_test.cpp
@@ -64,11 +64,22 @@
     run_until([this] { return view.find(JOB)->progress_version != 0; });
   }
 
+  static core::Queue less_urgent_queue()
+  {
+    core::Queue queue;
+    queue.host = "less urgent";
+    queue.service = "planner";
+    queue.priority = 1;
+    return queue;
+  }
+
   void add_job(const std::string& id,
                std::uint32_t tasks = 1,
-               const std::optional<core::AdviceSettings>& advice = {})
+               const std::optional<core::AdviceSettings>& advice = {},
+               const std::string& queue = "")
   {
     core::Workflow workflow;
+    workflow.queue = queue;
     workflow.advice = advice;
     workflow.id = id;
     workflow.service = "planner";
@@ -372,3 +383,56 @@
   send_report();
   BOOST_TEST(sent.sequence() > before);
 }
+
+// Guards against an agent that waits for its next report, and so grants no
+// lease meanwhile, because it reported while a new owner read the rows.
+BOOST_FIXTURE_TEST_CASE(early_report_gets_no_orders, Fixture)
+{
+  report_until([this] { return sent.runs_size() == 1; });
+  scheduler.end_term();
+  servers.reset(kernel::boot_ms());
+  sent.Clear();
+  send_report();
+  BOOST_TEST(sent.term() == 0U);
+  scheduler.start_term(term);
+  run_until([this] { return sent.runs_size() == 1; });
+  BOOST_TEST(sent.report_sequence() == report.sequence());
+}
+
+// Guards against work that a new owner places on the first servers that report,
+// or never places because an agent has ended for good.
+BOOST_FIXTURE_TEST_CASE(new_owner_places_work_before_agents_report, Fixture)
+{
+  constexpr char LESS_URGENT_JOB[] = "5c0e7a21d94b36f9";
+  constexpr std::int64_t SETTLE_MS = 1'500;
+  entry::WorkSchedulerLimits changed = limits();
+  changed.settle_ms = SETTLE_MS;
+  scheduler.set_limits(changed);
+  std::int64_t since_ms = kernel::boot_ms();
+  servers.reset(since_ms);
+  servers.add_agent("node-1", "");
+  servers.add_agent("ended", "");
+  servers.set_agents_listed();
+  operator_config.queues.push_back(less_urgent_queue());
+  add_job(LESS_URGENT_JOB, 1, {}, "less urgent");
+  report_until([this] { return sent.runs_size() == 1; });
+  BOOST_TEST(sent.runs(0).task().starts_with(JOB));
+  report_until([this] { return sent.runs_size() == 2; });
+  BOOST_TEST(kernel::boot_ms() - since_ms >= SETTLE_MS);
+}
+
+// Guards against a delay when all agents have reported.
+BOOST_FIXTURE_TEST_CASE(new_owner_waits_for_agents_that_it_knows, Fixture)
+{
+  entry::WorkSchedulerLimits changed = limits();
+  changed.settle_ms = 1'000'000;
+  scheduler.set_limits(changed);
+  servers.reset(kernel::boot_ms());
+  servers.add_agent("node-1", "");
+  servers.add_agent("silent", "");
+  servers.set_former_owner({ kernel::boot_ms(), { { "silent", 1 } } });
+  servers.set_agents_listed();
+  operator_config.queues.push_back(less_urgent_queue());
+  add_job("5c0e7a21d94b36f9", 1, {}, "less urgent");
+  report_until([this] { return sent.runs_size() == 2; });
+}
