Renew the lease soon after the first reply of an owner

A poll renews the lease only if it is sent after the owner's reply. A restarted agent, or one whose owner was away, had a poll of up to 0.7 s in flight then, so that the leases of adopted runs were renewed that much later; after a restart of all processes little of the lease of 3 s is left. Polls wait for at most 200 ms while no owner has been seen. agent.server_agent_test: first_renewal_waits_for_a_poll_in_flight failed before the change.

--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -17,6 +17,10 @@
 /// Wait of one poll while best-effort tasks run beside latency tasks, so that
 /// their pace follows the response times.
 constexpr kernel::Milliseconds PACING_POLL_WAIT{ 250 };
+/// Wait of one poll while no owner has been seen lately. A poll renews the
+/// lease only if it is sent after the owner's reply, so a long one would delay
+/// that.
+constexpr kernel::Milliseconds OWNERLESS_POLL_WAIT{ 200 };
 /// Consecutive refused connections after which the instance counts as ended.
 constexpr int MAX_REFUSED_POLLS = 2;
 /// A server lists at most this many ends at once, the oldest ones.
@@ -229,6 +233,17 @@
   this->poll_server();
 }
 
+kernel::Milliseconds
+ServerAgent::longest_poll_wait() const
+{
+  kernel::Milliseconds wait = this->options.poll_wait;
+  if (this->must_pace())
+    wait = std::min(wait, PACING_POLL_WAIT);
+  if (this->answering && !this->owner_seen_lately())
+    wait = std::min(wait, OWNERLESS_POLL_WAIT);
+  return wait;
+}
+
 void
 ServerAgent::poll_server()
 {
@@ -248,10 +263,7 @@
   bool no_wait = !this->lists_known;
   for (const std::pair<const RunKey, TrackedRun>& item : this->runs)
     no_wait = no_wait || item.second.phase == RunPhase::Stopped;
-  request.wait = no_wait ? kernel::Milliseconds(0)
-                 : this->must_pace()
-                   ? std::min(PACING_POLL_WAIT, this->options.poll_wait)
-                   : this->options.poll_wait;
+  request.wait = no_wait ? kernel::Milliseconds(0) : this->longest_poll_wait();
   this->poll_timeout = request.wait + POLL_TIMEOUT_SLACK;
   this->server_client.renew_lease(
     this->target(),
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -115,6 +115,7 @@
   bool may_be_on_server(const TrackedRun& run) const;
   void record_crash();
   void begin_instance(const platform::Announcement& announcement);
+  kernel::Milliseconds longest_poll_wait() const;
   void poll_server();
   std::uint64_t acknowledged_ends() const;
   void log_acknowledgement(std::uint64_t number);
--- a/tests/agent/server_agent_fixture.h
+++ b/tests/agent/server_agent_fixture.h
@@ -30,6 +30,7 @@
   std::uint64_t announcements = 0;
   kernel::Milliseconds heartbeat_period{ 1'500 };
   kernel::Milliseconds orphan_timeout{ 600 };
+  kernel::Milliseconds poll_wait{ 100 };
   int changes = 0; ///< Calls of the agent's hook for changes.
   std::unique_ptr<agent::ServerAgent> agent = make_agent(log);
 
@@ -43,7 +44,7 @@
     options.lease = kernel::Milliseconds(900);
     options.max_lease = MAX_LEASE;
     options.orphan_timeout = orphan_timeout;
-    options.poll_wait = kernel::Milliseconds(100);
+    options.poll_wait = poll_wait;
     options.heartbeat_period = heartbeat_period;
     return std::make_unique<agent::ServerAgent>(
       loop, timers, agent_log, metrics, server_client, options, [this] {
--- a/tests/agent/server_agent_test.cpp
+++ b/tests/agent/server_agent_test.cpp
@@ -104,6 +104,20 @@
   BOOST_TEST(server.stale_requests == 0);
 }
 
+// Guards against a lease that expires although the owner has replied: the first
+// renewal of a restarted agent waited for a poll that renewed nothing.
+BOOST_FIXTURE_TEST_CASE(first_renewal_waits_for_a_poll_in_flight, Fixture)
+{
+  poll_wait = 3 * BOUND;
+  agent = make_agent();
+  announce();
+  run_until([this] { return listed(); });
+  // The next poll is on its way.
+  run_until([polls = 0]() mutable { return ++polls > 20; });
+  BOOST_TEST(!server.has_lease());
+  send_orders_until(orders(), [this] { return server.has_lease(); });
+}
+
 // Guards against a start that exceeds the server's capacity because the
 // resources of a run that has not ended yet are not counted.
 BOOST_FIXTURE_TEST_CASE(start_waits_for_free_resources, Fixture)
