Let the soak end many processes at once, and evacuate zones

The soak ended one process at a time.

A pause no longer replaces the pending restart of a process, which then never started again.

--- a/tests/soak/invariants.h
+++ b/tests/soak/invariants.h
@@ -70,6 +70,30 @@
     this->started_jobs.insert(job);
   }
 
+  /// Operators have asked at this time (boot time) that nothing more starts on
+  /// servers of the zone.
+  void record_evacuation(const std::string& zone, std::int64_t now_ms)
+  {
+    this->evacuated_ms[zone] = now_ms;
+  }
+
+  void record_reopening(const std::string& zone)
+  {
+    this->evacuated_ms.erase(zone);
+  }
+
+  /// Checks a start on a server of the zone against its evacuation.
+  void check_zone(const Run& run, const std::string& zone, std::int64_t now_ms)
+  {
+    std::map<std::string, std::int64_t>::const_iterator found =
+      this->evacuated_ms.find(zone);
+    if (found != this->evacuated_ms.end() &&
+        now_ms - found->second > EVACUATION_LIMIT_MS)
+      this->violations.push_back(run.first + " started in an evacuated zone, " +
+                                 std::to_string(now_ms - found->second) +
+                                 " ms after the request");
+  }
+
   void record_end(const Run& run, const std::string& end_kind)
   {
     --this->running_by_task[run.first];
@@ -106,6 +130,9 @@
     return jobs;
   }
 
+  /// From the operators' request until nothing more may start.
+  static constexpr std::int64_t EVACUATION_LIMIT_MS = 5'000;
+
   std::set<std::string> accepted_jobs;
   std::set<std::string> cancelled_jobs;
   std::vector<std::string> violations; ///< Descriptions, one per violation.
@@ -118,6 +145,7 @@
   std::set<std::string> done_tasks;
   std::set<std::string> acknowledged_tasks;
   std::map<std::string, int> running_by_task;
+  std::map<std::string, std::int64_t> evacuated_ms; ///< By zone.
 };
 
 } // namespace geraniumhinge::tests
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -38,6 +38,15 @@
 constexpr int MAX_OUTAGE_MS = 3'000;
 constexpr int MAX_DELAY_MS = 400; ///< Delay of a chunk of data in a relay.
 constexpr int MAX_RUN_MS = 900;
+/// Between two failures of many processes. They are drawn from numbers of their
+/// own, so that the other faults of a seed stay the same without them.
+constexpr int MASS_FAILURE_PERIOD_MS = 3'300;
+constexpr std::uint64_t MASS_FAILURE_SEED_OFFSET = 1'000'003;
+/// Longer than the time after which nothing may start in the zone.
+constexpr int MIN_EVACUATION_MS = 6'000;
+constexpr int MAX_EVACUATION_MS = 8'000;
+constexpr int ZONES = 2; ///< Of the servers, if zones are evacuated.
+constexpr int PERCENT = 100;
 constexpr int GANG_POLL_MS = 50;
 constexpr char TOKEN[] = "key";
 constexpr char PREFIX[] = "/queue/";
@@ -51,6 +60,8 @@
 {
   int entries = DEFAULT_ENTRIES;
   int servers = DEFAULT_SERVERS;
+  bool mass_failures = true; ///< Many processes end at once.
+  bool evacuations = false;  ///< Operators evacuate a zone.
 };
 
 class Soak
@@ -58,6 +69,7 @@
 public:
   Soak(std::uint64_t seed, const SoakSize& size, std::string folder)
     : random(seed)
+    , mass_random(seed + MASS_FAILURE_SEED_OFFSET)
     , size(size)
     , folder(std::move(folder))
     , store(loop, timers)
@@ -82,10 +94,17 @@
                          [this] { this->submit_next_job(); });
     this->fault_injection = this->timers.every(
       kernel::Milliseconds(FAULT_PERIOD_MS), [this] { this->inject_fault(); });
+    if (this->size.mass_failures)
+      this->mass_failures =
+        this->timers.every(kernel::Milliseconds(MASS_FAILURE_PERIOD_MS),
+                           [this] { this->end_many_processes(); });
+    if (this->size.evacuations)
+      this->evacuate_zone();
     kernel::Subscription end_of_faults =
       this->timers.after(kernel::Milliseconds(FAULT_PHASE_MS), [this] {
         this->submissions.reset();
         this->fault_injection.reset();
+        this->mass_failures.reset();
       });
     kernel::Subscription job_poll =
       this->timers.every(kernel::Milliseconds(HEARTBEAT_PERIOD_MS),
@@ -115,6 +134,7 @@
     std::string log;
     std::unique_ptr<Process> process;
     kernel::Subscription resume;
+    bool is_restarting = false; ///< Ended, or told to end.
   };
 
   struct Server
@@ -122,6 +142,7 @@
     std::unique_ptr<ServerStandin> standin;
     std::unique_ptr<Relay> relay;
     std::string registry_address;
+    std::string zone;
     std::uint64_t sequence = 0;
     kernel::Subscription heal;
     std::vector<kernel::Subscription> run_timers;
@@ -180,6 +201,8 @@
     server.standin = std::make_unique<ServerStandin>(this->loop, this->timers);
     server.relay = std::make_unique<Relay>(server.standin->address());
     server.registry_address = free_address();
+    server.zone =
+      fmt::format("zone-{}", this->size.evacuations ? index % ZONES + 1 : 1);
     this->servers.push_back(std::move(server));
     Server& added_server = this->servers.back();
     added_server.standin->on_start = [this,
@@ -214,6 +237,7 @@
     Server& server = this->servers[index];
     this->invariants.record_start(
       run, server.standin->running.size(), SERVER_CAPACITY);
+    this->invariants.check_zone(run, server.zone, kernel::boot_ms());
     bool run_fails = this->random_number(0, 99) < 4;
     server.run_timers.push_back(this->timers.after(
       kernel::Milliseconds(this->random_number(50, MAX_RUN_MS)),
@@ -297,6 +321,7 @@
       nlohmann::json body =
         server.standin->announcement("ready", ++server.sequence);
       body["address"] = server.relay->address();
+      body["zone"] = server.zone;
       gateway::HttpClientRequest call;
       call.url = fmt::format("http://{}/geraniumhinge/instances/i-{}/heartbeat",
                              server.registry_address,
@@ -467,6 +492,44 @@
     }
   }
 
+  /// Ends all entries, all agents, or each process with a random probability.
+  void end_many_processes()
+  {
+    ++this->fault_count;
+    std::uniform_int_distribution<int> percent(0, PERCENT - 1);
+    int kind = percent(this->mass_random) % 4;
+    int share = percent(this->mass_random);
+    for (std::size_t index = 0; index < this->programs.size(); ++index) {
+      bool is_entry = index < static_cast<std::size_t>(this->size.entries);
+      bool chosen = kind == 0   ? is_entry
+                    : kind == 1 ? !is_entry
+                    : kind == 2 ? true
+                                : percent(this->mass_random) < share;
+      if (chosen)
+        this->restart(this->programs[index], SIGKILL);
+    }
+  }
+
+  /// Requests the evacuation of a zone as operators do, and later removes the
+  /// request.
+  void evacuate_zone()
+  {
+    std::uniform_int_distribution<int> zones(1, ZONES);
+    std::uniform_int_distribution<int> lengths(MIN_EVACUATION_MS,
+                                               MAX_EVACUATION_MS);
+    std::string zone = fmt::format("zone-{}", zones(this->mass_random));
+    RowStoreStandin::Name row{ "op", "", "evacuate/" + zone };
+    this->store.put(row, "{}");
+    this->invariants.record_evacuation(zone, kernel::boot_ms());
+    this->reopening = this->timers.after(
+      kernel::Milliseconds(lengths(this->mass_random)), [this, zone, row] {
+        this->invariants.record_reopening(zone);
+        this->store.remove(row);
+        if (this->fault_injection.active())
+          this->evacuate_zone();
+      });
+  }
+
   void schedule_heal(Server& server, kernel::Milliseconds length)
   {
     server.heal =
@@ -476,16 +539,21 @@
   void restart(Program& program, int signal)
   {
     program.process->send(signal);
+    program.is_restarting = true;
     program.resume = this->timers.after(
       kernel::Milliseconds(signal == SIGKILL ? 300 : 4'500), [&program] {
         program.process->kill();
         program.process =
           std::make_unique<Process>(program.arguments, program.log);
+        program.is_restarting = false;
       });
   }
 
   void pause(Program& program, kernel::Milliseconds length)
   {
+    // The end of the pause would replace the restart.
+    if (program.is_restarting)
+      return;
     program.process->freeze();
     program.resume =
       this->timers.after(length, [&program] { program.process->resume(); });
@@ -494,6 +562,7 @@
   kernel::Loop loop;
   kernel::TimerService timers{ loop };
   std::mt19937_64 random;
+  std::mt19937_64 mass_random;
   SoakSize size;
   std::string folder;
   RowStoreStandin store;
@@ -508,6 +577,8 @@
   kernel::Subscription heartbeats;
   kernel::Subscription submissions;
   kernel::Subscription fault_injection;
+  kernel::Subscription mass_failures;
+  kernel::Subscription reopening;
   std::vector<kernel::Subscription> gang_end_timers;
   kernel::Subscription store_refusal_timer;
   kernel::Subscription store_relay_timer;
@@ -551,6 +622,12 @@
     "servers",
     "number of agents, each with a backend server",
     cxxopts::value<int>()->default_value(std::to_string(DEFAULT_SERVERS)))(
+    "mass-failures",
+    "end many processes at once",
+    cxxopts::value<bool>()->default_value("true"))(
+    "evacuations",
+    "evacuate zones; needs a product that reads the operators' requests",
+    cxxopts::value<bool>()->default_value("false"))(
     "logs", "folder for the logs", cxxopts::value<std::string>());
   cxxopts::ParseResult parsed = options.parse(argc, argv);
   std::uint64_t seed = parsed.count("seed") > 0
@@ -561,7 +638,10 @@
       ? parsed["logs"].as<std::string>()
       : std::filesystem::temp_directory_path().string() + "/geraniumhinge-soak";
   int seeds = parsed["seeds"].as<int>();
-  SoakSize size{ parsed["entries"].as<int>(), parsed["servers"].as<int>() };
+  SoakSize size{ parsed["entries"].as<int>(),
+                 parsed["servers"].as<int>(),
+                 parsed["mass-failures"].as<bool>(),
+                 parsed["evacuations"].as<bool>() };
   if (size.entries < 1 || size.servers < 1 ||
       size.entries + size.servers > MAX_PROCESSES) {
     fmt::print(
