--- a/tests/platform/server_standin.h
+++ b/tests/platform/server_standin.h
@@ -197,7 +197,8 @@
   bool malformed_rows = false;    ///< Lists of tasks can't be read row by row.
   int accelerators = 8;           ///< Capacity in the announcement.
   std::string rack = "r1-1";
-  std::int64_t min_stay_ms = 0;        ///< `remaining_ms` of the announcement.
+  std::int64_t min_stay_ms = 0; ///< `remaining_ms` of the announcement.
+  int percent = 10;             ///< Progress in the list of running tasks.
   std::map<std::string, double> loads; ///< Load in the list of running tasks.
   std::map<std::string, int> paces;    ///< Last requested pace.
   std::int64_t started_ms = 1'000;
@@ -450,7 +451,7 @@
       response["running_tasks"].push_back({ item.first.first,
                                             item.first.second,
                                             "",
-                                            10,
+                                            this->percent,
                                             this->load_of(item.first.first) });
     for (const End& item : this->ended) {
       if (response["ended"].size() == MAX_LISTED_ENDS)
--- a/tests/system/mass_restart_test.cpp
+++ b/tests/system/mass_restart_test.cpp
@@ -196,6 +196,28 @@
   check_invariants();
 }
 
+// Guards against a run that is started twice, or given up, because its agent
+// ended before it knew whether the server had started it.
+BOOST_FIXTURE_TEST_CASE(all_agents_end_after_a_start, Fixture)
+{
+  bool ended = false;
+  for (const std::unique_ptr<ServerStandin>& server : servers)
+    server->unanswered_starts = 1;
+  on_start = [&](const ServerStandin::Run&) {
+    if (ended)
+      return;
+    ended = true;
+    kill(all_agents());
+    start(all_agents());
+  };
+  accept(JOB, job_body(TASKS, SERVER_CAPACITY, true));
+  wait([this] { return running(JOB) == TASKS; });
+  BOOST_TEST(begun(JOB) == TASKS);
+  finish_all();
+  wait_state(JOB, "completed");
+  check_invariants();
+}
+
 // Guards against running work that is lost or started again, and ends that are
 // missed, when all agents end at once.
 BOOST_FIXTURE_TEST_CASE(all_agents_end, BusyFixture)
--- a/tests/system/process_fixture.h
+++ b/tests/system/process_fixture.h
@@ -19,7 +19,7 @@
 #include <fstream>
 #include <map>
 #include <memory>
-#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,6 +38,9 @@
   static constexpr int HEARTBEAT_PERIOD_MS = 200;
   static constexpr int REPORT_PERIOD_MS = 500;
   static constexpr kernel::Milliseconds STATE_POLL_PERIOD{ 50 };
+  /// Runs without progress would be started on other servers.
+  static constexpr std::int64_t MS_PER_PERCENT = 1'000;
+  static constexpr std::int64_t MAX_PERCENT = 99;
   /// Longest wait for a condition; no test depends on how long it took.
   static constexpr kernel::Milliseconds LONG_BOUND{ 60'000 };
   static constexpr char KEY[] = "key";
@@ -48,6 +51,7 @@
   {
     std::vector<std::string> arguments;
     std::string log;
+    std::string peer_address;
     std::unique_ptr<Process> process;
   };
 
@@ -63,10 +67,12 @@
   std::vector<std::string> registry_addresses;
   std::vector<std::unique_ptr<ServerStandin>> servers;
   std::vector<std::uint64_t> sequences;
-  std::map<std::string, int> begun_runs; ///< By task.
+  std::set<std::size_t> unannounced_servers; ///< They send no announcements.
+  std::map<std::string, int> begun_runs;     ///< By task.
   std::function<void(const ServerStandin::Run&)> on_start =
     [](const ServerStandin::Run&) {};
   kernel::Subscription heartbeats;
+  std::int64_t begin_ms = kernel::boot_ms();
   std::string folder;
 
   ProcessFixture()
@@ -97,13 +103,18 @@
   ProcessFixture(const ProcessFixture&) = delete;
   ProcessFixture& operator=(const ProcessFixture&) = delete;
 
-  static std::string configuration()
+  static std::string configuration(int version = 1,
+                                   const std::string& key = KEY)
   {
-    return R"({"version":1,"routes":[{"name":"q","host":"127.0.0.1",
-      "path_prefix":"/queue/","service":"planner","attempts":50,
-      "priority":1},{"name":"u","host":"127.0.0.1","path_prefix":"/urgent/",
-      "service":"planner","attempts":50,"priority":0}],
-      "tenants":[{"name":"t","api_keys":["key"],"guaranteed":{"gpu":32}}]})";
+    return fmt::format(
+      R"({{"version":{},"routes":[{{"name":"q","host":"127.0.0.1",
+          "path_prefix":"/queue/","service":"planner","attempts":50,
+          "priority":1}},{{"name":"u","host":"127.0.0.1",
+          "path_prefix":"/urgent/","service":"planner","attempts":50,
+          "priority":0}}],"tenants":[{{"name":"t","api_keys":["{}"],
+          "guaranteed":{{"gpu":32}}}}]}})",
+      version,
+      key);
   }
 
   /// A job of one step.
@@ -134,6 +145,7 @@
                         "serve",
                         "--settings",
                         path };
+    added.peer_address = settings["peer"]["listen"].get<std::string>();
     added.log = fmt::format("{}/{}.log", this->folder, name);
     programs.push_back(std::move(added));
     start({ &programs.back() });
@@ -206,19 +218,51 @@
   void announce_all()
   {
     for (std::size_t index = 0; index < this->servers.size(); ++index) {
-      gateway::HttpClientRequest call;
-      call.url = fmt::format("http://{}/geraniumhinge/instances/i-{}/heartbeat",
-                             this->registry_addresses[index],
-                             index);
-      call.body = this->servers[index]
-                    ->announcement("ready", ++this->sequences[index])
-                    .dump();
-      call.timeout = kernel::Milliseconds(1'000);
-      this->client.call(std::move(call),
-                        [](const gateway::HttpClient::Result&) {});
+      this->servers[index]->percent = static_cast<int>(std::min(
+        (kernel::boot_ms() - this->begin_ms) / MS_PER_PERCENT, MAX_PERCENT));
+      if (!this->unannounced_servers.contains(index))
+        this->announce(index, this->announcement(index), [](bool) {});
     }
   }
 
+  std::string announcement(std::size_t index)
+  {
+    return this->servers[index]
+      ->announcement("ready", ++this->sequences[index])
+      .dump();
+  }
+
+  void announce(std::size_t index,
+                const std::string& body,
+                std::function<void(bool)> done)
+  {
+    this->call_agent(index, "heartbeat", body, std::move(done));
+  }
+
+  void announce_departure(std::size_t index, std::function<void(bool)> done)
+  {
+    this->call_agent(index, "deregister", "{}", std::move(done));
+  }
+
+  void call_agent(std::size_t index,
+                  const std::string& action,
+                  const std::string& body,
+                  std::function<void(bool)> done)
+  {
+    gateway::HttpClientRequest call;
+    call.url = fmt::format("http://{}/geraniumhinge/instances/i-{}/{}",
+                           this->registry_addresses[index],
+                           index,
+                           action);
+    call.body = body;
+    call.timeout = kernel::Milliseconds(1'000);
+    this->client.call(
+      std::move(call),
+      [done = std::move(done)](const gateway::HttpClient::Result& response) {
+        done(response && response->status == 200);
+      });
+  }
+
   void wait(const std::function<bool()>& condition)
   {
     this->run_until(condition, LONG_BOUND);
