--- a/core/settle.h
+++ b/core/settle.h
@@ -11,8 +11,8 @@
   std::int64_t term_age_ms = 0; ///< Time since ownership began.
   /// Whether `agents` counts all agents, not only those that have reported.
   bool listed = false;
-  std::size_t agents = 0; ///< Except those known to be silent.
-  std::size_t reported = 0;
+  std::size_t agents = 0;   ///< Except those known to be silent.
+  std::size_t reported = 0; ///< Whose servers are known.
 };
 
 /// Whether a new owner still lacks reports that it can expect. Until it has
--- a/entry/server_table.cpp
+++ b/entry/server_table.cpp
@@ -102,6 +102,16 @@
     this->former_reply_ms[agent.node] = former.confirmed_ms - agent.silent_ms;
 }
 
+/// Whether the agent's server can be used, or is not expected to be soon. An
+/// agent that has just started or resumed waits for the next announcement.
+bool
+ServerTable::server_is_settled(const AgentView& agent) const
+{
+  if (agent.report.life().id().empty())
+    return agent.no_lease_ms > this->bounds.lease_ms();
+  return agent.report.ready() || agent.report.leaving();
+}
+
 core::FirstReports
 ServerTable::first_reports(std::int64_t now_ms) const
 {
@@ -109,10 +119,10 @@
   reports.term_age_ms = now_ms - this->owner_since_ms;
   reports.listed = this->agents_listed;
   for (const std::pair<const std::string, AgentView>& entry : this->agents) {
-    bool reported = entry.second.last_seen_ms != 0;
-    bool silent = this->former_reply_ms.contains(entry.first);
-    reports.agents += reported || !silent ? 1 : 0;
-    reports.reported += reported ? 1 : 0;
+    bool seen = entry.second.last_seen_ms != 0;
+    bool silent = !seen && this->former_reply_ms.contains(entry.first);
+    reports.agents += silent ? 0 : 1;
+    reports.reported += seen && this->server_is_settled(entry.second) ? 1 : 0;
   }
   return reports;
 }
--- a/entry/server_table.h
+++ b/entry/server_table.h
@@ -120,7 +120,7 @@
   /// All agents were added, also those that have not reported.
   void set_agents_listed() { this->agents_listed = true; }
 
-  /// Which agents have reported since ownership began.
+  /// How many agents have reported their servers since ownership began.
   core::FirstReports first_reports(std::int64_t now_ms) const;
 
   /// Of these nodes, those whose agents have been silent for so long that they
@@ -189,6 +189,7 @@
   bool accepts_work(const AgentView& agent, std::int64_t now_ms) const;
 
 private:
+  bool server_is_settled(const AgentView& agent) const;
   std::int64_t last_reply_ms(const std::string& node) const;
 
   LeaseBounds bounds;
--- a/tests/entry/server_table_test.cpp
+++ b/tests/entry/server_table_test.cpp
@@ -215,3 +215,39 @@
   BOOST_TEST((servers.loss_cause({ "i-1", 1 }, "node-1", NOW_MS) ==
               entry::LossCause::ServerUnknown));
 }
+
+// Guards against a new owner that takes an agent for reported although the
+// agent has just started or resumed, and can't use its server yet.
+BOOST_FIXTURE_TEST_CASE(report_without_a_usable_server_is_complete, Fixture)
+{
+  servers.add_agent("silent", "");
+  servers.set_former_owner({ NOW_MS, { { "silent", 1 } } });
+  servers.set_agents_listed();
+  v1::ServerLifeRow life = report.life();
+  report.clear_life();
+  report.set_no_lease_ms(10);
+  changes();
+  BOOST_TEST(servers.first_reports(NOW_MS).agents == 1U);
+  BOOST_TEST(servers.first_reports(NOW_MS).reported == 0U);
+  *report.mutable_life() = life;
+  report.set_ready(false);
+  changes();
+  BOOST_TEST(servers.first_reports(NOW_MS).reported == 0U);
+  report.set_ready(true);
+  changes();
+  BOOST_TEST(servers.first_reports(NOW_MS).reported == 1U);
+}
+
+// Guards against a new owner that waits for servers which won't be used.
+BOOST_FIXTURE_TEST_CASE(server_that_is_not_coming_is_waited_for, Fixture)
+{
+  report.set_ready(false);
+  report.set_leaving(true);
+  changes();
+  BOOST_TEST(servers.first_reports(NOW_MS).reported == 1U);
+  report.set_leaving(false);
+  report.clear_life();
+  report.set_no_lease_ms(10'000);
+  changes();
+  BOOST_TEST(servers.first_reports(NOW_MS).reported == 1U);
+}
--- a/tests/system/mass_restart_test.cpp
+++ b/tests/system/mass_restart_test.cpp
@@ -89,6 +89,32 @@
   }
 };
 
+/// Entries that wait for the reports of all agents after a hand-over.
+struct SettlingFixture : Fixture
+{
+  static constexpr int SETTLE_MS = 10'000;
+  static constexpr char URGENT_PREFIX[] = "/urgent/";
+  static constexpr char PULSE_KEY[] = "pulse";
+
+  SettlingFixture()
+    : Fixture(SETTLE_MS)
+  {
+  }
+
+  /// Waits until the owner has sent some heartbeats, and so has made decisions
+  /// in between.
+  void wait_for_heartbeats()
+  {
+    constexpr int HEARTBEATS = 3;
+    int written = 0;
+    store.on_write = [&written](const RowStoreStandin::Name& name) {
+      written += std::get<2>(name) == PULSE_KEY ? 1 : 0;
+    };
+    wait([&written] { return written == HEARTBEATS; });
+    store.on_write = [](const RowStoreStandin::Name&) {};
+  }
+};
+
 } // namespace
 
 // Guards against an acknowledged job that is lost, or that two submissions of
@@ -259,6 +285,46 @@
   check_adopted();
 }
 
+// Guards against runs that a new owner declares lost, or starts again, because
+// their agent has not reported to it yet.
+BOOST_FIXTURE_TEST_CASE(one_agent_reports_late_to_the_new_owner, BusyFixture)
+{
+  kill(all_entries());
+  send({ &agents[0] }, SIGSTOP);
+  start(all_entries());
+  accept(job_name(2), job_body(1, 1, false));
+  wait([this] { return running(job_name(2)) == 1; });
+  finish_job(ENDING_JOB);
+  send({ &agents[0] }, SIGCONT);
+  check_adopted();
+}
+
+// Guards against runs that a new owner stops for an urgent job although another
+// server is free, whose agent has not reported to it yet.
+BOOST_FIXTURE_TEST_CASE(urgent_job_stops_a_run_before_all_agents_report,
+                        SettlingFixture)
+{
+  accept(JOB, job_body(SERVERS - 1, SERVER_CAPACITY, false));
+  wait([this] { return running(JOB) == SERVERS - 1; });
+  std::size_t idle = 0;
+  while (!servers[idle]->running.empty())
+    ++idle;
+  send({ &agents[idle] }, SIGSTOP);
+  kill(all_entries());
+  start(all_entries());
+  accept(job_name(1), job_body(1, SERVER_CAPACITY, false), URGENT_PREFIX);
+  wait_for_heartbeats();
+  send({ &agents[idle] }, SIGCONT);
+  wait([this] { return running(job_name(1)) == 1; });
+  BOOST_TEST(servers[idle]->running.size() == 1U);
+  BOOST_TEST(running(JOB) == SERVERS - 1);
+  finish_all();
+  wait_state(JOB, "completed");
+  wait_state(job_name(1), "completed", URGENT_PREFIX);
+  BOOST_TEST(begun(JOB) == SERVERS - 1);
+  check_invariants();
+}
+
 // Guards against work that never runs again, or runs beside its earlier
 // attempt, when its leases expire while no process is left.
 BOOST_FIXTURE_TEST_CASE(leases_expire_while_all_processes_are_down, BusyFixture)
--- a/tests/system/process_fixture.h
+++ b/tests/system/process_fixture.h
@@ -73,9 +73,11 @@
     [](const ServerStandin::Run&) {};
   kernel::Subscription heartbeats;
   std::int64_t begin_ms = kernel::boot_ms();
+  int settle_ms; ///< Setting of the entries.
   std::string folder;
 
-  ProcessFixture()
+  explicit ProcessFixture(int settle_ms = 0)
+    : settle_ms(settle_ms)
   {
     this->folder = fmt::format("{}/geraniumhinge-restart-{:016x}",
                                std::filesystem::temp_directory_path().string(),
@@ -165,7 +167,8 @@
                         { "platform",
                           { { "caller_listen", this->caller_addresses.back() },
                             { "ready_listen", free_address() },
-                            { "store_address", this->store.address() } } } });
+                            { "store_address", this->store.address() },
+                            { "settle_ms", this->settle_ms } } } });
   }
 
   void add_server(std::size_t index)
