--- a/entry/events.h
+++ b/entry/events.h
@@ -332,6 +332,14 @@
   "entry, the new owner, stores it.",
   "None."
 };
+inline constexpr kernel::EventInfo AGENTS_REPORTED{
+  649,
+  kernel::Severity::Info,
+  "agents_reported",
+  "As the new owner, this entry now places all work: all agents have reported, "
+  "or the limit of the setting settle_ms has passed.",
+  "If reported is below agents, check whether the missing agents run."
+};
 inline constexpr kernel::EventInfo ADVICE_DENIED{
   642,
   kernel::Severity::Warning,
@@ -435,6 +443,7 @@
   ZONE_CLOSED,
   ZONE_OPENED,
   STEP_HELD,
+  AGENTS_REPORTED,
 };
 
 } // namespace geraniumhinge::entry
--- a/entry/platform_settings.h
+++ b/entry/platform_settings.h
@@ -33,6 +33,9 @@
   /// From the request to evacuate a zone until nothing starts there; 0 if the
   /// deployment evacuates no zones.
   kernel::Milliseconds evacuation{ 0 };
+  /// Longest time for which a new owner waits for the reports of all agents
+  /// before it places work of any priority; 0 for none.
+  kernel::Milliseconds settle_limit{ 0 };
   kernel::Milliseconds stop_grace{ 0 };
   kernel::Milliseconds checkpoint_period{ 2'000 };
   double core_share = 1; ///< Share of a processor core that this entry has.
