--- a/core/round.cpp
+++ b/core/round.cpp
@@ -370,7 +370,11 @@
   round_workflow.changed = true;
   this->history.advice.record_placement(key);
   this->history.ready_ms.erase(key);
-  this->result.placements.push_back({ key, servers, waiting.waited_ms });
+  double slowest = 0;
+  for (const std::string& server : servers)
+    slowest = std::max(slowest, this->pool.servers.at(server).run_time_factor);
+  this->result.placements.push_back(
+    { key, servers, waiting.waited_ms, slowest });
 }
 
 void
--- a/core/round.h
+++ b/core/round.h
@@ -77,6 +77,7 @@
   StepKey step;
   std::vector<std::string> servers;
   std::int64_t waited_ms = 0;
+  double slowest_factor = 1; ///< On the run time, of the slowest server.
 };
 
 struct StepPreemption
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -337,6 +337,7 @@
                       { "step", placement.step.step },
                       { "servers", servers },
                       { "waited_ms", placement.waited_ms },
+                      { "slowest", placement.slowest_factor },
                       { "config", this->hooks.operator_config().version },
                       { "term", this->term } });
   }
--- a/tests/core/speed_choice_test.cpp
+++ b/tests/core/speed_choice_test.cpp
@@ -45,6 +45,16 @@
 
 using Factors = std::vector<double>;
 
+/// Runs a round at a time at which the workflows have just been accepted.
+RoundResult
+run_new(RoundWorkflows& workflows, Pool pool, StepHistory& history)
+{
+  RoundLimits limits;
+  limits.unix_offset_ms = -NOW_MS;
+  allocate_runs(workflows.entries, pool);
+  return run_scheduling_round(workflows.entries, pool, history, limits, NOW_MS);
+}
+
 } // namespace
 
 // Guards against urgent gangs with a slow member, and against fast servers that
@@ -241,11 +251,7 @@
   step.estimate_ms = 10'000;
   workflows.add("long", "x", 1, step).objective = { 5, 300 };
   workflows.add("without-objective", "x", 2, make_step(1, WHOLE_SERVER));
-  RoundLimits limits;
-  limits.unix_offset_ms = -NOW_MS;
-  allocate_runs(workflows.entries, pool);
-  RoundResult result =
-    run_scheduling_round(workflows.entries, pool, history, limits, NOW_MS);
+  RoundResult result = run_new(workflows, pool, history);
   BOOST_REQUIRE(result.placements.size() == 3U);
   BOOST_TEST(factors_of(pool, result.placements[0].servers) == Factors(2, 0.6),
              boost::test_tools::per_element());
@@ -254,3 +260,92 @@
   BOOST_TEST(factors_of(pool, result.placements[2].servers) == Factors{ 1.0 },
              boost::test_tools::per_element());
 }
+
+// Guards against urgent steps that wait for fast servers without end, and
+// against long work that waits for slow ones.
+BOOST_AUTO_TEST_CASE(no_step_waits_for_a_speed)
+{
+  for (double factor : { 0.3, 1.6, 5.0 }) {
+    Pool pool = make_pool(3, 3);
+    pool.servers.at("s0").run_time_factor = factor;
+    pool.servers.at("s1").run_time_factor = factor;
+    pool.free["s2"] = {};
+    for (double objective : { 0.0, 1.5, 100.0 }) {
+      RoundWorkflows workflows;
+      StepHistory history;
+      Step step = make_step(2, WHOLE_SERVER, true);
+      step.estimate_ms = 2'000;
+      workflows.add("j", "x", 0, step).objective = { objective, 300 };
+      BOOST_TEST(run_new(workflows, pool, history).placements.size() == 1U);
+    }
+  }
+}
+
+// Guards against a small step on a slow server that delays the gang for which
+// the server is reserved.
+BOOST_AUTO_TEST_CASE(a_slow_server_is_used_before_a_gang_only_by_shorter_work)
+{
+  for (double factor : { 1.0, 1.6 }) {
+    Pool pool = make_pool(2, 2);
+    pool.servers.at("s1").run_time_factor = factor;
+    RoundWorkflows workflows;
+    StepHistory history;
+    Step before = make_step(1, WHOLE_SERVER);
+    before.estimate_ms = 3'000;
+    workflows.add("before", "x", 0, before).objective = { 1.1, 0 };
+    RoundResult first = run_new(workflows, pool, history);
+    BOOST_REQUIRE(first.placements.size() == 1U);
+    BOOST_TEST(first.placements[0].servers == std::vector<std::string>{ "s0" },
+               boost::test_tools::per_element());
+    Step gang = make_step(2, WHOLE_SERVER, true);
+    gang.estimate_ms = 1'000;
+    workflows.add("gang", "x", 1, gang);
+    Step small = make_step(1, WHOLE_SERVER);
+    small.estimate_ms = 2'000;
+    workflows.add("small", "x", 2, small);
+    run_new(workflows, pool, history);
+    BOOST_TEST(running(workflows.entries[2]) == (factor == 1 ? 1U : 0U));
+  }
+}
+
+// Guards against a run on a slow server that is left to be lost with its
+// server, because its remaining time is taken for that on a median one.
+BOOST_AUTO_TEST_CASE(remaining_times_depend_on_the_server)
+{
+  for (double factor : { 1.0, 1.6 }) {
+    Pool pool = make_pool(2, 2);
+    RoundWorkflows workflows;
+    StepHistory history;
+    Step step = make_step(1, WHOLE_SERVER);
+    step.estimate_ms = 4'000;
+    step.checkpoints = true;
+    workflows.add("j", "x", 0, step);
+    run_new(workflows, pool, history);
+    history.percent[{ { "j", 0, 0 }, 0 }] = 50;
+    for (std::pair<const std::string, PoolServer>& item : pool.servers) {
+      item.second.run_time_factor = factor;
+      item.second.min_stay_ms = 2'500;
+    }
+    RoundResult result = run_new(workflows, pool, history);
+    BOOST_TEST(result.restarts.size() == (factor == 1 ? 0U : 1U));
+  }
+}
+
+// Guards against expected run times that do not reach the choice of servers: a
+// step that takes longer than declared has less slack.
+BOOST_AUTO_TEST_CASE(expected_times_replace_declared_ones)
+{
+  for (bool longer : { false, true }) {
+    RoundWorkflows workflows;
+    StepHistory history;
+    Step step = make_step(1, WHOLE_SERVER);
+    step.estimate_ms = 2'000;
+    RoundWorkflow& entry = workflows.add("j", "x", 0, step);
+    entry.objective = { 5, 0 };
+    if (longer)
+      entry.expected = { 6'000 };
+    RoundResult result = run_new(workflows, mixed_pool(3, 3), history);
+    BOOST_REQUIRE(result.placements.size() == 1U);
+    BOOST_TEST(result.placements[0].slowest_factor == (longer ? 0.6 : 1.6));
+  }
+}
--- a/tests/entry/work_scheduler_test.cpp
+++ b/tests/entry/work_scheduler_test.cpp
@@ -372,3 +372,32 @@
   send_report();
   BOOST_TEST(sent.sequence() > before);
 }
+
+// Guards against speeds that are stored and do not reach the placements: work
+// without an objective takes slow servers first.
+BOOST_FIXTURE_TEST_CASE(stored_speeds_decide_placements, Fixture)
+{
+  constexpr char SPEEDS[] =
+    R"({"nodes":[["node-1",60,20],["node-2",160,20],["a",100,20],
+       ["b",100,20],["c",100,20]],"products":100,"squares":1})";
+  standin.put({ "estimates", "main", "speeds" }, SPEEDS);
+  int reads = standin.reads;
+  reload_rows();
+  // One page of the work rows, one of the speeds.
+  run_until([this, reads] { return standin.reads >= reads + 2; });
+  // The responses have arrived once a later read has been answered.
+  bool answered = false;
+  store.read(
+    { "owner", "main", "", 1 },
+    kernel::Milliseconds(1'000),
+    [&answered](const platform::Store::ReadResult&) { answered = true; });
+  run_until([&answered] { return answered; });
+  send_report();
+  v1::Envelope second = envelope;
+  second.set_sender("node-2");
+  second.mutable_server_report()->mutable_life()->set_id("i-2");
+  scheduler.apply_report(*servers.apply_report(second, kernel::boot_ms()));
+  run_until([this] { return has_run(); });
+  const core::Progress& progress = view.find(JOB)->progress;
+  BOOST_TEST(progress.open_occurrences.at(0)[0][0].run->server.id == "i-2");
+}
