Reject deeply nested values of the row of learned speeds

The row was parsed without the limit on nesting that all other inputs have; a copy of a nested value could overflow the stack. It now uses kernel/json_parse, and the fuzzing test feeds it like the other decoders.

--- a/entry/speed_store.cpp
+++ b/entry/speed_store.cpp
@@ -3,6 +3,7 @@
 #include "entry/events.h"
 #include "entry/work_rows.h"
 #include "kernel/clock.h"
+#include "kernel/json_parse.h"
 
 #include <algorithm>
 #include <cmath>
@@ -97,7 +98,7 @@
 std::optional<core::LearnedSpeeds>
 decode_speeds(const std::string& value)
 {
-  Json row = Json::parse(value, nullptr, false);
+  Json row = kernel::parse_json(value);
   if (!row.is_object() || !row.contains("nodes") || !row["nodes"].is_array())
     return std::nullopt;
   core::LearnedSpeeds speeds;
--- a/tests/entry/malformed_input_test.cpp
+++ b/tests/entry/malformed_input_test.cpp
@@ -2,6 +2,7 @@
 // Feeds every decoder of bytes from outside with valid inputs that were changed
 // at random. A decoder must return a value or an error; an exception that
 // leaves it would end the process.
+#include "entry/speed_store.h"
 #include "entry/unstored_ends.h"
 #include "entry/work_rows.h"
 #include "entry/work_view.h"
@@ -227,7 +228,7 @@
          "born",        "running_tasks", "ended",   "good",          "routes",
          "tenants",     "limits",        "phases",  "task_spec",     "state",
          "num_waiting", "versions",      "applied", "key",           "version",
-         "details" }) {
+         "details",     "nodes" }) {
     bodies.push_back(R"({"code":1,"version":1,")" + std::string(field) +
                      "\":" + item + "}");
     bodies.push_back(R"({"version":1,")" + std::string(field) + "\":[" + item +
@@ -256,6 +257,7 @@
   platform::decode_refusal(body);
   platform::decode_conflict(body);
   gateway::parse_error({ 500, {}, body });
+  entry::decode_speeds(body);
   v1::NodeRow message;
   static_cast<void>(
     google::protobuf::util::JsonStringToMessage(body, &message));
@@ -345,6 +347,18 @@
        [](const std::string& body) { platform::decode_advice(body); });
 }
 
+BOOST_AUTO_TEST_CASE(learned_speeds)
+{
+  feed(R"({"nodes":[["n-1",160,20],["n-2",60,20]],"products":9.5,"squares":1})",
+       [](const std::string& value) {
+         std::optional<core::LearnedSpeeds> speeds =
+           entry::decode_speeds(value);
+         core::RunTimes run_times;
+         if (speeds)
+           run_times.restore(*speeds, 1);
+       });
+}
+
 BOOST_AUTO_TEST_CASE(unstored_ends)
 {
   v1::UnstoredEnds message;
