Let urgent steps wait shortly for faster servers

An urgent step took slow servers although runs on fast ones ended some hundred milliseconds later, and was late by more than that. It now waits, with these servers reserved, if runs are known to end within a second and the wait takes at most 0.6 of what it saves; never within a guarantee, and for 1.2 s at most.

Decisions without speeds are unchanged.

--- a/core/round.cpp
+++ b/core/round.cpp
@@ -237,6 +237,8 @@
   std::vector<std::string> servers = this->find_servers(waiting);
   if (servers.size() < request.tasks)
     this->wait_for_servers(waiting);
+  else if (this->wait_for_faster(waiting, servers))
+    return;
   if (!servers.empty())
     this->commit(waiting, servers);
 }
@@ -370,11 +372,8 @@
   round_workflow.changed = true;
   this->history.advice.record_placement(key);
   this->history.ready_ms.erase(key);
-  double slowest = 0;
-  for (const std::string& server : servers)
-    slowest = std::max(slowest, this->pool.servers.at(server).run_time_factor);
   this->result.placements.push_back(
-    { key, servers, waiting.waited_ms, slowest });
+    { key, servers, waiting.waited_ms, this->slowest_factor(servers) });
 }
 
 void
--- a/core/round_reserve.cpp
+++ b/core/round_reserve.cpp
@@ -11,6 +11,13 @@
 
 /// Most gangs for which one round reserves servers.
 constexpr std::size_t MAX_GANG_RESERVATIONS = 3;
+/// Longest time that a step waits for faster servers although others are free.
+constexpr std::int64_t MAX_SPEED_WAIT_MS = 1'200;
+/// Periods after which it is tried whether the step fits on faster servers.
+constexpr std::int64_t SPEED_WAITS_MS[] = { 200, 400, 700, 1'000 };
+/// Share of what faster servers gain that the wait may take: expected ends are
+/// inexact.
+constexpr double MAX_WAIT_SHARE = 0.6;
 
 } // namespace
 
@@ -63,4 +70,50 @@
     { std::set<std::string>(servers.begin(), servers.end()), free_in_ms });
 }
 
+double
+SchedulingRound::slowest_factor(const std::vector<std::string>& servers) const
+{
+  double slowest = 0;
+  for (const std::string& server : servers)
+    slowest = std::max(slowest, this->pool.servers.at(server).run_time_factor);
+  return slowest;
+}
+
+bool
+SchedulingRound::wait_for_faster(const WaitingStep& waiting,
+                                 const std::vector<std::string>& servers)
+{
+  double expected_ms = static_cast<double>(this->expected_ms_of(waiting));
+  double factor = this->slowest_factor(servers);
+  if (!this->speeds_differ || !waiting.slack_ms || expected_ms == 0 ||
+      factor <= waiting.request.max_factor || factor <= 1 ||
+      waiting.round_workflow.guaranteed || waiting.round_workflow.advice ||
+      waiting.isolated || waiting.request.step->runs_until_cancelled ||
+      this->gang_reservations.size() == MAX_GANG_RESERVATIONS)
+    return false;
+  Pool future_pool = this->pool;
+  std::int64_t released_ms = 0;
+  for (std::int64_t wait_ms : SPEED_WAITS_MS) {
+    if (waiting.waited_ms + wait_ms > MAX_SPEED_WAIT_MS)
+      return false;
+    for (const RunGroup& group : this->groups) {
+      // A run that should have ended already may still take long.
+      if (!group.runs_until_cancelled && group.remaining_ms > released_ms &&
+          group.remaining_ms <= wait_ms)
+        release_runs(future_pool, group);
+    }
+    released_ms = wait_ms;
+    std::vector<std::string> later = assign(future_pool, waiting.request);
+    if (later.size() < waiting.request.tasks)
+      continue;
+    double gain_ms = expected_ms * (factor - this->slowest_factor(later));
+    if (static_cast<double>(wait_ms) > MAX_WAIT_SHARE * gain_ms)
+      continue;
+    this->gang_reservations.push_back(
+      { std::set<std::string>(later.begin(), later.end()), wait_ms });
+    return true;
+  }
+  return false;
+}
+
 } // namespace geraniumhinge::core
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -120,6 +120,11 @@
   void stop(RunGroup& group);
 
   void reserve_for_gang(const WaitingStep& waiting);
+  double slowest_factor(const std::vector<std::string>& servers) const;
+  /// Reserves faster servers that are free soon if the step ends sooner there
+  /// than on `servers`. Returns whether it did.
+  bool wait_for_faster(const WaitingStep& waiting,
+                       const std::vector<std::string>& servers);
 
   std::vector<RoundWorkflow>& workflows;
   Pool& pool;
