--- a/core/round.cpp
+++ b/core/round.cpp
@@ -242,6 +242,8 @@
   std::vector<std::string> servers = this->find_servers(waiting);
   if (servers.size() < request.tasks)
     this->wait_for_servers(waiting);
+  else if (this->wait_for_faster(waiting, servers))
+    return;
   if (!servers.empty())
     this->commit(waiting, servers);
 }
@@ -376,7 +378,8 @@
   round_workflow.changed = true;
   this->history.advice.record_placement(key);
   this->history.ready_ms.erase(key);
-  this->result.placements.push_back({ key, servers, waiting.waited_ms });
+  this->result.placements.push_back(
+    { key, servers, waiting.waited_ms, this->slowest_factor(servers) });
 }
 
 void
