--- a/tests/platform/store_test.cpp
+++ b/tests/platform/store_test.cpp
@@ -158,6 +158,41 @@
   BOOST_TEST(watcher.confirmed_ms() == last);
 }
 
+// Guards against a row that counts as newer than it may be: it was written
+// while the store answered no calls, before the call that returned it.
+BOOST_FIXTURE_TEST_CASE(row_counts_as_written_after_an_outage, Fixture)
+{
+  std::int64_t known_until_ms = 0;
+  TableWatchOptions options;
+  options.table = "work";
+  options.part = "main";
+  options.wait = kernel::Milliseconds(50);
+  TableWatcher* current = nullptr;
+  TableWatcher watcher(loop,
+                       timers,
+                       log,
+                       store,
+                       options,
+                       { [](const RowPage&) {},
+                         [&current, &known_until_ms](const RowPage&) {
+                           known_until_ms = current->confirmed_before_ms();
+                         } });
+  current = &watcher;
+  watcher.start();
+  run_until([&] { return watcher.loaded(); });
+  BOOST_TEST(watcher.confirmed_before_ms() == 0);
+  standin.refusing = true;
+  run_until([&] { return watcher.healthy_since_ms() == 0; });
+  std::int64_t last_ms = watcher.confirmed_ms();
+  standin.put({ "work", "main", "a" }, "one");
+  std::int64_t written_ms = kernel::boot_ms();
+  run_until([&] { return kernel::boot_ms() > written_ms + 100; });
+  standin.refusing = false;
+  run_until([&] { return known_until_ms != 0; });
+  BOOST_TEST(known_until_ms == last_ms);
+  BOOST_TEST(watcher.confirmed_ms() > written_ms);
+}
+
 // A response whose only row can't be read has not waited, and it was under way
 // for long.
 BOOST_FIXTURE_TEST_CASE(malformed_change_confirms_a_time_without_response,
--- a/tests/system/evacuation_test.cpp
+++ b/tests/system/evacuation_test.cpp
@@ -161,6 +161,25 @@
   check_moved();
 }
 
+// Guards against starts that wait for the operators' requests on deployments
+// that never evacuate a zone.
+BOOST_FIXTURE_TEST_CASE(missing_requests_stop_starts_without_the_setting,
+                        Fixture)
+{
+  constexpr std::int64_t CONFIG_AGE_MS = 1'800;
+  evacuation = kernel::Milliseconds(0);
+  StoreProxy proxy(*this);
+  store_address = "127.0.0.1:" + std::to_string(proxy.server.port());
+  start();
+  place_without_effect();
+  proxy.blackholed_table = "op";
+  std::int64_t outdated_ms = kernel::boot_ms() + 2 * CONFIG_AGE_MS;
+  run_until([outdated_ms] { return kernel::boot_ms() >= outdated_ms; });
+  BOOST_TEST(!entries[0]->data_is_current());
+  servers[0]->ignored_starts = 0;
+  run_until([this] { return servers[0]->running.size() == 1; });
+}
+
 // Guards against starts by an agent that is started again during an outage of
 // the store which began just before the request: the owner sends orders for 6 s
 // after its last heartbeat.
