--- a/tests/entry/evacuations_test.cpp
+++ b/tests/entry/evacuations_test.cpp
@@ -155,6 +155,7 @@
 {
   constexpr int ZONES = 500;
   std::vector<platform::StoredRow> rows;
+  rows.reserve(ZONES);
   for (int index = 0; index < ZONES; ++index)
     rows.push_back(row(fmt::format("evacuate/zone-{}", index)));
   evacuations.apply(page_of(rows), KNOWN_MS);
