--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -25,6 +25,7 @@
   void freeze(); ///< Sends SIGSTOP.
   void resume(); ///< Sends SIGCONT.
   bool is_running();
+  pid_t id() const { return this->pid; } ///< 0 once the process has ended.
   /// Exit code, or the negative number of the signal that ended the process.
   /// Valid once `is_running` returns false.
   int exit_code() const { return this->code; }
