Bound what clients outside the limits may use

Unfinished requests, unread responses and connections were limited one by one, not in sum: 160 bodies of 1 MiB that stop short raised an entry from 17 to 195 MB, and headers sent byte by byte used all its descriptors.

The HTTP servers of a process now share a budget for what requests and responses hold, in the process and in the kernel, limit their connections, and have a deadline for a request and for an unread response. The connection without progress or the newest one is refused, with status 503 and Retry-After if no response has begun, and before the request reaches a handler. The peer listener also pauses when 8 MiB wait.

system.client_limits_test with unchanged load and bounds; only the new settings were added.

--- a/agent/main.cpp
+++ b/agent/main.cpp
@@ -4,6 +4,7 @@
 #include "agent/settings.h"
 #include "gateway/http_client.h"
 #include "gateway/http_server.h"
+#include "gateway/refusal_log.h"
 #include "kernel/events.h"
 #include "kernel/registry.h"
 #include "platform/backend_http.h"
@@ -150,6 +151,8 @@
     log,
     metrics,
     { settings.name, kernel::random_id(), settings.peer_listen });
+  gateway::RefusalLog refusal_log(log, metrics);
+  gateway::RequestBudget request_budget(settings.limits, refusal_log.hooks());
   gateway::HttpServer metrics_server(
     loop,
     timers,
@@ -158,7 +161,8 @@
     [&metrics](const gateway::HttpRequest& request,
                const gateway::HttpServer::ResponseCallback& respond) {
       respond_with_metrics(metrics, request, respond);
-    });
+    },
+    &request_budget);
   kernel::Registry registry;
   registry.add<platform::Backend>("backend", backend);
   registry.add("peer", node);
--- a/agent/platform_program.cpp
+++ b/agent/platform_program.cpp
@@ -76,6 +76,8 @@
          log,
          this->metrics,
          { settings.name, this->incarnation, settings.peer_listen })
+  , refusal_log(log, this->metrics)
+  , request_budget(settings.limits, this->refusal_log.hooks())
   , registry_server(
       loop,
       timers,
@@ -84,7 +86,8 @@
       [this](const gateway::HttpRequest& request,
              const gateway::HttpServer::ResponseCallback& respond) {
         this->handle_registry_call(request, respond);
-      })
+      },
+      &this->request_budget)
   , metrics_server(
       loop,
       timers,
@@ -97,7 +100,8 @@
                   "text/plain; version=0.0.4",
                   found ? this->metrics.text() : "",
                   {} });
-      })
+      },
+      &this->request_budget)
   , agent(loop,
           timers,
           log,
@@ -150,7 +154,8 @@
                  changed.max_lease != this->settings.max_lease ||
                  changed.lease != this->settings.lease ||
                  changed.orphan_timeout != this->settings.orphan_timeout ||
-                 changed.heartbeat_period != this->settings.heartbeat_period;
+                 changed.heartbeat_period != this->settings.heartbeat_period ||
+                 changed.limits != this->settings.limits;
   this->settings.report_period = changed.report_period;
   this->report_timer = this->timers.every(this->settings.report_period,
                                           [this] { this->send_report(); });
--- a/agent/platform_program.h
+++ b/agent/platform_program.h
@@ -4,6 +4,7 @@
 #include "agent/server_agent.h"
 #include "gateway/http_client.h"
 #include "gateway/http_server.h"
+#include "gateway/refusal_log.h"
 #include "kernel/event_limit.h"
 #include "kernel/log.h"
 #include "kernel/loop.h"
@@ -59,6 +60,8 @@
   platform::ServerClient server_client;
   std::uint64_t incarnation = kernel::random_id();
   peer::PeerNode node;
+  gateway::RefusalLog refusal_log;
+  gateway::RequestBudget request_budget; ///< Of both servers.
   gateway::HttpServer registry_server;
   gateway::HttpServer metrics_server;
   ServerAgent agent;
--- a/agent/platform_settings.h
+++ b/agent/platform_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/request_limits.h"
 #include "kernel/clock.h"
 #include "kernel/event.h"
 #include "kernel/settings.h"
@@ -28,6 +29,7 @@
   kernel::Milliseconds heartbeat_period{ 0 };
   kernel::Milliseconds report_period{ 0 };
   kernel::Severity log_level = kernel::Severity::Info;
+  gateway::RequestLimits limits;
 };
 
 std::span<const kernel::Setting>
--- a/agent/settings.cpp
+++ b/agent/settings.cpp
@@ -49,6 +49,12 @@
   { "/drain/limit_ms", SettingType::Integer, "ms", 0, 86'400'000, "600000", "How long a leaving agent waits for work in flight." },
   { "/trace/path", SettingType::Text, "", 0, 0, "\"\"", "File that spans are appended to; empty for none." },
   { "/log/level", SettingType::Text, "", 0, 0, "\"info\"", "Lowest severity that is logged: debug, info, warning or error." },
+  gateway::LIMIT_MEMORY,
+  gateway::LIMIT_DESCRIPTORS,
+  gateway::LIMIT_HELD,
+  gateway::LIMIT_CONNECTIONS,
+  gateway::LIMIT_REQUEST,
+  gateway::LIMIT_RESPONSE,
 };
 // clang-format on
 
@@ -241,6 +247,7 @@
     read_duration(reader, SETTING("/results/retry_ms"));
   settings.drain_limit = read_duration(reader, SETTING("/drain/limit_ms"));
   settings.log_level = read_level(reader);
+  settings.limits = gateway::read_request_limits(reader);
   check_ports(reader, settings);
   check_lease(reader, settings.lease);
   std::vector<SettingFault> faults = reader.finish();
--- a/agent/settings.h
+++ b/agent/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/request_limits.h"
 #include "kernel/clock.h"
 #include "kernel/event.h"
 #include "kernel/settings.h"
@@ -73,6 +74,7 @@
   kernel::Milliseconds drain_limit{ 0 };
   std::string trace_path;
   kernel::Severity log_level = kernel::Severity::Info;
+  gateway::RequestLimits limits;
 };
 
 /// All settings of the agent, the source of docs/settings.md.
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -174,34 +174,41 @@
                this->view,
                this->relay,
                this->caller_hooks())
-  , caller_server(loop,
-                  timers,
-                  settings.caller_listen,
-                  MAX_BODY_BYTES,
-                  [this](const gateway::HttpRequest& request,
-                         gateway::HttpServer::ResponseCallback respond) {
-                    this->handle_call(request, std::move(respond));
-                  })
-  , ready_server(loop,
-                 timers,
-                 settings.ready_listen,
-                 MAX_READY_BODY_BYTES,
-                 [this](const gateway::HttpRequest& request,
-                        const gateway::HttpServer::ResponseCallback& respond) {
-                   int status = this->ready() ? HTTP_OK : HTTP_UNAVAILABLE;
-                   if (request.path != READY_PATH)
-                     status = HTTP_NOT_FOUND;
-                   respond({ status, "application/json", "{}", {} });
-                 })
-  , internal_server(loop,
-                    timers,
-                    settings.relay_listen,
-                    MAX_BODY_BYTES,
-                    [this](const gateway::HttpRequest& request,
-                           gateway::HttpServer::ResponseCallback respond) {
-                      this->handle_internal_request(request,
-                                                    std::move(respond));
-                    })
+  , refusal_log(log, this->metrics)
+  , request_budget(settings.limits, this->refusal_log.hooks())
+  , caller_server(
+      loop,
+      timers,
+      settings.caller_listen,
+      MAX_BODY_BYTES,
+      [this](const gateway::HttpRequest& request,
+             gateway::HttpServer::ResponseCallback respond) {
+        this->handle_call(request, std::move(respond));
+      },
+      &this->request_budget)
+  , ready_server(
+      loop,
+      timers,
+      settings.ready_listen,
+      MAX_READY_BODY_BYTES,
+      [this](const gateway::HttpRequest& request,
+             const gateway::HttpServer::ResponseCallback& respond) {
+        int status = this->ready() ? HTTP_OK : HTTP_UNAVAILABLE;
+        if (request.path != READY_PATH)
+          status = HTTP_NOT_FOUND;
+        respond({ status, "application/json", "{}", {} });
+      },
+      &this->request_budget)
+  , internal_server(
+      loop,
+      timers,
+      settings.relay_listen,
+      MAX_BODY_BYTES,
+      [this](const gateway::HttpRequest& request,
+             gateway::HttpServer::ResponseCallback respond) {
+        this->handle_internal_request(request, std::move(respond));
+      },
+      &this->request_budget)
 {
 }
 
@@ -239,7 +246,8 @@
                  changed.advice_address != this->settings.advice_address ||
                  changed.lease != this->settings.lease ||
                  changed.max_lease != this->settings.max_lease ||
-                 changed.orphan_timeout != this->settings.orphan_timeout;
+                 changed.orphan_timeout != this->settings.orphan_timeout ||
+                 changed.limits != this->settings.limits;
   this->settings.max_config_age = changed.max_config_age;
   this->settings.max_row_bytes = changed.max_row_bytes;
   this->scheduler.set_limits(scheduler_limits(changed));
--- a/entry/platform_program.h
+++ b/entry/platform_program.h
@@ -11,6 +11,7 @@
 #include "entry/work_view.h"
 #include "gateway/http_client.h"
 #include "gateway/http_server.h"
+#include "gateway/refusal_log.h"
 #include "kernel/log.h"
 #include "kernel/loop.h"
 #include "kernel/metrics.h"
@@ -101,6 +102,8 @@
   Relay relay;
   EndSharer end_sharer;
   CallerApi caller_api;
+  gateway::RefusalLog refusal_log;
+  gateway::RequestBudget request_budget; ///< Of all three servers.
   gateway::HttpServer caller_server;
   gateway::HttpServer ready_server;
   gateway::HttpServer internal_server;
--- a/entry/platform_settings.cpp
+++ b/entry/platform_settings.cpp
@@ -31,6 +31,12 @@
   { "/peer/listen", SettingType::Address, "", 0, 0, "", "Address at which agents connect." },
   { "/http/listen", SettingType::Address, "", 0, 0, "", "Address for requests that other entries forward, and for /metrics." },
   { "/log/level", SettingType::Text, "", 0, 0, "\"info\"", "Lowest severity that is logged: debug, info, warning or error." },
+  gateway::LIMIT_MEMORY,
+  gateway::LIMIT_DESCRIPTORS,
+  gateway::LIMIT_HELD,
+  gateway::LIMIT_CONNECTIONS,
+  gateway::LIMIT_REQUEST,
+  gateway::LIMIT_RESPONSE,
 };
 // clang-format on
 
@@ -90,6 +96,7 @@
     settings.log_level = *level;
   else
     reader.add_fault(level.error());
+  settings.limits = gateway::read_request_limits(reader);
   std::vector<kernel::SettingFault> faults = reader.finish();
   if (!faults.empty())
     return tl::unexpected(std::move(faults));
--- a/entry/platform_settings.h
+++ b/entry/platform_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/request_limits.h"
 #include "kernel/clock.h"
 #include "kernel/event.h"
 #include "kernel/settings.h"
@@ -36,6 +37,7 @@
   /// Factor on the duration of a task that does not run in its rack.
   double rack_penalty = 1;
   kernel::Severity log_level = kernel::Severity::Info;
+  gateway::RequestLimits limits;
 };
 
 std::span<const kernel::Setting>
--- a/entry/program.cpp
+++ b/entry/program.cpp
@@ -53,6 +53,8 @@
   , log(log)
   , settings(settings)
   , tracer(settings.name, settings.trace_path)
+  , refusal_log(log, this->metrics)
+  , request_budget(settings.limits, this->refusal_log.hooks())
 {
   this->make_platform();
   this->make_membership();
@@ -265,7 +267,8 @@
     [this](const gateway::HttpRequest& request,
            gateway::HttpServer::ResponseCallback respond) {
       this->unary->handle(request, std::move(respond));
-    });
+    },
+    &this->request_budget);
 }
 
 void
--- a/entry/program.h
+++ b/entry/program.h
@@ -11,6 +11,7 @@
 #include "entry/settings.h"
 #include "entry/takeover.h"
 #include "gateway/http_server.h"
+#include "gateway/refusal_log.h"
 #include "kernel/log.h"
 #include "kernel/loop.h"
 #include "kernel/metrics.h"
@@ -81,6 +82,8 @@
   std::optional<core::RetryBudget> budget;
   std::optional<RunContext> run_context;
   std::optional<gateway::UnaryRouter> unary;
+  gateway::RefusalLog refusal_log;
+  gateway::RequestBudget request_budget;
   Services services;
   std::optional<Tasks> tasks;
   bool is_ready = false;
--- a/entry/settings.cpp
+++ b/entry/settings.cpp
@@ -57,6 +57,12 @@
   { "/policy/weight_completion", SettingType::Number, "", 0, 1, "0.5", "Weight of completion time." },
   { "/policy/weight_fragmentation", SettingType::Number, "", 0, 1, "0.5", "Weight of fragmentation." },
   { "/policy/spare_servers", SettingType::Integer, "", 0, 1000, "1", "Number of lost backend servers that accepted guarantees must tolerate." },
+  gateway::LIMIT_MEMORY,
+  gateway::LIMIT_DESCRIPTORS,
+  gateway::LIMIT_HELD,
+  gateway::LIMIT_CONNECTIONS,
+  gateway::LIMIT_REQUEST,
+  gateway::LIMIT_RESPONSE,
 };
 // clang-format on
 
@@ -223,6 +229,7 @@
   read_membership(table, settings);
   read_requests(table, settings);
   read_jobs(table, settings);
+  settings.limits = gateway::read_request_limits(reader);
   check_conflicts(reader, settings);
   std::vector<SettingFault> faults = reader.finish();
   if (!faults.empty())
--- a/entry/settings.h
+++ b/entry/settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/request_limits.h"
 #include "kernel/clock.h"
 #include "kernel/settings.h"
 
@@ -65,6 +66,7 @@
   double weight_fragmentation = 0;
   std::size_t spare_servers = 0;
   std::size_t max_queue = 0;
+  gateway::RequestLimits limits;
 };
 
 /// Every setting with its type, unit, range and default.
--- a/gateway/http_exchange.h
+++ b/gateway/http_exchange.h
@@ -9,18 +9,22 @@
 
 namespace geraniumhinge::gateway {
 
+struct TrackedConnection;
+
 /// State of a request and its response, from the request's headers until the
 /// response is written.
 struct Exchange
 {
   MHD_Connection* connection = nullptr;
   HttpRequest request;
+  std::size_t declared_bytes = 0; ///< Content-Length, 0 if there is none.
   std::size_t discarded_bytes = 0;
   bool oversized = false;
   bool dispatched = false;
   bool suspended = false;
   std::optional<HttpResponse> response;
-  std::function<void()> schedule_run; ///< Schedules a call of MHD_run.
+  TrackedConnection* tracked = nullptr; ///< Null without a budget.
+  std::function<void()> schedule_run;   ///< Schedules a call of MHD_run.
 
   void respond(HttpResponse value)
   {
--- a/gateway/http_server.cpp
+++ b/gateway/http_server.cpp
@@ -1,5 +1,6 @@
 #include "gateway/http_server.h"
 
+#include "gateway/connection_table.h"
 #include "gateway/http_exchange.h"
 #include "gateway/unary_error.h"
 
@@ -26,6 +27,11 @@
 constexpr kernel::Milliseconds DRAIN_BODY_TIMEOUT{ 10'000 };
 // MHD_run accepts only a few connections; this many calls empty the backlog.
 constexpr int MAX_ACCEPT_RUNS = 64;
+// Growth of the buffer of a body without a declared length, as a fraction.
+constexpr std::size_t GROWTH_NUMERATOR = 3;
+constexpr std::size_t GROWTH_DENOMINATOR = 2;
+constexpr int HTTP_UNAVAILABLE = 503;
+constexpr char RETRY_AFTER_S[] = "1";
 
 struct AddressInfo
 {
@@ -37,6 +43,20 @@
   }
 };
 
+/// Capacity of the buffer of a body that gets `size` bytes long. A buffer of a
+/// declared length is not larger than it.
+std::size_t
+body_capacity(const Exchange& exchange, std::size_t size, std::size_t max_bytes)
+{
+  std::size_t capacity = exchange.request.body.capacity();
+  if (size <= capacity)
+    return capacity;
+  std::size_t limit =
+    exchange.declared_bytes > 0 ? exchange.declared_bytes : max_bytes;
+  std::size_t grown = capacity * GROWTH_NUMERATOR / GROWTH_DENOMINATOR;
+  return std::max(size, std::min(grown, limit));
+}
+
 /// Parses host:port, where host is an IP address, in brackets for IPv6.
 bool
 parse_address(const std::string& address, AddressInfo& result)
@@ -68,6 +88,7 @@
   kernel::Subscription epoll_watch;
   kernel::Subscription run_timer;
   kernel::Subscription drain_body_timer;
+  std::unique_ptr<ConnectionTable> table; ///< Null without a budget.
   std::unordered_map<Exchange*, std::shared_ptr<Exchange>> exchanges;
   bool draining = false;
   bool run_scheduled = false;
@@ -86,6 +107,13 @@
                                MHD_Connection* connection,
                                void** context,
                                MHD_RequestTerminationCode code);
+  static MHD_Result admit_connection(void* cls,
+                                     const sockaddr* address,
+                                     socklen_t size);
+  static void handle_connection(void* cls,
+                                MHD_Connection* connection,
+                                void** context,
+                                MHD_ConnectionNotificationCode code);
 
   MHD_Result begin_request(MHD_Connection* connection,
                            const char* url,
@@ -97,6 +125,7 @@
   MHD_Result dispatch(const std::shared_ptr<Exchange>& exchange);
   MHD_Result send_response(Exchange& exchange);
   MHD_Result reject_oversized(Exchange& exchange);
+  MHD_Result refuse(Exchange& exchange);
   void run();
   void schedule_run();
   std::size_t awaited_requests() const;
@@ -134,16 +163,41 @@
 
 void
 HttpServer::State::handle_completed(void* cls,
-                                    MHD_Connection*,
+                                    MHD_Connection* connection,
                                     void** context,
                                     MHD_RequestTerminationCode)
 {
   State& state = *static_cast<State*>(cls);
   state.exchanges.erase(static_cast<Exchange*>(*context));
   *context = nullptr;
+  if (state.table)
+    state.table->finish(connection);
   state.check_drained();
 }
 
+/// A connection that is not admitted is closed without a response.
+MHD_Result
+HttpServer::State::admit_connection(void* cls, const sockaddr*, socklen_t)
+{
+  const State& state = *static_cast<State*>(cls);
+  return !state.table || state.table->admits() ? MHD_YES : MHD_NO;
+}
+
+void
+HttpServer::State::handle_connection(void* cls,
+                                     MHD_Connection* connection,
+                                     void**,
+                                     MHD_ConnectionNotificationCode code)
+{
+  const State& state = *static_cast<State*>(cls);
+  if (!state.table)
+    return;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    state.table->open(connection);
+  else
+    state.table->close(connection);
+}
+
 MHD_Result
 HttpServer::State::begin_request(MHD_Connection* connection,
                                  const char* url,
@@ -157,8 +211,11 @@
   exchange->request.path = url;
   std::size_t length = content_length(connection);
   exchange->oversized = length > this->max_body_bytes;
+  exchange->declared_bytes = length;
   *context = exchange.get();
   this->exchanges.emplace(exchange.get(), exchange);
+  if (this->table && !this->table->begin(*exchange))
+    return MHD_NO;
   if (length > this->max_body_bytes * MAX_DISCARD_FACTOR)
     return this->reject_oversized(*exchange);
   return MHD_YES;
@@ -173,6 +230,11 @@
   if (received > this->max_body_bytes)
     exchange.oversized = true;
   if (!exchange.oversized) {
+    std::size_t capacity =
+      body_capacity(exchange, received, this->max_body_bytes);
+    if (this->table && !this->table->receive(exchange, capacity))
+      return MHD_NO;
+    exchange.request.body.reserve(capacity);
     exchange.request.body.append(data, *size);
   } else {
     exchange.discarded_bytes += *size;
@@ -187,6 +249,10 @@
 MHD_Result
 HttpServer::State::dispatch(const std::shared_ptr<Exchange>& exchange)
 {
+  if (exchange->tracked && exchange->tracked->refused)
+    return MHD_NO;
+  if (this->table && !this->table->dispatch(*exchange))
+    return this->refuse(*exchange);
   exchange->dispatched = true;
   exchange->request.headers =
     connection_values(exchange->connection, MHD_HEADER_KIND);
@@ -210,10 +276,24 @@
 {
   if (exchange.response->status == CLOSE_CONNECTION)
     return MHD_NO;
+  if (this->table)
+    this->table->respond(exchange);
   return queue_response(
     exchange.connection, *exchange.response, this->draining);
 }
 
+/// Refuses a complete request before it reaches its handler.
+MHD_Result
+HttpServer::State::refuse(Exchange& exchange)
+{
+  std::string().swap(exchange.request.body);
+  exchange.response = HttpResponse{ HTTP_UNAVAILABLE,
+                                    "application/json",
+                                    "{}",
+                                    { { "Retry-After", RETRY_AFTER_S } } };
+  return queue_response(exchange.connection, *exchange.response, true);
+}
+
 MHD_Result
 HttpServer::State::reject_oversized(Exchange& exchange)
 {
@@ -222,6 +302,8 @@
   error.detail.set_accepted("at most " + std::to_string(this->max_body_bytes) +
                             " bytes");
   exchange.response = error_response(error);
+  if (this->table)
+    this->table->respond(exchange);
   return queue_response(exchange.connection, *exchange.response, true);
 }
 
@@ -300,7 +382,8 @@
                        kernel::TimerService& timers,
                        std::string address,
                        std::size_t max_body_bytes,
-                       Handler handler)
+                       Handler handler,
+                       RequestBudget* budget)
   : Task(loop, "http_server")
   , state(new State{ .owner = *this,
                      .timers = timers,
@@ -311,12 +394,16 @@
                      .epoll_watch = {},
                      .run_timer = {},
                      .drain_body_timer = {},
+                     .table = nullptr,
                      .exchanges = {},
                      .draining = false,
                      .run_scheduled = false,
                      .incomplete_ignored = false,
                      .drain_callback = nullptr })
 {
+  if (budget)
+    this->state->table = std::make_unique<ConnectionTable>(
+      timers, *budget, [this] { this->state->schedule_run(); });
 }
 
 HttpServer::~HttpServer()
@@ -336,8 +423,8 @@
     flags |= MHD_USE_IPv6;
   MHD_Daemon* daemon = MHD_start_daemon(flags,
                                         0,
-                                        nullptr,
-                                        nullptr,
+                                        &State::admit_connection,
+                                        this->state.get(),
                                         &State::handle_request,
                                         this->state.get(),
                                         MHD_OPTION_SOCK_ADDR,
@@ -345,6 +432,9 @@
                                         MHD_OPTION_NOTIFY_COMPLETED,
                                         &State::handle_completed,
                                         this->state.get(),
+                                        MHD_OPTION_NOTIFY_CONNECTION,
+                                        &State::handle_connection,
+                                        this->state.get(),
                                         MHD_OPTION_CONNECTION_LIMIT,
                                         MAX_CONNECTIONS,
                                         MHD_OPTION_CONNECTION_TIMEOUT,
@@ -355,6 +445,9 @@
   if (!daemon)
     return tl::unexpected(HttpServerError::ListenFailed);
   this->state->daemon = daemon;
+  if (this->state->table)
+    limit_buffers(
+      MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd);
   const MHD_DaemonInfo* epoll =
     MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
   this->state->epoll_watch = this->loop.watch(
--- a/gateway/http_server.h
+++ b/gateway/http_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/request_budget.h"
 #include "kernel/loop.h"
 #include "kernel/task.h"
 #include "kernel/timer.h"
@@ -41,7 +42,9 @@
 /// HTTP/1.1 server on libmicrohttpd, driven by the loop without threads of its
 /// own. A request over the size limit gets status 413 and a truncated request
 /// is dropped; neither reaches the handler. A request gets status 500 if all
-/// copies of its `ResponseCallback` are destroyed without a call.
+/// copies of its `ResponseCallback` are destroyed without a call. With a
+/// budget, a connection may be closed, and a request refused with status 503
+/// before it reaches the handler.
 class HttpServer : public kernel::Task
 {
 public:
@@ -54,7 +57,8 @@
              kernel::TimerService& timers,
              std::string address,
              std::size_t max_body_bytes,
-             Handler handler);
+             Handler handler,
+             RequestBudget* budget = nullptr);
   ~HttpServer() override;
 
   tl::expected<void, HttpServerError> listen();
--- a/kernel/json_parse.cpp
+++ b/kernel/json_parse.cpp
@@ -14,6 +14,12 @@
 constexpr std::size_t MAX_DEPTH = 32;
 /// Nesting of an item of a list that is a field of the outer object.
 constexpr std::size_t ITEM_DEPTH = 2;
+/// Memory of the parts of a parsed value: an empty list or object with its
+/// place in a list, the node of a field in an object, a value in a list that
+/// may have twice the capacity it needs.
+constexpr std::size_t CONTAINER_BYTES = 80;
+constexpr std::size_t FIELD_BYTES = 112;
+constexpr std::size_t VALUE_BYTES = 32;
 constexpr std::string_view BLANKS = " \t\r\n";
 
 /// Walks through a JSON text and tracks the nesting, without checking more of
@@ -122,6 +128,24 @@
 
 } // namespace
 
+std::size_t
+parsed_bytes(std::string_view text)
+{
+  NestingScanner scanner;
+  std::size_t bytes = text.size();
+  for (char c : text) {
+    if (!scanner.read(c))
+      continue;
+    if (c == '[' || c == '{')
+      bytes += CONTAINER_BYTES;
+    else if (c == ':')
+      bytes += FIELD_BYTES;
+    else if (c == ',')
+      bytes += VALUE_BYTES;
+  }
+  return bytes;
+}
+
 Json
 parse_json(std::string_view text)
 {
--- a/kernel/json_parse.h
+++ b/kernel/json_parse.h
@@ -10,6 +10,10 @@
 nlohmann::json
 parse_json(std::string_view text);
 
+/// Upper estimate of the memory that the parsed text takes.
+std::size_t
+parsed_bytes(std::string_view text);
+
 /// Like parse_json, but an item that can't be parsed, in a list that is a field
 /// of the outer object, becomes null. It costs no other item. Brackets and
 /// quotes must be balanced.
--- a/peer/listener.cpp
+++ b/peer/listener.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t MAX_WAITING_MESSAGES = 1'024;
+constexpr std::size_t MAX_WAITING_BYTES = 8UL * 1'024 * 1'024;
 // Inline payloads are at most 64 KiB, but whole outputs of tasks may be larger.
 constexpr std::size_t MAX_MESSAGE_BYTES = 8UL * 1'024 * 1'024;
 // Enough for the address to be free again.
@@ -57,7 +58,8 @@
   if (result == 0)
     self->store(nng_aio_get_msg(self->aio));
   std::lock_guard<std::mutex> lock(self->mutex);
-  self->paused = self->messages.size() >= MAX_WAITING_MESSAGES;
+  self->paused = self->messages.size() >= MAX_WAITING_MESSAGES ||
+                 self->waiting_bytes >= MAX_WAITING_BYTES;
   if (!self->paused)
     nng_recv_aio(self->socket, self->aio);
 }
@@ -72,6 +74,7 @@
   {
     std::lock_guard<std::mutex> lock(this->mutex);
     first = this->messages.empty();
+    this->waiting_bytes += bytes.size();
     this->messages.push_back(std::move(bytes));
   }
   if (first)
@@ -84,6 +87,7 @@
   std::lock_guard<std::mutex> lock(this->mutex);
   if (std::exchange(this->paused, false))
     nng_recv_aio(this->socket, this->aio);
+  this->waiting_bytes = 0;
   return std::exchange(this->messages, {});
 }
 
--- a/peer/listener.h
+++ b/peer/listener.h
@@ -33,6 +33,7 @@
   nng_aio* aio = nullptr;
   std::mutex mutex;
   std::vector<std::string> messages;
+  std::size_t waiting_bytes = 0; ///< Sum of `messages`.
   bool paused = false;
 };
 
--- a/tests/docs/reference_test.cpp
+++ b/tests/docs/reference_test.cpp
@@ -6,6 +6,7 @@
 #include "entry/events.h"
 #include "entry/platform_settings.h"
 #include "entry/settings.h"
+#include "gateway/events.h"
 #include "kernel/events.h"
 #include "peer/events.h"
 #include "platform/events.h"
@@ -32,6 +33,7 @@
   { "kernel", kernel::KERNEL_EVENTS },
   { "peer", peer::PEER_EVENTS },
   { "platform", platform::PLATFORM_EVENTS },
+  { "gateway", gateway::GATEWAY_EVENTS },
   { "agent", agent::AGENT_EVENTS },
   { "entry", entry::ENTRY_EVENTS },
   { "entry, configuration", entry::CONFIG_EVENTS },
--- a/tests/system/client_limits_test.cpp
+++ b/tests/system/client_limits_test.cpp
@@ -1,10 +1,10 @@
 #define BOOST_TEST_MODULE client_limits
 // Entry and agent processes beside clients outside the limits. Checks that the
 // process stays alive, that its peak memory and open descriptors stay under a
-// bound, and that an ordinary request is answered while the clients' connections
-// are still open. The memory of the entry is that of the smallest one. The
-// memory of the agent and the descriptors are lowered, so that a few hundred
-// connections reach them.
+// bound, and that an ordinary request is answered while the clients'
+// connections are still open. The memory of the entry is that of the smallest
+// one. The memory of the agent and the descriptors are lowered, so that a few
+// hundred connections reach them.
 #include "tests/support/crowd.h"
 #include "tests/support/process.h"
 #include "tests/support/usage.h"
@@ -269,6 +269,9 @@
       { "zone", "zone-1" },
       { "peer", { { "listen", free_address() } } },
       { "http", { { "listen", http_listen } } },
+      { "limits",
+        { { "memory_mb", ENTRY_MEMORY_MB },
+          { "max_descriptors", MAX_DESCRIPTORS } } },
       { "platform",
         { { "caller_listen", caller_listen },
           { "ready_listen", ready_listen },
@@ -332,6 +335,9 @@
       { "zone", "zone-1" },
       { "peer", { { "listen", free_address() } } },
       { "http", { { "listen", http_listen } } },
+      { "limits",
+        { { "memory_mb", AGENT_MEMORY_MB },
+          { "max_descriptors", MAX_DESCRIPTORS } } },
       { "platform",
         { { "registry_listen", registry_listen },
           { "store_address", store.address() } } },
