Count pieces of bodies and large responses against the budget

A trial with 900 connections showed two gaps: bodies in chunks of one byte cost 2.3 s of processor time before they were refused, and unread responses reached 93 MB, since none of them counted as stalled yet. Each piece of a body now counts 8 bytes more, and the newest large response may be closed as the newest large body may.

--- a/gateway/connection_table.cpp
+++ b/gateway/connection_table.cpp
@@ -12,6 +12,11 @@
 /// response is read, so the kernel is asked.
 constexpr kernel::Milliseconds SWEEP_PERIOD{ 200 };
 
+/// Each piece of a body costs processor time, however small it is. Counted like
+/// this, a body of 1 MiB in chunks of one byte still fits into the budget of
+/// the smallest entry, but not many of them.
+constexpr std::size_t PIECE_BYTES = 8;
+
 } // namespace
 
 ConnectionTable::ConnectionTable(kernel::TimerService& timers,
@@ -86,7 +91,8 @@
   TrackedConnection& tracked = *exchange.tracked;
   if (tracked.refused)
     return false;
-  bool accepted = this->budget.receive(tracked.id, capacity, kernel::boot_ms());
+  std::size_t bytes = capacity + ++exchange.pieces * PIECE_BYTES;
+  bool accepted = this->budget.receive(tracked.id, bytes, kernel::boot_ms());
   if (!accepted)
     this->refuse(tracked);
   return accepted;
--- a/gateway/connection_table.h
+++ b/gateway/connection_table.h
@@ -45,7 +45,8 @@
   /// The headers of a request are complete. Returns false if its connection is
   /// being closed.
   bool begin(Exchange& exchange);
-  /// The body has this capacity. Returns false if the connection was refused.
+  /// A piece of the body has arrived, and its buffer gets this capacity.
+  /// Returns false if the connection was refused.
   bool receive(Exchange& exchange, std::size_t capacity);
   /// Returns false if the request must not reach its handler.
   bool dispatch(Exchange& exchange);
--- a/gateway/http_exchange.h
+++ b/gateway/http_exchange.h
@@ -18,6 +18,7 @@
   MHD_Connection* connection = nullptr;
   HttpRequest request;
   std::size_t declared_bytes = 0; ///< Content-Length, 0 if there is none.
+  std::size_t pieces = 0;         ///< In which the body has arrived so far.
   std::size_t discarded_bytes = 0;
   bool oversized = false;
   bool dispatched = false;
--- a/gateway/request_budget.cpp
+++ b/gateway/request_budget.cpp
@@ -273,8 +273,9 @@
   Connection* found = nullptr;
   for (Connections::value_type& item : this->all) {
     Connection& connection = item.second;
-    if (connection.refused || !connection.receiving() ||
-        connection.held() <= SMALL_BYTES)
+    bool unfinished =
+      connection.receiving() || connection.phase == Phase::Responding;
+    if (connection.refused || !unfinished || connection.held() <= SMALL_BYTES)
       continue;
     if (!found || connection.order > found->order)
       found = &connection;
--- a/gateway/request_budget.h
+++ b/gateway/request_budget.h
@@ -51,10 +51,10 @@
 ///
 /// If the bytes exceed the limit, a connection that makes no progress is closed
 /// first, the longest without progress before others; if there is none, the
-/// newest request with a large body. If there are too many connections, one
-/// without progress is closed, else the one with the oldest unfinished headers,
-/// else one that was idle for long, else the new one. Requests in a handler are
-/// never closed.
+/// newest request whose body or response is large. If there are too many
+/// connections, one without progress is closed, else the one with the oldest
+/// unfinished headers, else one that was idle for long, else the new one.
+/// Requests in a handler are never closed.
 class RequestBudget
 {
 public:
--- a/tests/gateway/http_limits_test.cpp
+++ b/tests/gateway/http_limits_test.cpp
@@ -153,6 +153,27 @@
   BOOST_TEST(handled.empty());
 }
 
+// Guards against bodies of tiny chunks, which cost much more processor time
+// than their bytes.
+BOOST_AUTO_TEST_CASE(tiny_chunks_count_more_than_their_bytes)
+{
+  constexpr std::size_t CHUNKS = 40'000;
+  std::string text = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                     "chunked\r\n\r\n";
+  for (std::size_t count = 0; count < CHUNKS; ++count)
+    text += "1\r\nx\r\n";
+  Connection tiny(server->port());
+  std::size_t sent = 0;
+  run_until([&] {
+    ssize_t size =
+      send(tiny.fd, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+    sent += size > 0 ? static_cast<std::size_t>(size) : 0;
+    return tiny.read();
+  });
+  BOOST_TEST(is_refusal(tiny.received));
+  BOOST_TEST(refused[RefusalCause::HeldBytes] == 1);
+}
+
 // Guards against a refused request that reaches its handler because its last
 // bytes arrive with the refusal.
 BOOST_AUTO_TEST_CASE(a_late_request_is_refused_and_never_handled)
--- a/tests/gateway/request_budget_test.cpp
+++ b/tests/gateway/request_budget_test.cpp
@@ -184,6 +184,22 @@
   BOOST_TEST(budget.held_bytes() == 0U);
 }
 
+// Guards against large responses that exceed the budget together before any of
+// them counts as unread.
+BOOST_AUTO_TEST_CASE(the_newest_large_response_makes_room)
+{
+  RequestBudget::Id first = body(KIB, 0);
+  RequestBudget::Id second = body(KIB, 0);
+  for (RequestBudget::Id id : { first, second }) {
+    BOOST_TEST(budget.dispatch(id, KIB, 0));
+    budget.respond(id, KIB, 0);
+    budget.set_queued(id, LIMIT / 2);
+  }
+  budget.enforce(1);
+  BOOST_TEST(closed == std::vector<RequestBudget::Id>{ second },
+             boost::test_tools::per_element());
+}
+
 // Guards against a process without limits in its settings that refuses anyone.
 BOOST_AUTO_TEST_CASE(without_limits_nothing_is_refused)
 {
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE wire
+#include "kernel/json_parse.h"
 #include "platform/advice.h"
 #include "platform/caller.h"
 #include "platform/operator_config.h"
@@ -67,6 +68,57 @@
     BOOST_TEST(!decode_workflow(body).has_value());
 }
 
+// Guards against a limit on the parse that refuses an ordinary submission: all
+// steps that are accepted, each with all fields and all earlier steps as
+// dependencies, and a payload that fills the largest body.
+BOOST_AUTO_TEST_CASE(the_largest_workflow_is_read)
+{
+  constexpr std::size_t STEPS = 256;
+  constexpr std::size_t PAYLOAD_BYTES = 900'000;
+  nlohmann::json step = {
+    { "count", 1 },      { "cpu", 1 },           { "mem_mb", 1 },
+    { "gpu", 1 },        { "estimate_ms", 1 },   { "checkpoints", true },
+    { "gang", true },    { "same_rack", true },  { "requires", "a" },
+    { "affinity", "a" }, { "anti_affinity", 1 }, { "long_lived", false },
+    { "fills", false },  { "skippable", 1 },     { "image", "a" },
+    { "target_ms", 1 },
+  };
+  nlohmann::json root = { { "task_spec", std::string(PAYLOAD_BYTES, '{') } };
+  for (std::size_t index = 0; index < STEPS; ++index) {
+    step["depends_on"] = nlohmann::json::array();
+    for (std::size_t earlier = 0; earlier < index; ++earlier)
+      step["depends_on"].push_back(earlier);
+    root["phases"].push_back(step);
+  }
+  std::optional<core::Workflow> workflow = decode_workflow(root.dump());
+  BOOST_REQUIRE(workflow.has_value());
+  BOOST_TEST(workflow->steps.size() == STEPS);
+}
+
+// Guards against an estimate below what a parse takes: the worst bodies take
+// between 32 and 120 bytes for each value.
+BOOST_AUTO_TEST_CASE(the_parse_of_many_small_values_is_estimated_as_large)
+{
+  constexpr std::size_t VALUES = 1'000;
+  constexpr std::size_t VALUE_BYTES = 32;
+  constexpr std::size_t CONTAINER_BYTES = 96;
+  std::string numbers = "[0";
+  std::string objects = "[{}";
+  std::string fields = "[{\"\":0}";
+  for (std::size_t count = 1; count < VALUES; ++count) {
+    numbers += ",0";
+    objects += ",{}";
+    fields += ",{\"\":0}";
+  }
+  BOOST_TEST(kernel::parsed_bytes(numbers + "]") >= VALUES * VALUE_BYTES);
+  BOOST_TEST(kernel::parsed_bytes(objects + "]") >= VALUES * CONTAINER_BYTES);
+  BOOST_TEST(kernel::parsed_bytes(fields + "]") >=
+             VALUES * 2 * CONTAINER_BYTES);
+  // Brackets within a text cost nothing.
+  BOOST_TEST(kernel::parsed_bytes("\"" + std::string(VALUES, '[') + "\"") ==
+             VALUES + 2);
+}
+
 // Guards against an operation, host, token or deadline that is decoded wrongly
 // from the method and headers of a request.
 BOOST_AUTO_TEST_CASE(caller_request_is_read_from_its_headers)
