--- a/agent/platform_settings.h
+++ b/agent/platform_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/request_limits.h"
 #include "kernel/clock.h"
 #include "kernel/event.h"
 #include "kernel/settings.h"
@@ -31,6 +32,7 @@
   /// deployment evacuates no zones.
   kernel::Milliseconds evacuation{ 0 };
   kernel::Severity log_level = kernel::Severity::Info;
+  gateway::RequestLimits limits;
 };
 
 std::span<const kernel::Setting>
--- a/entry/platform_program.h
+++ b/entry/platform_program.h
@@ -12,6 +12,7 @@
 #include "entry/work_view.h"
 #include "gateway/http_client.h"
 #include "gateway/http_server.h"
+#include "gateway/refusal_log.h"
 #include "kernel/log.h"
 #include "kernel/loop.h"
 #include "kernel/metrics.h"
@@ -106,6 +107,8 @@
   Relay relay;
   EndSharer end_sharer;
   CallerApi caller_api;
+  gateway::RefusalLog refusal_log;
+  gateway::RequestBudget request_budget; ///< Of all three servers.
   gateway::HttpServer caller_server;
   gateway::HttpServer ready_server;
   gateway::HttpServer internal_server;
