--- a/gateway/request_limits.cpp
+++ b/gateway/request_limits.cpp
@@ -56,7 +56,7 @@
   given.request_ms = reader.integer(LIMIT_REQUEST);
   given.response_ms = reader.integer(LIMIT_RESPONSE);
   return derive_limits(
-    static_cast<std::size_t>(reader.integer(LIMIT_MEMORY)) * MIB,
+    static_cast<std::size_t>(reader.number(LIMIT_MEMORY) * MIB),
     static_cast<std::size_t>(reader.integer(LIMIT_DESCRIPTORS)),
     given);
 }
--- a/gateway/request_limits.h
+++ b/gateway/request_limits.h
@@ -8,7 +8,7 @@
 // Settings of each program that serves HTTP.
 inline constexpr kernel::Setting LIMIT_MEMORY{
   "/limits/memory_mb",
-  kernel::SettingType::Integer,
+  kernel::SettingType::Number,
   "MB",
   0,
   4'194'304,
--- a/tests/agent/settings_test.cpp
+++ b/tests/agent/settings_test.cpp
@@ -49,3 +49,22 @@
   BOOST_TEST(fault_pointers(settings) == expected,
              boost::test_tools::per_element());
 }
+
+// Guards against limits of a machine that are not taken over, and against a
+// process without them that limits its clients.
+BOOST_AUTO_TEST_CASE(limits_on_clients_follow_from_those_of_the_machine)
+{
+  nlohmann::json settings = example();
+  BOOST_TEST(
+    (agent::read_agent_settings(settings)->limits == gateway::RequestLimits{}));
+  settings["limits"] = { { "memory_mb", 128.0 }, { "max_descriptors", 4'096 } };
+  gateway::RequestLimits limits = agent::read_agent_settings(settings)->limits;
+  BOOST_TEST(limits.held_bytes == 16UL * 1'024 * 1'024);
+  BOOST_TEST(limits.connections == 1'024U);
+  BOOST_TEST(limits.request_ms == 5'000);
+  settings["limits"]["held_kb"] = 10;
+  settings["limits"]["connections"] = 7;
+  limits = agent::read_agent_settings(settings)->limits;
+  BOOST_TEST(limits.held_bytes == 10U * 1'024);
+  BOOST_TEST(limits.connections == 7U);
+}
