Make the test of a server that left see a start there

With the age of announcements switched off in the agent, the test passed: the later job could start on another server that became free at the same time. It now waits until the new agent has found the server, and counts the start requests there. It fails without that check of the agent (2 starts, not 1) and passes with it.

--- a/tests/system/process_failures_test.cpp
+++ b/tests/system/process_failures_test.cpp
@@ -233,6 +233,8 @@
   announce_departure(0, [&departed](bool done) { departed = done; });
   wait([&] { return departed && kernel::boot_ms() > outdated_ms; });
   kill({ &agents[0] });
+  std::uint64_t former_token = servers[0]->fencing_token;
+  std::size_t former_starts = servers[0]->starts.size();
   start({ &agents[0] });
   bool received = false;
   std::function<void()> send_delayed = [&] {
@@ -244,13 +246,15 @@
   };
   send_delayed();
   wait([&received] { return received; });
+  // The new agent has found the server.
+  wait([&] { return servers[0]->fencing_token > former_token; });
   for (std::size_t number = 1; number < SERVERS; ++number)
     accept(job_name(number), job_body(1, SERVER_CAPACITY, false));
   wait([this] { return running() == SERVERS - 1; });
   accept(LATER_JOB, job_body(1, SERVER_CAPACITY, false));
   finish_job(job_name(1));
   wait([this] { return running(LATER_JOB) == 1; });
-  BOOST_TEST(servers[0]->running.empty());
+  BOOST_TEST(servers[0]->starts.size() == former_starts);
   finish_all();
   wait_state(LATER_JOB, "completed");
   check_invariants();
