--- a/core/run_times.h
+++ b/core/run_times.h
@@ -159,8 +159,10 @@
   std::map<std::string, Node> nodes;
   std::map<std::string, Kind> kinds;
   std::map<StepKey, Need> needs;
-  /// Variance of the logarithm of run times between tasks of one step.
-  double task_scatter = 0.12;
+  /// Tasks of one step differ by 30% and more.
+  static constexpr double INITIAL_TASK_SCATTER = 0.12;
+  /// Variance of the logarithm of run times between tasks of one step, learned.
+  double task_scatter = INITIAL_TASK_SCATTER;
   SpeedAgreement agreement;
   bool differ = false;
   bool corrects = false;
