--- a/tests/system/platform_fixture.h
+++ b/tests/system/platform_fixture.h
@@ -24,6 +24,10 @@
 inline constexpr char JOB[] = "5c0e7a21d94b36f8";
 inline constexpr kernel::Milliseconds HEARTBEAT_PERIOD{ 100 };
 inline constexpr char PREFIX[] = "/lohu930/";
+/// Limits of the smallest machine, which no client of these tests must meet.
+inline constexpr std::size_t SMALLEST_MEMORY_BYTES = 120UL * 1'024 * 1'024;
+inline constexpr std::size_t SMALLEST_DESCRIPTORS = 3'075;
+inline constexpr gateway::RequestLimits DEFAULT_DEADLINES{ 0, 0, 5'000, 5'000 };
 
 inline std::string
 configuration(std::uint64_t version,
@@ -99,6 +103,8 @@
     settings.max_early = kernel::Milliseconds(250);
     settings.retention = retention;
     settings.max_config_age = kernel::Milliseconds(1'800);
+    settings.limits = gateway::derive_limits(
+      SMALLEST_MEMORY_BYTES, SMALLEST_DESCRIPTORS, DEFAULT_DEADLINES);
     entry_settings.push_back(settings);
     entries.push_back(
       std::make_unique<entry::PlatformProgram>(loop, timers, log, settings));
@@ -125,6 +131,8 @@
     servers.back()->max_lease = settings.max_lease;
     settings.report_period = kernel::Milliseconds(200);
     settings.heartbeat_period = HEARTBEAT_PERIOD;
+    settings.limits = gateway::derive_limits(
+      SMALLEST_MEMORY_BYTES, SMALLEST_DESCRIPTORS, DEFAULT_DEADLINES);
     agent_settings.push_back(settings);
     agents.push_back(std::make_unique<agent::PlatformProgram>(
       loop, timers, agent_log, settings));
