Weigh what a stop of other runs gains against what it loses

Many victims were about to end, had not saved for long, or were stopped for a step that was late all the same.

With /platform/scarce_capacity, a step waits for runs that are expected to end as soon as a stop would free their resources. A stop must gain more than it loses: the value of the objective, or of a late result, against unsaved work and the objective of the victim's whole step. Runs placed while the step waited are not stopped, and each further stop of a step costs more. Steps within a guarantee wait for ends only while a stop is still in time.

--- a/core/pool.h
+++ b/core/pool.h
@@ -60,6 +60,12 @@
   /// Cost of a stop: unsaved work, resources that are idle until the runs have
   /// ended, and the value of the objective if the stop makes the step miss it.
   double loss_core_s = 0;
+  /// Part of the cost that several stops of the same step cause only once.
+  double step_loss_core_s = 0;
+  double discarded_core_s = 0; ///< Unsaved work and idle resources.
+  std::int64_t placed_ms = 0;  ///< Boot time of the placement, 0 if unknown.
+  bool overdue = false;        ///< Runs for much longer than expected.
+  std::uint32_t earlier_stops = 0; ///< Of the step, for other steps.
 };
 
 /// Servers with their free resources. Rebuilt for each scheduling round.
--- a/core/preempt.cpp
+++ b/core/preempt.cpp
@@ -1,30 +1,81 @@
 #include "core/preempt.h"
 
 #include <algorithm>
+#include <functional>
 #include <span>
 
 namespace geraniumhinge::core {
 
 namespace {
 
+/// Whether the resources of the runs become free without a stop.
+bool
+frees_resources(const RunGroup& group, const PreemptRequest& request)
+{
+  return group.stopping || (!group.runs_until_cancelled && !group.overdue &&
+                            group.remaining_ms <= request.await_ms);
+}
+
 bool
 may_stop(const RunGroup& victim, const PreemptRequest& request)
 {
-  if (victim.stopping)
+  if (frees_resources(victim, request))
     return true;
-  if (victim.guaranteed || victim.disruptions_allowed == 0)
+  if (!request.may_stop || victim.guaranteed || victim.disruptions_allowed == 0)
+    return false;
+  if (request.placed_before_ms > 0 &&
+      victim.placed_ms > request.placed_before_ms)
     return false;
   return victim.priority > request.priority ||
          (request.guaranteed && victim.priority == request.priority);
 }
 
+using Victims = std::vector<RunGroup*>;
+
+/// Cost of all victims together. What several stops of one step cause only once
+/// counts once.
 double
-cost(const RunGroup& victim)
+total_cost(const Victims& victims, const PreemptRequest& request)
 {
-  return victim.stopping ? 0 : victim.loss_core_s;
+  double sum = 0;
+  std::set<StepKey> steps;
+  for (const RunGroup* victim : victims) {
+    if (frees_resources(*victim, request))
+      continue;
+    sum += victim->loss_core_s;
+    if (victim->step_loss_core_s > 0 && steps.insert(victim->step).second)
+      sum += victim->step_loss_core_s;
+  }
+  return sum;
 }
 
-using Victims = std::vector<RunGroup*>;
+/// Sorts the cheapest first. Further runs of a step that a stop makes late
+/// follow its cheapest one: they cost no more than their own loss.
+void
+sort_by_cost(Victims& candidates, const PreemptRequest& request)
+{
+  std::map<StepKey, double> cheapest;
+  for (const RunGroup* victim : candidates) {
+    if (victim->step_loss_core_s <= 0 || frees_resources(*victim, request))
+      continue;
+    double cost = victim->step_loss_core_s + victim->loss_core_s;
+    double& least = cheapest.try_emplace(victim->step, cost).first->second;
+    least = std::min(least, cost);
+  }
+  std::function<std::pair<double, double>(const RunGroup&)> rank =
+    [&cheapest, &request](const RunGroup& victim) {
+      if (frees_resources(victim, request))
+        return std::pair(0.0, 0.0);
+      if (victim.step_loss_core_s <= 0)
+        return std::pair(victim.loss_core_s, 0.0);
+      return std::pair(cheapest.at(victim.step), victim.loss_core_s);
+    };
+  std::stable_sort(candidates.begin(),
+                   candidates.end(),
+                   [&rank](const RunGroup* left, const RunGroup* right) {
+                     return rank(*left) < rank(*right);
+                   });
+}
 
 /// Tries out which of the runs have to be stopped. Stopping more runs never
 /// takes away a fit, so the searches below may halve their range.
@@ -150,7 +201,9 @@
 /// Chooses the cheapest victims until the request fits, without those that are
 /// not needed. Nothing if the request does not fit. Leaves the trial as it was.
 std::optional<VictimChoice>
-choose_victims(StopTrial& trial, Victims cheapest_first)
+choose_victims(StopTrial& trial,
+               Victims cheapest_first,
+               const PreemptRequest& request)
 {
   std::optional<std::size_t> count = trial.stop_until_fit(cheapest_first);
   if (!count)
@@ -159,8 +212,7 @@
   VictimChoice choice;
   trial.resume_unneeded(cheapest_first, choice.victims);
   trial.resume(choice.victims);
-  for (RunGroup* victim : choice.victims)
-    choice.cost += cost(*victim);
+  choice.cost = total_cost(choice.victims, request);
   return choice;
 }
 
@@ -176,14 +228,10 @@
     if (may_stop(victim, request))
       candidates.push_back(&victim);
   }
-  std::stable_sort(candidates.begin(),
-                   candidates.end(),
-                   [](const RunGroup* left, const RunGroup* right) {
-                     return cost(*left) < cost(*right);
-                   });
+  sort_by_cost(candidates, request);
   StopTrial trial(pool, request.assign_request);
   std::optional<VictimChoice> best =
-    choose_victims(trial, candidates_in(candidates, pool, ""));
+    choose_victims(trial, candidates_in(candidates, pool, ""), request);
   if (!best)
     return std::nullopt;
   std::set<std::string> racks;
@@ -192,7 +240,7 @@
   racks.erase("");
   for (const std::string& rack : racks) {
     std::optional<VictimChoice> choice =
-      choose_victims(trial, candidates_in(candidates, pool, rack));
+      choose_victims(trial, candidates_in(candidates, pool, rack), request);
     if (choice && choice->cost < best->cost)
       best = std::move(choice);
   }
@@ -201,7 +249,7 @@
   plan.servers = trial.servers();
   plan.loss_core_s = best->cost;
   for (RunGroup* victim : best->victims) {
-    if (!victim->stopping)
+    if (!frees_resources(*victim, request))
       plan.victims.push_back(victim);
   }
   return plan;
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -32,16 +32,15 @@
 }
 
 /// Erases the keys of a workflow, of which `first` is the lowest.
-template<typename Key>
+template<typename Key, typename Value>
 void
-erase_workflow(std::map<Key, std::int64_t>& times,
+erase_workflow(std::map<Key, Value>& items,
                const Key& first,
                const std::string& workflow)
 {
-  typename std::map<Key, std::int64_t>::iterator item =
-    times.lower_bound(first);
-  while (item != times.end() && workflow_of(item->first) == workflow)
-    item = times.erase(item);
+  typename std::map<Key, Value>::iterator item = items.lower_bound(first);
+  while (item != items.end() && workflow_of(item->first) == workflow)
+    item = items.erase(item);
 }
 
 /// Whether the workflow `left` is more urgent than `right`.
@@ -338,6 +337,8 @@
 {
   StepKey first{ workflow, 0, 0 };
   erase_workflow(this->placed_ms, TaskKey{ first, 0 }, workflow);
+  erase_workflow(this->saved_ms, TaskKey{ first, 0 }, workflow);
+  erase_workflow(this->stops, first, workflow);
   erase_workflow(this->ready_ms, first, workflow);
   this->advice.forget(workflow);
 }
--- a/core/round.h
+++ b/core/round.h
@@ -50,6 +50,9 @@
   /// Value of meeting the objective, as a multiple of the step's own work, by
   /// priority. The last entry holds for all lower priorities.
   std::array<double, 3> on_time_value{ 2.5, 1, 0.2 };
+  /// Stops runs for a step only if it gains more than others lose
+  /// (docs/design/scarce-capacity.md).
+  bool weigh_stops = false;
 };
 
 /// A task of a step, by its index.
@@ -63,6 +66,11 @@
   std::map<StepKey, std::int64_t> ready_ms;
   std::map<std::string, std::string> nodes; ///< Agent node, by server.
   std::map<TaskKey, std::uint32_t> percent; ///< Reported progress.
+  /// Boot time of the report that showed the newest checkpoint. Of a gang, by
+  /// its first task.
+  std::map<TaskKey, std::int64_t> saved_ms;
+  /// How often runs of the step were stopped for other steps.
+  std::map<StepKey, std::uint32_t> stops;
   std::set<TaskKey> stalled;      ///< Runs whose progress has stopped.
   std::set<std::string> suspects; ///< Servers to avoid where possible.
   AdviceCache advice;
@@ -78,12 +86,28 @@
   std::int64_t waited_ms = 0;
 };
 
+/// What a step gains from stops of other runs.
+enum class StopReason
+{
+  Guarantee, ///< It is within its organisation's guarantee.
+  Objective, ///< It meets its objective.
+  Waiting,   ///< It waits for less time.
+};
+
+inline constexpr NamedValue<StopReason> STOP_REASON_NAMES[] = {
+  { StopReason::Guarantee, "guarantee" },
+  { StopReason::Objective, "objective" },
+  { StopReason::Waiting, "waiting" },
+};
+
 struct StepPreemption
 {
   StepKey step;                  ///< The step that gets the resources.
   StepKey victim;                ///< The step whose runs are stopped.
   std::size_t stopped_tasks = 0; ///< Stopped tasks of the victim.
   double loss_core_s = 0;
+  double discarded_core_s = 0; ///< Unsaved work and idle resources.
+  StopReason reason = StopReason::Waiting;
 };
 
 /// Why runs are stopped to start again elsewhere, without a step that needs
@@ -104,6 +128,7 @@
   StepKey step;
   std::vector<std::uint32_t> tasks; ///< Indices in the step.
   RestartReason reason = RestartReason::ServerLeaves;
+  double discarded_core_s = 0; ///< Unsaved work and idle resources.
 };
 
 struct RoundResult
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -102,15 +102,25 @@
   std::size_t disruptions_allowed(const Step& step,
                                   const StepKey& key,
                                   const StepState& tasks) const;
+  std::int64_t expected_ms(const Step& step) const;
+  std::int64_t stop_delay_ms() const;
+  std::int64_t age_ms(const WaitingStep& waiting) const;
+  void limit_stops(const WaitingStep& waiting, PreemptRequest& request) const;
+  StopReason stop_reason(const WaitingStep& waiting) const;
   std::int64_t elapsed_ms(const TaskKey& task) const;
+  std::int64_t unsaved_ms(const TaskKey& task, const Step& step) const;
+  std::int64_t late_slack_ms(const WaitingStep& waiting) const;
+  double gain_of_start_now(const WaitingStep& waiting) const;
   std::int64_t remaining_ms(const TaskKey& task, const Step& step) const;
   double on_time_value(const RoundWorkflow& round_workflow,
                        const Step& step) const;
   bool stop_misses_objective(const RoundWorkflow& round_workflow,
                              const TaskKey& task) const;
-  /// Cost of stopping a task; see `RunGroup::loss_core_s`.
-  double stop_loss_core_s(const RoundWorkflow& round_workflow,
-                          const TaskKey& task) const;
+  /// Work that a stop of the task discards, with its idle resources.
+  double discarded_core_s(const Step& step, const TaskKey& task) const;
+  void add_stop_loss(const RoundWorkflow& round_workflow,
+                     const TaskKey& task,
+                     RunGroup& group) const;
   void stop(RunGroup& group);
 
   void reserve_for_gang(const WaitingStep& waiting);
--- a/core/round_stop.cpp
+++ b/core/round_stop.cpp
@@ -13,6 +13,10 @@
 constexpr double CORES_PER_ACCELERATOR = 8;
 constexpr double MILLICORES_PER_CORE = 1'000;
 constexpr double MS_PER_S = 1'000;
+/// A result that takes up to this multiple of the objective is of some value to
+/// the caller, of this share by priority (docs/hard-load.md).
+constexpr std::int64_t LATE_FACTOR = 3;
+constexpr double LATE_SHARES[] = { 0.2, 0.3, 0.3 };
 constexpr std::int64_t COMPLETE_PERCENT = 100;
 /// Assumed run time so far of runs that an earlier owner placed.
 constexpr std::int64_t ASSUMED_ELAPSED_MS = 5'000;
@@ -24,6 +28,21 @@
 constexpr std::int64_t EXTRA_STAY_MS = 2'000;
 /// Time from the end of a stopped run until the step runs again.
 constexpr std::int64_t RESTART_DELAY_MS = 1'000;
+/// Time for the order to an agent, its report and the next round, in addition
+/// to the time until a stopped run has ended.
+constexpr std::int64_t ORDER_LATENCY_MS = 300;
+/// A step within a guarantee must get its resources within 2.7 s of its
+/// acceptance. It waits for expected ends of runs at most until a stop can
+/// still free its resources by then, less a round and a repeated order.
+constexpr std::int64_t GUARANTEE_MS = 2'700;
+constexpr std::int64_t GUARANTEE_MARGIN_MS = 500;
+/// Expected ends may be later than expected by a fifth (docs/hard-load.md).
+constexpr double EXPECTED_END_FACTOR = 1.2;
+/// A run that exceeds its expected run time by half is one of the few that take
+/// several times as long: its end can't be predicted.
+constexpr double OVERDUE_FACTOR = 1.5;
+/// Time between two reports of an agent.
+constexpr std::int64_t REPORT_PERIOD_MS = 1'000;
 
 } // namespace
 
@@ -36,6 +55,20 @@
   return cores * seconds;
 }
 
+/// Expected run time of a task of the step, 0 if unknown.
+std::int64_t
+SchedulingRound::expected_ms(const Step& step) const
+{
+  return step.estimate_ms;
+}
+
+/// Time from the decision to stop a run until its resources are free.
+std::int64_t
+SchedulingRound::stop_delay_ms() const
+{
+  return this->limits.stop_ms + ORDER_LATENCY_MS;
+}
+
 std::int64_t
 SchedulingRound::elapsed_ms(const TaskKey& task) const
 {
@@ -92,20 +125,50 @@
          start_slack_ms + saved_ms < interruption_ms;
 }
 
+/// Run time since the run's newest checkpoint. Reports are less frequent than
+/// checkpoints may be, so a run whose last report showed a new one is taken to
+/// have saved since.
+std::int64_t
+SchedulingRound::unsaved_ms(const TaskKey& task, const Step& step) const
+{
+  std::int64_t elapsed = this->elapsed_ms(task);
+  if (!step.checkpoints)
+    return elapsed;
+  std::int64_t period = this->limits.checkpoint_ms;
+  // A gang keeps the checkpoint of all its members in its first task.
+  std::map<TaskKey, std::int64_t>::const_iterator saved =
+    this->history.saved_ms.find({ task.first, step.gang ? 0 : task.second });
+  if (!this->limits.weigh_stops || saved == this->history.saved_ms.end())
+    return std::min(elapsed, period);
+  std::int64_t since = std::min(elapsed, this->now_ms - saved->second);
+  return since <= period + REPORT_PERIOD_MS ? std::min(since, period) : since;
+}
+
 double
-SchedulingRound::stop_loss_core_s(const RoundWorkflow& round_workflow,
-                                  const TaskKey& task) const
+SchedulingRound::discarded_core_s(const Step& step, const TaskKey& task) const
+{
+  std::int64_t ms = this->unsaved_ms(task, step) + this->limits.stop_ms;
+  return core_seconds(step.demand, static_cast<double>(ms) / MS_PER_S);
+}
+
+/// Adds the cost of stopping a task. One late task makes its step late, so a
+/// step loses the value of its objective as a whole.
+void
+SchedulingRound::add_stop_loss(const RoundWorkflow& round_workflow,
+                               const TaskKey& task,
+                               RunGroup& group) const
 {
   const Step& step = round_workflow.definition->steps[task.first.step];
-  double seconds = static_cast<double>(this->elapsed_ms(task)) / MS_PER_S;
-  if (step.checkpoints)
-    seconds = std::min(
-      seconds, static_cast<double>(this->limits.checkpoint_ms) / MS_PER_S);
-  seconds += static_cast<double>(this->limits.stop_ms) / MS_PER_S;
-  double loss_core_s = core_seconds(step.demand, seconds);
-  if (this->stop_misses_objective(round_workflow, task))
-    loss_core_s += this->on_time_value(round_workflow, step);
-  return loss_core_s;
+  double discarded = this->discarded_core_s(step, task);
+  group.discarded_core_s += discarded;
+  bool misses = this->stop_misses_objective(round_workflow, task);
+  double value = misses ? this->on_time_value(round_workflow, step) : 0;
+  if (!this->limits.weigh_stops) {
+    group.loss_core_s += discarded + value;
+    return;
+  }
+  group.loss_core_s += discarded * (1 + group.earlier_stops);
+  group.step_loss_core_s = std::max(group.step_loss_core_s, value * step.tasks);
 }
 
 void
@@ -142,6 +205,10 @@
       group.runs_until_cancelled = step.runs_until_cancelled;
       group.checkpoints = step.checkpoints;
       group.disruptions_allowed = this->disruptions_allowed(step, key, tasks);
+      std::map<StepKey, std::uint32_t>::const_iterator stops =
+        this->history.stops.find(key);
+      if (stops != this->history.stops.end())
+        group.earlier_stops = stops->second;
       group.demand = resources_of_run(step);
       this->groups.push_back(std::move(group));
       gang_group_exists = step.gang;
@@ -151,7 +218,14 @@
     group.tasks.push_back(index);
     ++group.servers[task.run->server.id];
     group.stopping = group.stopping || task.run->stopping;
-    group.loss_core_s += this->stop_loss_core_s(round_workflow, task_key);
+    this->add_stop_loss(round_workflow, task_key, group);
+    std::map<TaskKey, std::int64_t>::const_iterator placed =
+      this->history.placed_ms.find(task_key);
+    if (placed != this->history.placed_ms.end())
+      group.placed_ms = std::max(group.placed_ms, placed->second);
+    group.overdue =
+      group.overdue || static_cast<double>(this->elapsed_ms(task_key)) >
+                         OVERDUE_FACTOR * this->expected_ms(step);
     group.remaining_ms =
       std::max(group.remaining_ms, this->remaining_ms(task_key, step));
   }
@@ -188,7 +262,8 @@
     std::optional<RestartReason> reason = this->restart_reason(group);
     if (!reason)
       continue;
-    this->result.restarts.push_back({ group.step, group.tasks, *reason });
+    this->result.restarts.push_back(
+      { group.step, group.tasks, *reason, group.discarded_core_s });
     this->stop(group);
   }
 }
@@ -223,10 +298,39 @@
   return group.remaining_ms > expected_stay_ms;
 }
 
+/// How much longer the step may wait until its result is of no value.
+std::int64_t
+SchedulingRound::late_slack_ms(const WaitingStep& waiting) const
+{
+  return *waiting.slack_ms +
+         (LATE_FACTOR - 1) * allowed_ms(*waiting.round_workflow.definition,
+                                        waiting.round_workflow.objective);
+}
+
+/// Value that the step gains if it starts as soon as a stop frees resources for
+/// it, in core seconds. None if it can still wait, or has no value by then.
+double
+SchedulingRound::gain_of_start_now(const WaitingStep& waiting) const
+{
+  const RoundWorkflow& round_workflow = waiting.round_workflow;
+  if (*waiting.slack_ms >= URGENT_SLACK_MS)
+    return 0;
+  const Step& step = this->step_of(waiting);
+  double value = this->on_time_value(round_workflow, step) * step.tasks;
+  double late_share = LATE_SHARES[std::min<std::size_t>(
+    round_workflow.priority, std::size(LATE_SHARES) - 1)];
+  std::int64_t start_ms = this->stop_delay_ms();
+  if (*waiting.slack_ms >= start_ms)
+    return value * (1 - late_share);
+  return this->late_slack_ms(waiting) >= start_ms ? value * late_share : 0;
+}
+
 /// Loss in core seconds that stops of other runs for this step may cause.
 double
 SchedulingRound::allowed_loss(const WaitingStep& waiting) const
 {
+  if (this->limits.weigh_stops && waiting.slack_ms)
+    return this->gain_of_start_now(waiting);
   const Step& step = this->step_of(waiting);
   double value = this->on_time_value(waiting.round_workflow, step) *
                  static_cast<double>(waiting.request.tasks);
@@ -243,18 +347,62 @@
   return allowed;
 }
 
+std::int64_t
+SchedulingRound::age_ms(const WaitingStep& waiting) const
+{
+  return this->now_ms + this->limits.unix_offset_ms -
+         waiting.round_workflow.definition->accepted_ms;
+}
+
+/// Sets which runs the step waits for, and which it may not stop.
+void
+SchedulingRound::limit_stops(const WaitingStep& waiting,
+                             PreemptRequest& request) const
+{
+  if (!this->limits.weigh_stops)
+    return;
+  std::int64_t stop_delay = this->stop_delay_ms();
+  if (request.guaranteed) {
+    bool may_wait =
+      this->age_ms(waiting) + stop_delay + GUARANTEE_MARGIN_MS <= GUARANTEE_MS;
+    request.await_ms = may_wait ? stop_delay : -1;
+    return;
+  }
+  request.await_ms = stop_delay;
+  if (waiting.slack_ms)
+    request.await_ms =
+      std::max(stop_delay,
+               static_cast<std::int64_t>(
+                 static_cast<double>(*waiting.slack_ms - ORDER_LATENCY_MS) /
+                 EXPECTED_END_FACTOR));
+  // Runs placed since lack the same room as this step.
+  request.placed_before_ms = this->now_ms - waiting.waited_ms;
+}
+
+StopReason
+SchedulingRound::stop_reason(const WaitingStep& waiting) const
+{
+  if (waiting.round_workflow.guaranteed)
+    return StopReason::Guarantee;
+  bool on_time = waiting.slack_ms && *waiting.slack_ms >= this->limits.stop_ms;
+  return on_time ? StopReason::Objective : StopReason::Waiting;
+}
+
 /// Stops less urgent runs for the step and reserves their resources. Returns a
 /// server for each task; empty if the step gets no resources this way.
 std::vector<std::string>
 SchedulingRound::preempt(const WaitingStep& waiting)
 {
   double allowed = this->allowed_loss(waiting);
-  if (!waiting.round_workflow.guaranteed && allowed <= 0)
+  bool may_stop = waiting.round_workflow.guaranteed || allowed > 0;
+  if (!may_stop && !this->limits.weigh_stops)
     return {};
   PreemptRequest request;
+  request.may_stop = may_stop;
   request.assign_request = waiting.request;
   request.priority = waiting.round_workflow.priority;
   request.guaranteed = waiting.round_workflow.guaranteed;
+  this->limit_stops(waiting, request);
   std::optional<PreemptPlan> plan =
     plan_preemption(this->pool, this->groups, request);
   if (!plan &&
@@ -265,11 +413,19 @@
   if (!plan ||
       (!waiting.round_workflow.guaranteed && plan->loss_core_s > allowed))
     return {};
+  std::set<StepKey> stopped_steps;
   for (RunGroup* victim : plan->victims) {
-    this->result.preemptions.push_back(
-      { waiting.key, victim->step, victim->tasks.size(), victim->loss_core_s });
+    this->result.preemptions.push_back({ waiting.key,
+                                         victim->step,
+                                         victim->tasks.size(),
+                                         victim->loss_core_s,
+                                         victim->discarded_core_s,
+                                         this->stop_reason(waiting) });
     this->stop(*victim);
+    stopped_steps.insert(victim->step);
   }
+  for (const StepKey& step : stopped_steps)
+    ++this->history.stops[step];
   // Reserves the resources against less urgent steps.
   for (const std::string& server : plan->servers)
     this->pool.allocate(server, resources_of_run(this->step_of(waiting)));
--- a/entry/events.h
+++ b/entry/events.h
@@ -263,7 +263,7 @@
   629,
   kernel::Severity::Info,
   "step_preempted",
-  "Tasks of a step are being stopped to free resources for a guaranteed step.",
+  "Tasks of a step are being stopped to free resources for a more urgent one.",
   "None."
 };
 inline constexpr kernel::EventInfo EXPIRY_FAILED{
--- a/entry/platform_program.cpp
+++ b/entry/platform_program.cpp
@@ -76,6 +76,7 @@
   limits.stop_ms = settings.stop_grace.count();
   limits.checkpoint_ms = settings.checkpoint_period.count();
   limits.rack_penalty = settings.rack_penalty;
+  limits.scarce_capacity = settings.scarce_capacity;
   limits.max_row_bytes = settings.max_row_bytes;
   return limits;
 }
--- a/entry/platform_settings.cpp
+++ b/entry/platform_settings.cpp
@@ -22,6 +22,7 @@
   { "/platform/checkpoint_s", SettingType::Number, "s", 0.01, 3'600, "2", "Run time between two checkpoints of a task." },
   { "/platform/core_share", SettingType::Number, "", 0.01, 1'024, "1", "Share of a processor core that this entry may use. Entries with a larger share take over the placement of work first." },
   { "/platform/rack_penalty", SettingType::Number, "", 1, 100, "3", "Factor on the duration of a task that does not run in its rack." },
+  { "/platform/scarce_capacity", SettingType::Boolean, "", 0, 0, "false", "Weighs what a step gains from stops of other runs against what is lost." },
   { "/platform/early_ms", SettingType::Integer, "ms", 0, 60'000, "0", "How long before its due time an occurrence may start." },
   { "/platform/retention_s", SettingType::Integer, "s", 1, 604'800, "150", "How long ended workflows, and cancellings of unknown ones, are kept; a submission is tried for up to 30 s." },
   { "/platform/max_row_bytes", SettingType::Integer, "bytes", 4'096, 16'777'216, "65536", "Longest value of a row that the store accepts. It limits the tasks of a job." },
@@ -76,6 +77,8 @@
     reader.number(row_of("/platform/checkpoint_s")) * MS_PER_S));
   settings.core_share = reader.number(row_of("/platform/core_share"));
   settings.rack_penalty = reader.number(row_of("/platform/rack_penalty"));
+  settings.scarce_capacity =
+    reader.boolean(row_of("/platform/scarce_capacity"));
   settings.max_lease = duration("/platform/max_lease_ms");
   settings.lease = std::min(duration("/platform/lease_ms"), settings.max_lease);
   settings.orphan_timeout = duration("/platform/orphan_ms");
--- a/entry/platform_settings.h
+++ b/entry/platform_settings.h
@@ -35,6 +35,7 @@
   double core_share = 1; ///< Share of a processor core that this entry has.
   /// Factor on the duration of a task that does not run in its rack.
   double rack_penalty = 1;
+  bool scarce_capacity = false; ///< See docs/design/scarce-capacity.md.
   kernel::Severity log_level = kernel::Severity::Info;
 };
 
--- a/entry/run_tracker.cpp
+++ b/entry/run_tracker.cpp
@@ -77,8 +77,9 @@
 RunTracker::record_progress(const AgentView& agent, std::int64_t now_ms)
 {
   for (const v1::RunReport& run : agent.report.running()) {
-    if (!run.checkpoint().empty())
-      this->checkpoints[run.task()] = run.checkpoint();
+    if (!run.checkpoint().empty() &&
+        run.checkpoint() != this->checkpoint_of(run.task()))
+      this->checkpoints[run.task()] = { run.checkpoint(), now_ms };
     // If the server does not respond to its agent, the report repeats old data.
     if (agent.report.answering())
       this->progress.record_progress(
@@ -89,9 +90,18 @@
 std::string
 RunTracker::checkpoint_of(const std::string& task) const
 {
-  std::map<std::string, std::string>::const_iterator found =
+  std::map<std::string, Checkpoint>::const_iterator found =
     this->checkpoints.find(task);
-  return found == this->checkpoints.end() ? std::string() : found->second;
+  return found == this->checkpoints.end() ? std::string() : found->second.value;
+}
+
+/// When the task's newest checkpoint became known, 0 if it has none.
+std::int64_t
+RunTracker::saved_ms_of(const std::string& task) const
+{
+  std::map<std::string, Checkpoint>::const_iterator found =
+    this->checkpoints.find(task);
+  return found == this->checkpoints.end() ? 0 : found->second.saved_ms;
 }
 
 std::map<std::string, AppliedEnds>
@@ -411,6 +421,7 @@
                            std::int64_t now_ms)
 {
   history.percent.clear();
+  history.saved_ms.clear();
   history.stalled.clear();
   history.suspects.clear();
   for (const RejectedTicket& item : this->rejected_tickets)
@@ -427,6 +438,11 @@
         std::uint32_t percent = this->progress.percent(name, attempt);
         if (percent > 0)
           history.percent[key] = percent;
+        std::int64_t saved_ms = this->saved_ms_of(name);
+        core::TaskKey primary{ key.first, step.gang ? 0 : ref.index };
+        if (saved_ms > 0)
+          history.saved_ms[primary] =
+            std::max(history.saved_ms[primary], saved_ms);
         // Long-running steps report no progress; best-effort steps may be
         // throttled.
         if (step.runs_until_cancelled || step.best_effort)
@@ -476,7 +492,7 @@
   this->progress.forget_workflow(workflow.id);
   // Task names begin with the workflow's identifier and a dot.
   std::string prefix = workflow.id + '.';
-  std::map<std::string, std::string>::iterator checkpoint =
+  std::map<std::string, Checkpoint>::iterator checkpoint =
     this->checkpoints.lower_bound(prefix);
   while (checkpoint != this->checkpoints.end() &&
          checkpoint->first.starts_with(prefix))
--- a/entry/run_tracker.h
+++ b/entry/run_tracker.h
@@ -65,8 +65,8 @@
   /// False while the server is quarantined because of failures.
   bool is_trusted(const std::string& server, std::int64_t now_ms);
 
-  /// Sets the progress, the stalled runs, the suspected servers and the
-  /// rejected tickets.
+  /// Sets the progress, the newest checkpoints, the stalled runs, the suspected
+  /// servers and the rejected tickets.
   void update_history(const std::vector<core::RoundWorkflow>& workflows,
                       core::StepHistory& history,
                       std::int64_t now_ms);
@@ -116,6 +116,13 @@
                                       std::int64_t now_ms) const;
   std::string checkpoint_of(const std::string& task) const;
 
+  struct Checkpoint
+  {
+    std::string value;
+    std::int64_t saved_ms = 0; ///< Boot time of the first report of the value.
+  };
+  std::int64_t saved_ms_of(const std::string& task) const;
+
   /// A run whose start was rejected for its ticket.
   struct RejectedTicket
   {
@@ -130,7 +137,7 @@
   core::FailureTracker failures;
   core::ProgressWatch progress;
   std::map<std::string, std::set<std::string>> failures_by_workflow;
-  std::map<std::string, std::string> checkpoints; ///< By task name.
+  std::map<std::string, Checkpoint> checkpoints; ///< By task name.
   /// Members of one attempt of a gang that ended because another one had.
   std::map<std::pair<core::StepKey, std::uint32_t>, std::set<std::uint32_t>>
     broken_members;
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -6,6 +6,7 @@
 #include "kernel/clock.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace geraniumhinge::entry {
 
@@ -255,6 +256,7 @@
   limits.rack_penalty = this->limits.rack_penalty;
   limits.stop_ms = this->limits.stop_ms;
   limits.checkpoint_ms = this->limits.checkpoint_ms;
+  limits.weigh_stops = this->limits.scarce_capacity;
   limits.unix_offset_ms = kernel::unix_ms() - now;
   round.result = core::run_scheduling_round(
     round.workflows, pool, this->history, limits, now);
@@ -310,6 +312,20 @@
     .set(static_cast<double>(waiting));
 }
 
+void
+WorkScheduler::count_stops(std::string_view reason,
+                           std::size_t runs,
+                           double discarded_core_s)
+{
+  this->metrics
+    .counter(fmt::format("entry_runs_stopped_total{{reason=\"{}\"}}", reason))
+    .add(runs);
+  this->metrics
+    .counter(
+      fmt::format("entry_discarded_core_s_total{{reason=\"{}\"}}", reason))
+    .add(static_cast<std::uint64_t>(std::lround(discarded_core_s)));
+}
+
 void
 WorkScheduler::log_round(const RoundInput& round)
 {
@@ -329,13 +345,19 @@
                       { "term", this->term } });
   }
   for (const core::StepPreemption& preemption : round.result.preemptions) {
+    std::string_view reason =
+      name_of(core::STOP_REASON_NAMES, preemption.reason);
     this->metrics.counter("entry_steps_preempted_total").add();
+    this->count_stops(
+      reason, preemption.stopped_tasks, preemption.discarded_core_s);
     this->log.write(STEP_PREEMPTED,
                     { { "job", preemption.step.workflow },
                       { "victim", preemption.victim.workflow },
                       { "victim_step", preemption.victim.step },
                       { "tasks", preemption.stopped_tasks },
-                      { "loss_core_s", preemption.loss_core_s } });
+                      { "reason", reason },
+                      { "loss_core_s", preemption.loss_core_s },
+                      { "discarded_core_s", preemption.discarded_core_s } });
   }
   for (const core::StepRestart& restart : round.result.restarts) {
     this->tracker.record_restart(restart);
@@ -343,6 +365,9 @@
       .counter(fmt::format("entry_steps_restarted_total{{reason=\"{}\"}}",
                            name_of(core::RESTART_REASON_NAMES, restart.reason)))
       .add();
+    this->count_stops(name_of(core::RESTART_REASON_NAMES, restart.reason),
+                      restart.tasks.size(),
+                      restart.discarded_core_s);
     this->log.write(
       STEP_RESTARTED,
       { { "job", restart.step.workflow },
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -54,6 +54,7 @@
   /// Factor on the duration of a step that does not run in its rack.
   double rack_penalty = 1;
   std::size_t max_row_bytes = 65'536; ///< Longest value of a row.
+  bool scarce_capacity = false;       ///< See docs/design/scarce-capacity.md.
 };
 
 /// Runs the scheduling rounds of the owner: records the ends of runs, places
@@ -119,6 +120,10 @@
   void handle_conflict(bool still_owner,
                        const std::vector<platform::StoredRow>& current);
   bool apply_cancels(const std::vector<platform::StoredRow>& current);
+  /// Counts runs that are being stopped, and their work that is lost.
+  void count_stops(std::string_view reason,
+                   std::size_t runs,
+                   double discarded_core_s);
   void log_round(const RoundInput& round);
   void log_unused_advice(const core::StepKey& step);
   void log_denied_steps(const std::vector<core::StepKey>& steps);
--- a/tests/entry/run_tracker_test.cpp
+++ b/tests/entry/run_tracker_test.cpp
@@ -511,3 +511,32 @@
   BOOST_TEST(state.early_crashes == 1U);
   BOOST_TEST(state.crashed_attempt == 2U);
 }
+
+// Guards against a gang's newest checkpoint that is taken from one member only,
+// and against a repeated report of a checkpoint that counts as a new one.
+BOOST_FIXTURE_TEST_CASE(newest_checkpoint_of_a_gang_is_known, Fixture)
+{
+  struct Report
+  {
+    std::uint32_t member;
+    const char* checkpoint;
+    std::int64_t now_ms;
+    std::int64_t saved_ms;
+  };
+  for (const Report& item :
+       { Report{ 1, "a", NOW_MS, NOW_MS },
+         Report{ 1, "a", NOW_MS + 1'000, NOW_MS },
+         Report{ 2, "b", NOW_MS + 2'000, NOW_MS + 2'000 } }) {
+    entry::AgentView agent;
+    agent.report.set_answering(true);
+    v1::RunReport& run = *agent.report.add_running();
+    run.set_task(core::task_name(JOB, { 0, 0, item.member }));
+    run.set_attempt(1);
+    run.set_checkpoint(item.checkpoint);
+    tracker.record_progress(agent, item.now_ms);
+    core::StepHistory history;
+    tracker.update_history(workflows, history, item.now_ms);
+    BOOST_TEST(history.saved_ms.size() == 1U);
+    BOOST_TEST((history.saved_ms[{ { JOB, 0, 0 }, 0 }]) == item.saved_ms);
+  }
+}
