Reserve servers for eight waiting gangs where capacity is scarce

Servers were reserved for the first three waiting gangs only. In a burst, later gangs starved behind smaller work that took the freed servers.

With /platform/scarce_capacity, a round reserves servers for up to eight gangs.

Reserving only the needed resources of a server, later ends for overdue runs, and spreading loose tasks were tried and gave no more.

--- a/core/round.h
+++ b/core/round.h
@@ -56,9 +56,8 @@
   /// Where room is scarce, orders steps by what their callers can still get
   /// (docs/design/scarce-capacity.md).
   bool order_by_value = false;
-  /// In this order, a step whose result is of no value to its caller also comes
-  /// after those of lower priorities.
-  bool yield_to_lower_priorities = false;
+  /// Gangs for which one round reserves servers.
+  std::size_t max_gang_reservations = 3;
 };
 
 /// A task of a step, by its index.
--- a/core/round_order.cpp
+++ b/core/round_order.cpp
@@ -100,29 +100,25 @@
 
 /// Among equals, steps whose callers can still get more come first, then older
 /// ones. Steps within a guarantee keep their order: they get their resources in
-/// any case. Where priorities yield, steps without value come after all others.
+/// any case.
 std::vector<SchedulingRound::WaitingStep>
 SchedulingRound::sort_by_value(std::vector<WaitingStep> waiting) const
 {
-  return sort_steps(
-    std::move(waiting),
-    [this](const WaitingStep& left, const WaitingStep& right) {
-      const RoundWorkflow& left_workflow = left.round_workflow;
-      const RoundWorkflow& right_workflow = right.round_workflow;
-      if (left_workflow.guaranteed || right_workflow.guaranteed)
-        return comes_before(left, right);
-      Prospect left_prospect = this->prospect(left);
-      Prospect right_prospect = this->prospect(right);
-      bool left_last = left_prospect == Prospect::None;
-      bool right_last = right_prospect == Prospect::None;
-      if (this->limits.yield_to_lower_priorities && left_last != right_last)
-        return right_last;
-      if (left_workflow.priority != right_workflow.priority)
-        return left_workflow.priority < right_workflow.priority;
-      if (left_prospect != right_prospect)
-        return left_prospect < right_prospect;
-      return more_urgent(left_workflow, right_workflow);
-    });
+  return sort_steps(std::move(waiting),
+                    [this](const WaitingStep& left, const WaitingStep& right) {
+                      const RoundWorkflow& left_workflow = left.round_workflow;
+                      const RoundWorkflow& right_workflow =
+                        right.round_workflow;
+                      if (left_workflow.guaranteed || right_workflow.guaranteed)
+                        return comes_before(left, right);
+                      if (left_workflow.priority != right_workflow.priority)
+                        return left_workflow.priority < right_workflow.priority;
+                      Prospect left_prospect = this->prospect(left);
+                      Prospect right_prospect = this->prospect(right);
+                      if (left_prospect != right_prospect)
+                        return left_prospect < right_prospect;
+                      return more_urgent(left_workflow, right_workflow);
+                    });
 }
 
 } // namespace geraniumhinge::core
--- a/core/round_reserve.cpp
+++ b/core/round_reserve.cpp
@@ -7,13 +7,6 @@
 
 namespace geraniumhinge::core {
 
-namespace {
-
-/// Most gangs for which one round reserves servers.
-constexpr std::size_t MAX_GANG_RESERVATIONS = 3;
-
-} // namespace
-
 /// Reserves the servers on which the gang fits after the fewest expected ends
 /// of runs. Until the gang fits, only steps that end sooner may use these
 /// servers.
@@ -21,7 +14,7 @@
 SchedulingRound::reserve_for_gang(const WaitingStep& waiting)
 {
   if (!this->step_of(waiting).gang ||
-      this->gang_reservations.size() == MAX_GANG_RESERVATIONS)
+      this->gang_reservations.size() == this->limits.max_gang_reservations)
     return;
   std::vector<const RunGroup*> ending_groups;
   for (const RunGroup& group : this->groups) {
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -15,6 +15,9 @@
 /// Occurrences that fall due and agents that become silent cause no event, so
 /// rounds also run at this period.
 constexpr kernel::Milliseconds ROUND_PERIOD{ 200 };
+/// A burst of customer A (docs/hard-load.md) has about eight gangs waiting at
+/// the same time. Each costs a search of the fleet.
+constexpr std::size_t SCARCE_GANG_RESERVATIONS = 8;
 /// Responses without effect before they are logged.
 constexpr std::size_t MIN_UNUSED_RESPONSES = 2;
 /// A row that is too long may be so in every round.
@@ -258,6 +261,8 @@
   limits.checkpoint_ms = this->limits.checkpoint_ms;
   limits.weigh_stops = this->limits.scarce_capacity;
   limits.order_by_value = this->limits.scarce_capacity;
+  if (this->limits.scarce_capacity)
+    limits.max_gang_reservations = SCARCE_GANG_RESERVATIONS;
   limits.unix_offset_ms = kernel::unix_ms() - now;
   round.result = core::run_scheduling_round(
     round.workflows, pool, this->history, limits, now);
