Search no racks for a plan that costs nothing

A waiting step that may stop no run is planned onto resources that become free by themselves. No rack can be cheaper than that, so the search by rack is left out; decisions are the same.

--- a/core/preempt.cpp
+++ b/core/preempt.cpp
@@ -228,6 +228,8 @@
     if (may_stop(victim, request))
       candidates.push_back(&victim);
   }
+  if (candidates.empty() && !request.may_stop)
+    return std::nullopt;
   sort_by_cost(candidates, request);
   StopTrial trial(pool, request.assign_request);
   std::optional<VictimChoice> best =
@@ -235,8 +237,11 @@
   if (!best)
     return std::nullopt;
   std::set<std::string> racks;
-  for (const std::pair<const std::string, PoolServer>& item : pool.servers)
-    racks.insert(item.second.rack);
+  // Without a cost, no rack is cheaper.
+  if (best->cost > 0) {
+    for (const std::pair<const std::string, PoolServer>& item : pool.servers)
+      racks.insert(item.second.rack);
+  }
   racks.erase("");
   for (const std::string& rack : racks) {
     std::optional<VictimChoice> choice =
