--- a/core/round.h
+++ b/core/round.h
@@ -36,6 +36,10 @@
   bool changed = false;                 ///< The round changed `progress`.
 };
 
+/// A result that takes up to this multiple of the objective is of some value to
+/// the caller (docs/hard-load.md).
+inline constexpr std::int64_t LATE_FACTOR = 3;
+
 struct RoundLimits
 {
   /// Factor by which a step runs longer outside its rack.
--- a/core/round_stop.cpp
+++ b/core/round_stop.cpp
@@ -13,9 +13,8 @@
 constexpr double CORES_PER_ACCELERATOR = 8;
 constexpr double MILLICORES_PER_CORE = 1'000;
 constexpr double MS_PER_S = 1'000;
-/// A result that takes up to this multiple of the objective is of some value to
-/// the caller, of this share by priority (docs/hard-load.md).
-constexpr std::int64_t LATE_FACTOR = 3;
+/// Share of its value that a late result keeps, by priority
+/// (docs/hard-load.md).
 constexpr double LATE_SHARES[] = { 0.2, 0.3, 0.3 };
 constexpr std::int64_t COMPLETE_PERCENT = 100;
 /// Assumed run time so far of runs that an earlier owner placed.
