Await only runs that end within half of the time that a stop needs

Expected ends come late as often as early. Among the awaited runs the choice did not prefer early ends either.

Runs past their expected time are no longer awaited, the earliest ends are chosen first, and the gain of a step is weighed by its chance to be on time after the stop.

The test of the awaited run uses the new bounds.

--- a/core/pool.h
+++ b/core/pool.h
@@ -64,7 +64,7 @@
   double step_loss_core_s = 0;
   double discarded_core_s = 0; ///< Unsaved work and idle resources.
   std::int64_t placed_ms = 0;  ///< Boot time of the placement, 0 if unknown.
-  bool overdue = false;        ///< Runs for much longer than expected.
+  bool overdue = false;        ///< Runs for longer than expected.
   std::uint32_t earlier_stops = 0; ///< Of the step, for other steps.
 };
 
--- a/core/preempt.cpp
+++ b/core/preempt.cpp
@@ -64,8 +64,10 @@
   }
   std::function<std::pair<double, double>(const RunGroup&)> rank =
     [&cheapest, &request](const RunGroup& victim) {
+      if (victim.stopping)
+        return std::pair(-1.0, 0.0);
       if (frees_resources(victim, request))
-        return std::pair(0.0, 0.0);
+        return std::pair(-1.0, static_cast<double>(victim.remaining_ms));
       if (victim.step_loss_core_s <= 0)
         return std::pair(victim.loss_core_s, 0.0);
       return std::pair(cheapest.at(victim.step), victim.loss_core_s);
--- a/core/round_stop.cpp
+++ b/core/round_stop.cpp
@@ -35,11 +35,12 @@
 /// still free its resources by then, less a round and a repeated order.
 constexpr std::int64_t GUARANTEE_MS = 2'700;
 constexpr std::int64_t GUARANTEE_MARGIN_MS = 500;
-/// Expected ends may be later than expected by a fifth (docs/hard-load.md).
-constexpr double EXPECTED_END_FACTOR = 1.2;
-/// A run that exceeds its expected run time by half is one of the few that take
-/// several times as long: its end can't be predicted.
-constexpr double OVERDUE_FACTOR = 1.5;
+/// Declared run times are off by about a fifth (docs/hard-load.md).
+constexpr double RUN_TIME_ERROR = 0.2;
+/// A run is awaited if it is expected to end within the time that a stop needs,
+/// divided by this. Ends come late as often as early, and a step that waits in
+/// vain for the whole of this time misses its objective.
+constexpr std::int64_t AWAIT_DIVISOR = 2;
 /// Time between two reports of an agent.
 constexpr std::int64_t REPORT_PERIOD_MS = 1'000;
 
@@ -222,9 +223,9 @@
       this->history.placed_ms.find(task_key);
     if (placed != this->history.placed_ms.end())
       group.placed_ms = std::max(group.placed_ms, placed->second);
+    // The end of a run that exceeds its expected time can't be predicted.
     group.overdue =
-      group.overdue || static_cast<double>(this->elapsed_ms(task_key)) >
-                         OVERDUE_FACTOR * this->expected_ms(step);
+      group.overdue || this->elapsed_ms(task_key) > this->expected_ms(step);
     group.remaining_ms =
       std::max(group.remaining_ms, this->remaining_ms(task_key, step));
   }
@@ -307,7 +308,8 @@
 }
 
 /// Value that the step gains if it starts as soon as a stop frees resources for
-/// it, in core seconds. None if it can still wait, or has no value by then.
+/// it, in core seconds, by the chance that it is on time then. None if it can
+/// still wait, or has no value by then.
 double
 SchedulingRound::gain_of_start_now(const WaitingStep& waiting) const
 {
@@ -319,9 +321,13 @@
   double late_share = LATE_SHARES[std::min<std::size_t>(
     round_workflow.priority, std::size(LATE_SHARES) - 1)];
   std::int64_t start_ms = this->stop_delay_ms();
-  if (*waiting.slack_ms >= start_ms)
-    return value * (1 - late_share);
-  return this->late_slack_ms(waiting) >= start_ms ? value * late_share : 0;
+  double error_ms =
+    RUN_TIME_ERROR *
+    static_cast<double>(std::max<std::int64_t>(this->expected_ms(step), 1));
+  double margin_ms = static_cast<double>(*waiting.slack_ms - start_ms);
+  double chance = std::clamp(0.5 + margin_ms / (2 * error_ms), 0.0, 1.0);
+  bool of_value = this->late_slack_ms(waiting) >= start_ms;
+  return value * std::max(chance * (1 - late_share), of_value ? late_share : 0);
 }
 
 /// Loss in core seconds that stops of other runs for this step may cause.
@@ -364,16 +370,10 @@
   if (request.guaranteed) {
     bool may_wait =
       this->age_ms(waiting) + stop_delay + GUARANTEE_MARGIN_MS <= GUARANTEE_MS;
-    request.await_ms = may_wait ? stop_delay : -1;
+    request.await_ms = may_wait ? stop_delay / AWAIT_DIVISOR : -1;
     return;
   }
-  request.await_ms = stop_delay;
-  if (waiting.slack_ms)
-    request.await_ms =
-      std::max(stop_delay,
-               static_cast<std::int64_t>(
-                 static_cast<double>(*waiting.slack_ms - ORDER_LATENCY_MS) /
-                 EXPECTED_END_FACTOR));
+  request.await_ms = stop_delay / AWAIT_DIVISOR;
   // Runs placed since lack the same room as this step.
   request.placed_before_ms = this->now_ms - waiting.waited_ms;
 }
--- a/tests/core/preempt_day_test.cpp
+++ b/tests/core/preempt_day_test.cpp
@@ -24,11 +24,13 @@
 };
 
 DaySums
-play_days(DayConfig config)
+play_days(DayConfig config, const std::vector<int>& fleets)
 {
   DaySums sums;
   std::vector<JobResult> results;
-  for (config.seed = 1; config.seed <= DAYS; ++config.seed) {
+  for (std::uint64_t index = 0; index < DAYS * fleets.size(); ++index) {
+    config.seed = 1 + index % DAYS;
+    config.servers = fleets[index / DAYS];
     BusyDay day(config);
     day.run();
     results.insert(results.end(), day.results.begin(), day.results.end());
@@ -39,11 +41,11 @@
       std::max(sums.guaranteed_wait_ms, day.guaranteed_wait_ms);
   }
   sums.share = share_of(results, [](const JobResult&) { return true; });
-  BOOST_TEST_MESSAGE(config.servers
-                     << " servers, weighed " << config.limits.weigh_stops
-                     << ": callers got " << sums.share << ", " << sums.stopped
-                     << " of " << sums.runs << " runs stopped, "
-                     << sums.discarded_core_s << " core seconds discarded");
+  BOOST_TEST_MESSAGE("weighed " << config.limits.weigh_stops << ": callers got "
+                                << sums.share << ", " << sums.stopped << " of "
+                                << sums.runs << " runs stopped, "
+                                << sums.discarded_core_s
+                                << " core seconds discarded");
   return sums;
 }
 
@@ -91,16 +93,21 @@
 } // namespace
 
 // Guards against work discarded for steps that gain nothing from it, and
-// against savings at the expense of callers.
+// against savings at the expense of callers. Plays all that
+// /platform/scarce_capacity switches on, from a third of the servers that the
+// bursts need to all of them.
 BOOST_AUTO_TEST_CASE(weighed_stops_discard_less_and_serve_as_many)
 {
+  const std::vector<int> fleets{ 14, 24, 61 };
   DayConfig config;
-  DaySums before = play_days(config);
+  DaySums before = play_days(config, fleets);
   config.limits.weigh_stops = true;
-  DaySums after = play_days(config);
+  config.limits.order_by_value = true;
+  config.limits.max_gang_reservations = 8;
+  DaySums after = play_days(config, fleets);
   BOOST_TEST(after.discarded_core_s < 0.5 * before.discarded_core_s);
   BOOST_TEST(after.stopped < before.stopped);
-  BOOST_TEST(after.share > before.share - 0.01);
+  BOOST_TEST(after.share >= before.share);
 }
 
 // Guards against work within a guarantee that waits too long for expected ends
@@ -108,10 +115,9 @@
 BOOST_AUTO_TEST_CASE(guaranteed_work_gets_resources_in_time)
 {
   DayConfig config;
-  config.servers = 16;
   config.guarantees = { { "o0", 24 }, { "o1", 24 }, { "o2", 16 } };
   config.limits.weigh_stops = true;
-  BOOST_TEST(play_days(config).guaranteed_wait_ms <= 2'700);
+  BOOST_TEST(play_days(config, { 16 }).guaranteed_wait_ms <= 2'700);
 }
 
 // Guards against decisions that change although there is room for all.
@@ -132,12 +138,12 @@
 // resources, and against a wait for one that exceeds its expected run time.
 BOOST_AUTO_TEST_CASE(run_about_to_end_is_awaited)
 {
-  for (std::int64_t elapsed_ms : { 9'000, 16'000 }) {
+  for (std::int64_t elapsed_ms : { 9'500, 10'500 }) {
     FullServer server;
     std::int64_t now_ms = NOW_MS + elapsed_ms;
     server.add_urgent(now_ms, 1'400);
     RoundResult result = server.run(now_ms);
-    BOOST_TEST(result.preemptions.empty() == (elapsed_ms == 9'000));
+    BOOST_TEST(result.preemptions.empty() == (elapsed_ms == 9'500));
   }
 }
 
