--- a/core/round.h
+++ b/core/round.h
@@ -37,6 +37,10 @@
   bool changed = false;                 ///< The round changed `progress`.
 };
 
+/// A result that takes up to this multiple of the objective is of some value to
+/// the caller (docs/hard-load.md).
+inline constexpr std::int64_t LATE_FACTOR = 3;
+
 struct RoundLimits
 {
   /// Factor by which a step runs longer outside its rack.
@@ -54,6 +58,14 @@
   /// Not all agents have reported to a new owner; see core/settle.h. Only
   /// urgent steps are placed, and no run is stopped for them.
   bool settling = false;
+  /// Stops runs for a step only if it gains more than others lose
+  /// (docs/design/scarce-capacity.md).
+  bool weigh_stops = false;
+  /// Where room is scarce, orders steps by what their callers can still get
+  /// (docs/design/scarce-capacity.md).
+  bool order_by_value = false;
+  /// Gangs for which one round reserves servers.
+  std::size_t max_gang_reservations = 3;
 };
 
 /// A task of a step, by its index.
@@ -67,11 +79,16 @@
   std::map<StepKey, std::int64_t> ready_ms;
   std::map<std::string, std::string> nodes; ///< Agent node, by server.
   std::map<TaskKey, std::uint32_t> percent; ///< Reported progress.
-  std::set<TaskKey> stalled; ///< Runs whose progress has stopped.
   /// Runs in evacuated zones that have not started.
   std::set<TaskKey> recalled;
   /// Waiting steps that were reported to fit in an evacuated zone, by zone.
   std::map<std::string, std::set<StepKey>> held_steps;
+  /// Boot time of the report that showed the newest checkpoint. Of a gang, by
+  /// its first task.
+  std::map<TaskKey, std::int64_t> saved_ms;
+  /// How often runs of the step were stopped for other steps.
+  std::map<StepKey, std::uint32_t> stops;
+  std::set<TaskKey> stalled;      ///< Runs whose progress has stopped.
   std::set<std::string> suspects; ///< Servers to avoid where possible.
   AdviceCache advice;
 
@@ -85,6 +102,22 @@
   std::vector<std::string> servers;
   std::int64_t waited_ms = 0;
   double slowest_factor = 1; ///< On the run time, of the slowest server.
+
+  bool operator==(const StepPlacement&) const = default;
+};
+
+/// What a step gains from stops of other runs.
+enum class StopReason
+{
+  Guarantee, ///< It is within its organisation's guarantee.
+  Objective, ///< It meets its objective.
+  Waiting,   ///< It waits for less time.
+};
+
+inline constexpr NamedValue<StopReason> STOP_REASON_NAMES[] = {
+  { StopReason::Guarantee, "guarantee" },
+  { StopReason::Objective, "objective" },
+  { StopReason::Waiting, "waiting" },
 };
 
 struct StepPreemption
@@ -93,6 +126,8 @@
   StepKey victim;                ///< The step whose runs are stopped.
   std::size_t stopped_tasks = 0; ///< Stopped tasks of the victim.
   double loss_core_s = 0;
+  double discarded_core_s = 0; ///< Unsaved work and idle resources.
+  StopReason reason = StopReason::Waiting;
 };
 
 /// Why runs are stopped to start again elsewhere, without a step that needs
@@ -115,6 +150,7 @@
   StepKey step;
   std::vector<std::uint32_t> tasks; ///< Indices in the step.
   RestartReason reason = RestartReason::ServerLeaves;
+  double discarded_core_s = 0; ///< Unsaved work and idle resources.
 };
 
 /// A waiting step that would fit now if a zone were not evacuated.
--- a/core/round_reserve.cpp
+++ b/core/round_reserve.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// Most gangs for which one round reserves servers.
-constexpr std::size_t MAX_GANG_RESERVATIONS = 3;
 /// Longest time that a step waits for faster servers although others are free.
 constexpr std::int64_t MAX_SPEED_WAIT_MS = 1'200;
 /// Periods after which it is tried whether the step fits on faster servers.
@@ -28,7 +26,7 @@
 SchedulingRound::reserve_for_gang(const WaitingStep& waiting)
 {
   if (!this->step_of(waiting).gang ||
-      this->gang_reservations.size() == MAX_GANG_RESERVATIONS)
+      this->gang_reservations.size() == this->limits.max_gang_reservations)
     return;
   std::vector<const RunGroup*> ending_groups;
   for (const RunGroup& group : this->groups) {
@@ -89,7 +87,7 @@
       factor <= waiting.request.max_factor || factor <= 1 ||
       waiting.round_workflow.guaranteed || waiting.round_workflow.advice ||
       waiting.isolated || waiting.request.step->runs_until_cancelled ||
-      this->gang_reservations.size() == MAX_GANG_RESERVATIONS)
+      this->gang_reservations.size() == this->limits.max_gang_reservations)
     return false;
   Pool future_pool = this->pool;
   std::int64_t released_ms = 0;
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -3,6 +3,7 @@
 #include "core/preempt.h"
 #include "core/round.h"
 
+#include <functional>
 #include <optional>
 #include <set>
 
@@ -13,6 +14,10 @@
 double
 core_seconds(const Resources& demand, double seconds);
 
+/// Whether the workflow `left` is more urgent than `right`.
+bool
+more_urgent(const RoundWorkflow& left, const RoundWorkflow& right);
+
 /// State of one scheduling round, updated with each placement and stop.
 class SchedulingRound
 {
@@ -51,6 +56,16 @@
     Outlived,    ///< No longer a suspect: it has run on since.
   };
 
+  /// What the caller of a waiting step can still get, in the order in which
+  /// steps are placed.
+  enum class Prospect
+  {
+    Overdue, ///< Has waited for so long that it comes first.
+    OnTime,
+    Late, ///< A late result of some value.
+    None, ///< A result without value.
+  };
+
   /// Servers reserved for a gang that fits once other runs have ended.
   struct GangReservation
   {
@@ -61,6 +76,14 @@
   const Step& step_of(const WaitingStep& waiting) const;
   std::int64_t expected_ms_of(const WaitingStep& waiting) const;
   std::vector<WaitingStep> waiting_steps();
+  static bool comes_before(const WaitingStep& left, const WaitingStep& right);
+  static std::vector<WaitingStep> sort_steps(
+    std::vector<WaitingStep> waiting,
+    const std::function<bool(const WaitingStep&, const WaitingStep&)>& before);
+  bool lacks_room(const std::vector<WaitingStep>& waiting) const;
+  Prospect prospect(const WaitingStep& waiting) const;
+  std::vector<WaitingStep> sort_by_value(
+    std::vector<WaitingStep> waiting) const;
   WaitingStep make_waiting_step(RoundWorkflow& round_workflow,
                                 const ReadyStep& ready);
   double max_run_time_factor(const WaitingStep& waiting) const;
@@ -108,19 +131,31 @@
   std::size_t disruptions_allowed(const Step& step,
                                   const StepKey& key,
                                   const StepState& tasks) const;
+  std::int64_t stop_delay_ms() const;
+  std::int64_t age_ms(const WaitingStep& waiting) const;
+  void limit_stops(const WaitingStep& waiting, PreemptRequest& request) const;
+  StopReason stop_reason(const WaitingStep& waiting) const;
   std::int64_t elapsed_ms(const TaskKey& task) const;
+  /// Expected run time of the task on its server.
+  std::int64_t expected_run_ms(const RoundWorkflow& round_workflow,
+                               const TaskKey& task) const;
   std::int64_t remaining_ms(const RoundWorkflow& round_workflow,
                             const TaskKey& task) const;
   /// Factor on the run time of the task on its server.
   double run_time_factor(const RoundWorkflow& round_workflow,
                          const TaskKey& task) const;
+  std::int64_t unsaved_ms(const TaskKey& task, const Step& step) const;
+  std::int64_t late_slack_ms(const WaitingStep& waiting) const;
+  double gain_of_start_now(const WaitingStep& waiting) const;
   double on_time_value(const RoundWorkflow& round_workflow,
                        const Step& step) const;
   bool stop_misses_objective(const RoundWorkflow& round_workflow,
                              const TaskKey& task) const;
-  /// Cost of stopping a task; see `RunGroup::loss_core_s`.
-  double stop_loss_core_s(const RoundWorkflow& round_workflow,
-                          const TaskKey& task) const;
+  /// Work that a stop of the task discards, with its idle resources.
+  double discarded_core_s(const Step& step, const TaskKey& task) const;
+  void add_stop_loss(const RoundWorkflow& round_workflow,
+                     const TaskKey& task,
+                     RunGroup& group) const;
   void stop(RunGroup& group);
 
   void reserve_for_gang(const WaitingStep& waiting);
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -7,6 +7,7 @@
 #include "kernel/clock.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace geraniumhinge::entry {
 
@@ -15,6 +16,9 @@
 /// Occurrences that fall due and agents that become silent cause no event, so
 /// rounds also run at this period.
 constexpr kernel::Milliseconds ROUND_PERIOD{ 200 };
+/// A burst of customer A (docs/hard-load.md) has about eight gangs waiting at
+/// the same time. Each costs a search of the fleet.
+constexpr std::size_t SCARCE_GANG_RESERVATIONS = 8;
 /// Responses without effect before they are logged.
 constexpr std::size_t MIN_UNUSED_RESPONSES = 2;
 /// A row that is too long may be so in every round.
@@ -333,6 +337,10 @@
   limits.rack_penalty = this->limits.rack_penalty;
   limits.stop_ms = this->limits.stop_ms;
   limits.checkpoint_ms = this->limits.checkpoint_ms;
+  limits.weigh_stops = this->limits.scarce_capacity;
+  limits.order_by_value = this->limits.scarce_capacity;
+  if (this->limits.scarce_capacity)
+    limits.max_gang_reservations = SCARCE_GANG_RESERVATIONS;
   limits.unix_offset_ms = kernel::unix_ms() - now;
   limits.settling = this->is_settling(now);
   round.result = core::run_scheduling_round(
@@ -390,6 +398,20 @@
     .set(static_cast<double>(waiting));
 }
 
+void
+WorkScheduler::count_stops(std::string_view reason,
+                           std::size_t runs,
+                           double discarded_core_s)
+{
+  this->metrics
+    .counter(fmt::format("entry_runs_stopped_total{{reason=\"{}\"}}", reason))
+    .add(runs);
+  this->metrics
+    .counter(
+      fmt::format("entry_discarded_core_s_total{{reason=\"{}\"}}", reason))
+    .add(static_cast<std::uint64_t>(std::lround(discarded_core_s)));
+}
+
 void
 WorkScheduler::log_round(const RoundInput& round)
 {
@@ -410,13 +432,19 @@
                       { "term", this->term } });
   }
   for (const core::StepPreemption& preemption : round.result.preemptions) {
+    std::string_view reason =
+      name_of(core::STOP_REASON_NAMES, preemption.reason);
     this->metrics.counter("entry_steps_preempted_total").add();
+    this->count_stops(
+      reason, preemption.stopped_tasks, preemption.discarded_core_s);
     this->log.write(STEP_PREEMPTED,
                     { { "job", preemption.step.workflow },
                       { "victim", preemption.victim.workflow },
                       { "victim_step", preemption.victim.step },
                       { "tasks", preemption.stopped_tasks },
-                      { "loss_core_s", preemption.loss_core_s } });
+                      { "reason", reason },
+                      { "loss_core_s", preemption.loss_core_s },
+                      { "discarded_core_s", preemption.discarded_core_s } });
   }
   for (const core::StepRestart& restart : round.result.restarts) {
     if (restart.reason == core::RestartReason::ZoneEvacuated)
@@ -428,6 +456,9 @@
       .counter(fmt::format("entry_steps_restarted_total{{reason=\"{}\"}}",
                            name_of(core::RESTART_REASON_NAMES, restart.reason)))
       .add();
+    this->count_stops(name_of(core::RESTART_REASON_NAMES, restart.reason),
+                      restart.tasks.size(),
+                      restart.discarded_core_s);
     this->log.write(
       STEP_RESTARTED,
       { { "job", restart.step.workflow },
--- a/entry/work_scheduler.h
+++ b/entry/work_scheduler.h
@@ -64,6 +64,7 @@
   /// Longest time for which a new owner places only urgent work, until all
   /// agents have reported; 0 for none.
   std::int64_t settle_ms = 0;
+  bool scarce_capacity = false; ///< See docs/design/scarce-capacity.md.
 };
 
 /// Runs the scheduling rounds of the owner: records the ends of runs, places
@@ -133,6 +134,10 @@
   void handle_conflict(bool still_owner,
                        const std::vector<platform::StoredRow>& current);
   bool apply_cancels(const std::vector<platform::StoredRow>& current);
+  /// Counts runs that are being stopped, and their work that is lost.
+  void count_stops(std::string_view reason,
+                   std::size_t runs,
+                   double discarded_core_s);
   void log_round(const RoundInput& round);
   void log_unused_advice(const core::StepKey& step);
   void log_denied_steps(const std::vector<core::StepKey>& steps);
