--- a/agent/events.h
+++ b/agent/events.h
@@ -156,8 +156,7 @@
   "server_lease_over",
   "All runs of the backend server count as ended (over=true), because its "
   "instance ended or every lease granted to it has expired, with the times "
-  "that "
-  "this follows from; or they no longer count as ended (over=false).",
+  "that this follows from; or they no longer count as ended (over=false).",
   "Check the backend server; its tasks start on other servers."
 };
 inline constexpr EventInfo SERVER_CRASHED{
--- a/entry/events.h
+++ b/entry/events.h
@@ -294,8 +294,7 @@
   "step_restarted",
   "Runs of a step are stopped and start again on other servers, because the "
   "runs make no progress, their server leaves before they can end, or they "
-  "have "
-  "not started in a zone that is being evacuated.",
+  "have not started in a zone that is being evacuated.",
   "Check the server if the reason is no_progress."
 };
 inline constexpr kernel::EventInfo ADVICE_FAILED{
@@ -318,9 +317,8 @@
   kernel::Severity::Warning,
   "advice_unused",
   "Several responses of the advice service in a row brought nothing new, and "
-  "no "
-  "task of the step has started with their tickets; requests for the step are "
-  "made less often.",
+  "no task of the step has started with their tickets; requests for the step "
+  "are made less often.",
   "If it persists, compare the time that the service takes with the validity "
   "of its tickets, and check whether the step fits on the servers allowed."
 };
@@ -370,9 +368,8 @@
   Severity::Info,
   "zone_closed",
   "An operator requests the evacuation of a zone: nothing more is placed on "
-  "its "
-  "backend servers, and what was placed there and has not started is placed "
-  "elsewhere. Running work is left to end.",
+  "its backend servers, and what was placed there and has not started is "
+  "placed elsewhere. Running work is left to end.",
   "None. Remove the row evacuate/ZONE of the table op to open the zone again."
 };
 inline constexpr EventInfo ZONE_OPENED{
--- a/gateway/request_limits.cpp
+++ b/gateway/request_limits.cpp
@@ -8,12 +8,10 @@
 
 constexpr std::size_t KIB = 1'024;
 constexpr std::size_t MIB = KIB * KIB;
-/// A process without requests uses up to a sixth of the smallest limit, and
-/// the parse of one body up to a quarter.
+/// The rest is for the process without requests, and for the parse of a body.
 constexpr std::size_t HELD_DIVISOR = 8;
-/// The rest is for the store, other entries and agents: the busiest entry has
-/// about 800 connections with agents at 300 machines, and 2,768 of 4,100
-/// descriptors are expected at 1,196.
+/// The rest is for the store, other entries and agents (docs/CAPACITY.md has
+/// the expected numbers).
 constexpr std::size_t DESCRIPTOR_DIVISOR = 3;
 /// A connection takes its buffer of 16 KiB in the server, and about as much for
 /// its socket.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -626,7 +626,7 @@
     "end many processes at once",
     cxxopts::value<bool>()->default_value("true"))(
     "evacuations",
-    "evacuate zones; needs a product that reads the operators' requests",
+    "evacuate zones",
     cxxopts::value<bool>()->default_value("false"))(
     "logs", "folder for the logs", cxxopts::value<std::string>());
   cxxopts::ParseResult parsed = options.parse(argc, argv);
