--- a/core/preempt.h
+++ b/core/preempt.h
@@ -26,7 +26,7 @@
 
 struct PreemptPlan
 {
-  /// Without those that are stopping already or are expected to end soon.
+  /// Runs to stop, without those that are stopping or are expected to end soon.
   std::vector<RunGroup*> victims;
   /// One server for each task, free once the victims have ended.
   std::vector<std::string> servers;
--- a/core/run_times.cpp
+++ b/core/run_times.cpp
@@ -46,17 +46,14 @@
 /// Nodes that must be known before their speeds can differ.
 constexpr std::size_t MIN_NODES = 4;
 /// Agreement, in standard deviations of chance, from which the speeds differ,
-/// and below which they no longer do. Chance reaches the former less than once
-/// a day.
+/// and below which they no longer do.
 constexpr double DIFFER_AGREEMENT = 4;
 constexpr double SAME_AGREEMENT = 2;
-/// Samples of each node over which the agreement is averaged. One slow node
-/// needs about 20 to be found in a fleet of equal ones.
+/// Samples of each node over which the agreement is averaged.
 constexpr double AGREEMENT_SAMPLES = 30;
 /// One node that is off by a factor of two or more shows that the speeds differ
 /// sooner than the agreement of all nodes does: by five such samples in a row,
-/// or more with others in between. Chance does so less than once a day at 60
-/// nodes.
+/// or more with others in between.
 constexpr double FAR_LOG = 0.69;
 constexpr int FAR_REWARD = 2;
 constexpr int FAR_PENALTY = 3;
@@ -69,7 +66,7 @@
 
 /// Steps of a kind after which its declared times may be corrected, and the
 /// smallest correction, a factor of 1.5: starts, reports and tasks that take
-/// far too long let right times look up to 1.3 times too short.
+/// far too long let right times look too short.
 constexpr std::uint64_t MIN_KIND_STEPS = 8;
 constexpr double MIN_CORRECTION_LOG = 0.4;
 constexpr double MIN_CORRECTION_DEVIATIONS = 3;
--- a/tests/core/busy_day.h
+++ b/tests/core/busy_day.h
@@ -31,8 +31,8 @@
   double late_value = 0; ///< Share of the worth of a late job.
 };
 
-/// Kinds of customer A in docs/hard-load.md. The page has no objectives for
-/// priorities 1 and 2.
+/// Kinds of customer A in docs/hard-load.md. The objectives of priorities 1 and
+/// 2 are assumed.
 inline std::vector<JobKind>
 customer_a_kinds()
 {
--- a/tests/support/crowd.cpp
+++ b/tests/support/crowd.cpp
@@ -15,7 +15,8 @@
 namespace {
 
 constexpr std::size_t READ_BYTES = 64UL * 1'024;
-/// What a connection that reads nothing does not leave to the server's buffer.
+/// Receive buffer of a connection that reads nothing. The rest of a response
+/// stays in the server.
 constexpr int UNREAD_BUFFER_BYTES = 4'096;
 
 sockaddr_in
--- a/tests/system/store_proxy.h
+++ b/tests/system/store_proxy.h
@@ -14,7 +14,7 @@
   gateway::HttpClient& client;
   std::string target;
   bool blackholed = false;
-  /// Reads and changes of this table get no response; empty for none.
+  /// Reads and watches of this table get no response; empty for none.
   std::string blackholed_table;
   std::vector<gateway::HttpServer::ResponseCallback> unanswered;
   gateway::HttpServer server;
