--- a/entry/run_samples.cpp
+++ b/entry/run_samples.cpp
@@ -31,6 +31,25 @@
   return exists ? &found->second[task.step][task.index] : nullptr;
 }
 
+struct LocatedTask
+{
+  const core::RoundWorkflow& round_workflow;
+  core::TaskRef ref;
+};
+
+/// The task of this name; nothing if its workflow is not known.
+std::optional<LocatedTask>
+locate(const WorkflowIndex& by_id, const std::string& name)
+{
+  std::optional<std::pair<std::string, core::TaskRef>> task =
+    core::parse_task_name(name);
+  WorkflowIndex::const_iterator found =
+    task ? by_id.find(task->first) : by_id.end();
+  if (found == by_id.end())
+    return std::nullopt;
+  return LocatedTask{ *found->second, task->second };
+}
+
 } // namespace
 
 std::string
@@ -112,24 +131,18 @@
 {
   WorkflowIndex by_id = index_by_id(workflows);
   for (const std::string& name : std::exchange(this->changed, {})) {
-    std::optional<std::pair<std::string, core::TaskRef>> task =
-      core::parse_task_name(name);
-    WorkflowIndex::const_iterator found =
-      task ? by_id.find(task->first) : by_id.end();
+    std::optional<LocatedTask> task = locate(by_id, name);
     // Reports may name any task; points are kept for known workflows only.
-    if (found == by_id.end())
+    if (!task)
       this->points.erase(name);
     else
-      this->record_step(*found->second, task->second, nullptr, now_ms);
+      this->record_step(task->round_workflow, task->ref, nullptr, now_ms);
   }
   for (const std::pair<const std::string, DoneRun>& end :
        std::exchange(this->ends, {})) {
-    std::optional<std::pair<std::string, core::TaskRef>> task =
-      core::parse_task_name(end.first);
-    WorkflowIndex::const_iterator found =
-      task ? by_id.find(task->first) : by_id.end();
-    if (found != by_id.end())
-      this->record_step(*found->second, task->second, &end.second, now_ms);
+    std::optional<LocatedTask> task = locate(by_id, end.first);
+    if (task)
+      this->record_step(task->round_workflow, task->ref, &end.second, now_ms);
   }
 }
 
--- a/tests/core/settle_test.cpp
+++ b/tests/core/settle_test.cpp
@@ -60,7 +60,7 @@
   BOOST_TEST(!stopping(workflows.entries[0]));
 }
 
-// Guards against a guarantee that is not reclaimed after that time.
+// Guards against a guarantee that is not reclaimed once agents have reported.
 BOOST_AUTO_TEST_CASE(runs_are_stopped_once_agents_have_reported)
 {
   RoundWorkflows workflows;
