Report a restart for a changed evacuation time, and end a held step with its job

An agent applies the setting only at its start, and its reload said that no restart was needed. The summary of explain went on to name an evacuated zone after the job had ended. A new term began with the settling state of the one before.

--- a/agent/platform_program.cpp
+++ b/agent/platform_program.cpp
@@ -156,6 +156,7 @@
                  changed.lease != this->settings.lease ||
                  changed.orphan_timeout != this->settings.orphan_timeout ||
                  changed.heartbeat_period != this->settings.heartbeat_period ||
+                 changed.evacuation != this->settings.evacuation ||
                  changed.limits != this->settings.limits;
   this->settings.report_period = changed.report_period;
   this->report_timer = this->timers.every(this->settings.report_period,
--- a/entry/explain.cpp
+++ b/entry/explain.cpp
@@ -51,10 +51,10 @@
     else if (line.event == "step_preempted" &&
              field_value(line, "victim") == job)
       ++stopped;
-    if (line.event == "step_placed") {
+    if (line.event == "step_placed")
       ++starts;
+    if (line.event == "step_placed" || line.event == "workflow_ended")
       held_by.clear();
-    }
   }
   std::string waits =
     held_by.empty()
--- a/entry/work_scheduler.cpp
+++ b/entry/work_scheduler.cpp
@@ -75,6 +75,7 @@
   this->writer.start_term(term);
   this->history = {};
   this->zones_without_starts.clear();
+  this->was_settling = false;
   this->tracker.reset();
   this->run_times = {};
   this->samples.reset();
