--- a/core/run_times.h
+++ b/core/run_times.h
@@ -10,7 +10,7 @@
 
 namespace geraniumhinge::core {
 
-/// The full run time of one task on one node, measured at its end or projected
+/// The full run time of one task on one node, known at its end or projected
 /// from its progress.
 struct RunSample
 {
--- a/entry/speed_store.cpp
+++ b/entry/speed_store.cpp
@@ -18,7 +18,7 @@
 constexpr kernel::Milliseconds TIMEOUT{ 1'200 };
 constexpr kernel::Milliseconds READ_RETRY{ 500 };
 /// The speeds are learned again within seconds, so a store that does not answer
-/// is not worth more tries.
+/// needs no more tries.
 constexpr int MAX_READS = 4;
 
 constexpr std::int64_t MIN_WRITE_PERIOD_MS = 2'000;
