--- a/review/14/case.cpp
+++ b/review/14/case.cpp
@@ -21,11 +21,15 @@
 constexpr int FAIL_AFTER_MS = 1'000;
 /// The last attempt runs for longer before the agent is frozen.
 constexpr int SETTLED_MS = 3'000;
-constexpr int FREEZE_MS = 2'000;
+constexpr int FREEZE_MS = 2'400;
 /// Agents report once in this time.
 constexpr int REPORT_MS = 1'000;
-/// From the last report of the agent until it is frozen.
-constexpr int REPORT_AGE_MS = 900;
+/// From the last report of the agent until it is frozen, about.
+constexpr int MIN_REPORT_AGE_MS = 500;
+constexpr int MAX_REPORT_AGE_MS = 900;
+/// From the last renewal of the lease until the agent is frozen, so that the
+/// lease outlasts the freeze.
+constexpr int MAX_LEASE_AGE_MS = 80;
 constexpr int END_AFTER_MS = 8'000;
 constexpr int LIMIT_MS = 90'000;
 constexpr char JOB[] = "1000000000000001";
@@ -97,11 +101,8 @@
   void fail_last(const SeenRun& run)
   {
     Worker& worker = this->stage.worker(run.worker);
-    std::int64_t report_age_ms =
-      (kernel::boot_ms() - this->stage.process_started_ms(worker.agent)) %
-      REPORT_MS;
     if (this->stage.has_trouble()) {
-      if (report_age_ms < REPORT_AGE_MS)
+      if (!this->is_due(worker))
         return;
       this->stage.record("trouble: the machine of " + worker.agent +
                          " freezes");
@@ -115,6 +116,18 @@
     this->stage.after(END_AFTER_MS, [this] { this->judge(); });
   }
 
+  /// Whether the agent has not reported for some time, and has just renewed the
+  /// lease.
+  bool is_due(const Worker& worker) const
+  {
+    std::int64_t now = kernel::boot_ms();
+    std::int64_t report_age_ms =
+      (now - this->stage.process_started_ms(worker.agent)) % REPORT_MS;
+    return report_age_ms >= MIN_REPORT_AGE_MS &&
+           report_age_ms <= MAX_REPORT_AGE_MS &&
+           now - worker.standin->last_full_wait_ms <= MAX_LEASE_AGE_MS;
+  }
+
   void judge()
   {
     int failed = 0;
