--- a/review/stage/failing_front.cpp
+++ b/review/stage/failing_front.cpp
@@ -44,6 +44,7 @@
                      gateway::HttpServer::ResponseCallback respond)
 {
   if (this->is_failing && request.path == START_PATH) {
+    ++this->refused_starts;
     respond({ HTTP_UNAVAILABLE, "application/json", "{}", {} });
     return;
   }
--- a/review/stage/failing_front.h
+++ b/review/stage/failing_front.h
@@ -19,6 +19,7 @@
   std::string address() const;
 
   bool is_failing = false;
+  int refused_starts = 0;
 
 private:
   void handle(const gateway::HttpRequest& request,
