--- a/review/14/case.cpp
+++ b/review/14/case.cpp
@@ -15,7 +15,8 @@
 constexpr int WORKERS = 11; ///< Three in a rack.
 constexpr int WORKER_GPUS = 8;
 constexpr char RACK[] = "r1-1";
-constexpr int LARGE_JOBS = 6; ///< Two for each worker of the rack.
+constexpr int LARGE_JOBS = 2;
+constexpr int LARGE_TASKS = 3; ///< One for each worker of the rack.
 constexpr int LARGE_WORK_MS = 11'000;
 constexpr int SENT_MS = 1'000; ///< Also the end of the traffic.
 constexpr int WORK_MS = 9'500;
@@ -36,10 +37,13 @@
       stage.at(0, [this] {
         this->stage.record("trouble: large jobs come at once");
         for (int index = 0; index < LARGE_JOBS; ++index)
-          this->submit(
-            TRIAL, fmt::format("2{:015}", index), LARGE_WORK_MS, WORKER_GPUS);
+          this->submit(TRIAL,
+                       fmt::format("2{:015}", index),
+                       LARGE_WORK_MS,
+                       LARGE_TASKS,
+                       WORKER_GPUS);
       });
-    stage.at(SENT_MS, [this] { this->submit(BATCH, JOB, WORK_MS, 1); });
+    stage.at(SENT_MS, [this] { this->submit(BATCH, JOB, WORK_MS, 1, 1); });
     stage.at(SENT_MS + FINISH_MS, [this] {
       this->stage.record("finish_s after the end of the traffic");
       this->idle_since_ms = this->stage.now_ms();
@@ -54,13 +58,15 @@
   void submit(const std::string& queue,
               const std::string& id,
               int work_ms,
+              int tasks,
               int gpus)
   {
     this->gpus_by_job[id] = gpus;
     std::string body = fmt::format(
-      R"({{"task_spec":"{}","phases":[{{"count":1,"cpu":2800,"mem_mb":8200,
+      R"({{"task_spec":"{}","phases":[{{"count":{},"cpu":2800,"mem_mb":8200,
           "gpu":{},"estimate_ms":{},"affinity":"{}"}}]}})",
       work_ms,
+      tasks,
       gpus,
       work_ms,
       RACK);
