Ask the backend server itself before an announced instance replaces it

Cause: the agent took any announcement of another instance as proof that its server had ended. It reported the new instance, and the owner recorded the runs as lost. The other program's start time then made the server's own announcements count as outdated. The same way counted a crash against the runs.

Change: the agent asks the current instance with a poll that renews no lease. An answer keeps it; another instance or a closed port replaces it at once; no answer is asked again until the leases that were granted have ended. Crashes are recorded only on the server's evidence. Ignored announcements are counted and logged.

Why it works: runs are reported as lost only when the server's own response, or the end of its leases, shows that they cannot be at work.

--- a/agent/events.h
+++ b/agent/events.h
@@ -222,6 +222,15 @@
   "meanwhile.",
   "Check the version of the backend server."
 };
+inline constexpr EventInfo ANNOUNCEMENT_IGNORED{
+  530,
+  Severity::Warning,
+  "announcement_ignored",
+  "An announcement names another instance than the one that answers the agent, "
+  "or contradicts what this instance announced before. The current instance "
+  "stays in use.",
+  "Find the program that sends announcements to this agent."
+};
 inline constexpr EventInfo ENDS_ACKNOWLEDGED{
   527,
   Severity::Info,
@@ -262,6 +271,7 @@
   PACE_CHANGED,
   ENDS_ACKNOWLEDGED,
   SERVER_ROWS_MALFORMED,
+  ANNOUNCEMENT_IGNORED,
 };
 
 } // namespace geraniumhinge::agent
--- a/agent/platform_program.cpp
+++ b/agent/platform_program.cpp
@@ -37,6 +37,7 @@
 {
   ServerAgentOptions options;
   options.node = settings.name;
+  options.service = settings.service;
   options.incarnation = incarnation;
   options.max_lease = settings.max_lease;
   options.lease = settings.lease - LEASE_MARGIN;
--- a/agent/platform_settings.cpp
+++ b/agent/platform_settings.cpp
@@ -13,7 +13,7 @@
 constexpr Setting TABLE[] = {
   { "/platform/registry_listen", SettingType::Address, "", 0, 0, "", "Address at which the agent receives the announcements of the backend server on this VM. Its presence selects the operators' platform." },
   { "/platform/store_address", SettingType::Address, "", 0, 0, "", "Address of the platform's row store." },
-  { "/platform/service", SettingType::Text, "", 0, 0, "\"\"", "Service of the backend server, for the log." },
+  { "/platform/service", SettingType::Text, "", 0, 0, "\"\"", "Service of the backend server. A server of another service is not preferred to it. Empty if not known." },
   { "/platform/max_lease_ms", SettingType::Integer, "ms", 500, 600'000, "6000", "Longest lease that the backend server grants." },
   { "/platform/lease_ms", SettingType::Integer, "ms", 500, 600'000, "3000", "Length of the leases that agents request, limited to /platform/max_lease_ms; must be the same for agents and entries. A shorter lease detects lost servers sooner but tolerates only shorter pauses of an agent." },
   { "/platform/orphan_ms", SettingType::Integer, "ms", 500, 600'000, "4000", "How long the agent keeps renewing leases after the last orders of the owner; must be the same for agents and entries." },
--- a/agent/server_agent.cpp
+++ b/agent/server_agent.cpp
@@ -12,6 +12,7 @@
 /// Time limit of a poll beyond its requested wait.
 constexpr kernel::Milliseconds POLL_TIMEOUT_SLACK{ 300 };
 constexpr kernel::Milliseconds POLL_RETRY{ 200 };
+constexpr std::int64_t IGNORED_LOG_PERIOD_MS = 10'000;
 constexpr kernel::Milliseconds UNSTORED_ENDS_POLL_DELAY{ 100 };
 constexpr kernel::Milliseconds RECONCILE_PERIOD{ 100 };
 /// Wait of one poll while best-effort tasks run beside latency tasks, so that
@@ -44,6 +45,7 @@
   , server_client(server_client)
   , options(std::move(options))
   , on_change(std::move(on_change))
+  , ignored_announcements(IGNORED_LOG_PERIOD_MS)
   // The boot time exceeds the tokens of earlier agents, which began with it as
   // well: the server runs on this VM and ends at its reboot. The time of day
   // may be set back.
@@ -148,91 +150,6 @@
   return unconfirmed;
 }
 
-void
-ServerAgent::apply_announcement(const platform::Announcement& announcement)
-{
-  bool same = this->server && this->server->instance == announcement.instance;
-  // An announcement of the previous instance may be delayed.
-  bool outdated = this->answering && announcement.instance.started_ms <
-                                       this->server->instance.started_ms;
-  if (outdated)
-    return;
-  if (!same) {
-    this->begin_instance(announcement);
-    return;
-  }
-  // Announcements may arrive out of order.
-  if (announcement.sequence < this->server->sequence)
-    return;
-  bool changed = announcement.draining != this->server->draining ||
-                 announcement.capacity != this->server->capacity;
-  this->server = announcement;
-  this->announced_ms = kernel::boot_ms();
-  // A departure of the previous instance, which had the same identifier, may
-  // be delayed.
-  changed = changed || (this->leaving && !announcement.draining);
-  this->leaving = this->leaving && announcement.draining;
-  if (changed) {
-    this->log.write(SERVER_STATE_CHANGED,
-                    { { "server", announcement.instance.id },
-                      { "draining", announcement.draining },
-                      { "stays_ms", announcement.min_stay_ms },
-                      { "millicores", announcement.capacity.millicores },
-                      { "memory_mb", announcement.capacity.memory_mb },
-                      { "accelerators", announcement.capacity.accelerators },
-                      { "sequence", announcement.sequence } });
-    this->reconcile();
-    this->on_change();
-  }
-}
-
-void
-ServerAgent::apply_departure(const std::string& id)
-{
-  if (!this->server || this->server->instance.id != id)
-    return;
-  this->log.write(SERVER_LEFT, { { "server", id } });
-  this->leaving = true;
-}
-
-void
-ServerAgent::begin_instance(const platform::Announcement& announcement)
-{
-  std::int64_t now = kernel::boot_ms();
-  if (this->server)
-    this->record_crash();
-  this->stray_runs = this->unconfirmed_starts();
-  this->log.write(SERVER_INSTANCE_STARTED,
-                  { { "server", announcement.instance.id },
-                    { "born_ms", announcement.instance.started_ms },
-                    { "address", announcement.address },
-                    { "stray_runs", this->stray_runs.size() } });
-  this->server = announcement;
-  this->announced_ms = now;
-  this->refused_polls = 0;
-  this->pacer = {};
-  ++this->instance_number;
-  // The new instance refuses delayed calls, which carry the old token.
-  ++this->fencing_token;
-  this->lease_clock.reset(now, this->options.max_lease.count());
-  this->lists = {};
-  this->lists_known = false;
-  this->poll_in_flight = false;
-  this->answering = false;
-  this->leaving = false;
-  this->instance_replaced = false;
-  this->leases_expired = false;
-  this->stored_ends = 0;
-  this->last_acknowledged_end = 0;
-  this->discard_orders();
-  this->runs.clear();
-  for (const RunKey& key : this->stray_runs) {
-    this->runs[key].start_sent = true;
-    set_phase(this->runs[key], RunPhase::Stopping);
-  }
-  this->poll_server();
-}
-
 kernel::Milliseconds
 ServerAgent::longest_poll_wait() const
 {
@@ -318,9 +235,7 @@
   tl::expected<platform::ServerTaskLists, platform::ServerError> result)
 {
   this->poll_in_flight = false;
-  bool replaced = result && result->started_ms != 0 &&
-                  this->server->instance.started_ms != 0 &&
-                  result->started_ms != this->server->instance.started_ms;
+  bool replaced = result && this->is_other_instance(*result);
   if (result && !replaced) {
     this->apply_lists(sent_ms, std::move(*result));
     // A server with unacknowledged ends answers at once, so a delay limits the
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "agent/crash_log.h"
+#include "agent/instance_change.h"
 #include "agent/lease_clock.h"
 #include "agent/pacer.h"
 #include "agent/report_log.h"
+#include "kernel/event_limit.h"
 #include "kernel/log.h"
 #include "kernel/metrics.h"
 #include "kernel/task.h"
@@ -25,6 +27,7 @@
 struct ServerAgentOptions
 {
   std::string node;
+  std::string service;           ///< Of the backend server; empty if not known.
   std::uint64_t incarnation = 0; ///< Of this process.
   kernel::Milliseconds lease{ 3'000 };
   /// The server shortens longer leases.
@@ -55,8 +58,10 @@
               ServerAgentOptions options,
               std::function<void()> on_change);
 
-  /// Applies an announcement of the server. The first one of an instance resets
-  /// the state and starts to poll that instance.
+  /// Applies an announcement of the server. The first one starts to poll its
+  /// instance. One that names another instance starts over with that, but only
+  /// once the current instance has ended by its own response, or silently for
+  /// longer than its leases.
   void apply_announcement(const platform::Announcement& announcement);
   /// Records that the server with this identifier is shutting down.
   void apply_departure(const std::string& id);
@@ -118,6 +123,17 @@
   bool stray_runs_remain();
   bool may_be_on_server(const TrackedRun& run) const;
   void record_crash();
+  bool is_other_instance(const platform::ServerTaskLists& lists) const;
+  void update_instance(const platform::Announcement& announcement);
+  void check_announced_instance(const platform::Announcement& announcement);
+  void schedule_check(std::int64_t delay_ms);
+  void check_current_instance();
+  InstanceState state_shown_by(
+    const tl::expected<platform::ServerTaskLists, platform::ServerError>&
+      result) const;
+  void judge_announced(InstanceState state);
+  bool is_own_service(const platform::Announcement& announcement) const;
+  void ignore_announcement(const platform::Announcement& announcement);
   void begin_instance(const platform::Announcement& announcement);
   kernel::Milliseconds longest_poll_wait() const;
   void poll_server();
@@ -154,6 +170,12 @@
   std::function<void()> on_change;
 
   std::optional<platform::Announcement> server;
+  /// Last announcement of another instance, until the current one is checked.
+  std::optional<platform::Announcement> announced;
+  bool check_in_flight = false;
+  std::int64_t checked_ms = 0; ///< Boot time of the last check's end.
+  kernel::Subscription check_retry;
+  kernel::EventLimit ignored_announcements;
   std::uint64_t fencing_token;
   std::uint64_t fencing_token_step;
   /// Raised for each new instance. Responses to calls that were sent with
--- a/tests/agent/server_agent_fixture.h
+++ b/tests/agent/server_agent_fixture.h
@@ -40,6 +40,7 @@
   {
     agent::ServerAgentOptions options;
     options.node = "node-1";
+    options.service = "planner";
     options.incarnation = INCARNATION;
     options.lease = kernel::Milliseconds(900);
     options.max_lease = MAX_LEASE;
