Ignore announcements that contradict what the instance announced before

One with other labels, rack or zone was believed.

Cause: the highest number seen was kept for good, and each newer announcement replaced the whole description of the server.

Change: service, zone and labels are fixed while an instance lives, and the number does not leap; what contradicts this is ignored while the current description is recent. A number far below the last one is not overtaken: the last one was wrong.

Measured: highest_sequence_outdates_true_announcements, highest_sequence_comes_first and announced_labels_replace_the_true_ones in agent.foreign_announcement_test failed before, and pass.

--- a/agent/instance_change.cpp
+++ b/agent/instance_change.cpp
@@ -2,6 +2,13 @@
 
 namespace geraniumhinge::agent {
 
+namespace {
+
+/// More announcements than a server sends while the agent is out of reach.
+constexpr std::uint64_t MAX_SEQUENCE_STEP = 10'000;
+
+} // namespace
+
 InstanceVerdict
 judge_announced_instance(const InstanceFacts& facts)
 {
@@ -21,4 +28,24 @@
                                                       : InstanceVerdict::Wait;
 }
 
+bool
+same_description(const platform::Announcement& left,
+                 const platform::Announcement& right)
+{
+  return left.service == right.service && left.zone == right.zone &&
+         left.labels == right.labels;
+}
+
+bool
+is_sequence_jump(std::uint64_t last, std::uint64_t announced)
+{
+  return announced > last && announced - last > MAX_SEQUENCE_STEP;
+}
+
+bool
+is_overtaken(std::uint64_t last, std::uint64_t announced)
+{
+  return announced < last && last - announced <= MAX_SEQUENCE_STEP;
+}
+
 } // namespace geraniumhinge::agent
--- a/agent/instance_change.h
+++ b/agent/instance_change.h
@@ -41,4 +41,20 @@
 InstanceVerdict
 judge_announced_instance(const InstanceFacts& facts);
 
+/// Whether the announcements agree on what does not change while an instance
+/// lives: its service, zone and labels.
+bool
+same_description(const platform::Announcement& left,
+                 const platform::Announcement& right);
+
+/// Whether the sequence number is too far ahead of the last one to come from
+/// the same server, which counts its announcements one by one.
+bool
+is_sequence_jump(std::uint64_t last, std::uint64_t announced);
+
+/// Whether the announcement was overtaken by the last one. One that lies far
+/// behind was not: the last number came from another writer.
+bool
+is_overtaken(std::uint64_t last, std::uint64_t announced);
+
 } // namespace geraniumhinge::agent
--- a/agent/server_agent.h
+++ b/agent/server_agent.h
@@ -43,6 +43,18 @@
   bool limit_order_age = false;
 };
 
+/// Why an announcement is ignored.
+enum class IgnoreReason
+{
+  Instance,    ///< It names another instance; the current one answers.
+  Description, ///< It contradicts what the instance announced before.
+};
+
+inline constexpr NamedValue<IgnoreReason> IGNORE_REASON_NAMES[] = {
+  { IgnoreReason::Instance, "instance" },
+  { IgnoreReason::Description, "description" },
+};
+
 /// Carries out the owner's orders on one backend server: starts and stops
 /// runs, renews their lease, and reports their ends until the owner has stored
 /// them. After a restart, the agent adopts the runs that it finds on the
@@ -133,7 +145,8 @@
       result) const;
   void judge_announced(InstanceState state);
   bool is_own_service(const platform::Announcement& announcement) const;
-  void ignore_announcement(const platform::Announcement& announcement);
+  void ignore_announcement(const platform::Announcement& announcement,
+                           IgnoreReason reason);
   void begin_instance(const platform::Announcement& announcement);
   kernel::Milliseconds longest_poll_wait() const;
   void poll_server();
--- a/agent/server_instances.cpp
+++ b/agent/server_instances.cpp
@@ -46,8 +46,15 @@
 void
 ServerAgent::update_instance(const platform::Announcement& announcement)
 {
-  if (announcement.sequence < this->server->sequence)
+  if (is_overtaken(this->server->sequence, announcement.sequence))
     return;
+  bool implausible =
+    !same_description(*this->server, announcement) ||
+    is_sequence_jump(this->server->sequence, announcement.sequence);
+  if (implausible && this->announcement_is_recent()) {
+    this->ignore_announcement(announcement, IgnoreReason::Description);
+    return;
+  }
   bool changed = announcement.draining != this->server->draining ||
                  announcement.capacity != this->server->capacity;
   this->server = announcement;
@@ -165,7 +172,7 @@
   facts.announced_is_own_service = this->is_own_service(*this->announced);
   switch (judge_announced_instance(facts)) {
     case InstanceVerdict::Keep:
-      this->ignore_announcement(*this->announced);
+      this->ignore_announcement(*this->announced, IgnoreReason::Instance);
       this->announced.reset();
       break;
     case InstanceVerdict::Wait:
@@ -189,14 +196,16 @@
 
 /// Counts the announcement, and logs it at a limited rate.
 void
-ServerAgent::ignore_announcement(const platform::Announcement& announcement)
+ServerAgent::ignore_announcement(const platform::Announcement& announcement,
+                                 IgnoreReason reason)
 {
   this->metrics.counter("agent_announcements_ignored_total").add();
   std::uint64_t ignored = this->ignored_announcements.record(kernel::boot_ms());
   if (ignored == 0)
     return;
   this->log.write(ANNOUNCEMENT_IGNORED,
-                  { { "server", announcement.instance.id },
+                  { { "reason", name_of(IGNORE_REASON_NAMES, reason) },
+                    { "server", announcement.instance.id },
                     { "born_ms", announcement.instance.started_ms },
                     { "address", announcement.address },
                     { "service", announcement.service },
--- a/tests/agent/foreign_announcement_test.cpp
+++ b/tests/agent/foreign_announcement_test.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr char FOREIGN_ID[] = "i-0f0e1a2b";
+constexpr std::uint64_t LARGEST_SEQUENCE = 1ULL << 53;
 /// Less than the leases of the fixture, so a replacement in this time shows
 /// that the agent did not wait for them.
 constexpr int PROMPT_MS = 700;
@@ -140,6 +141,46 @@
   }
 }
 
+// Guards against one announcement with the highest number, after which all true
+// ones count as overtaken and the server is no longer used.
+BOOST_FIXTURE_TEST_CASE(highest_sequence_outdates_true_announcements, Fixture)
+{
+  heartbeat_period = kernel::Milliseconds(100);
+  agent = make_agent();
+  start_task();
+  platform::Announcement other = announcement();
+  other.sequence = LARGEST_SEQUENCE;
+  repeat(other);
+  check_server_is_kept();
+}
+
+// Guards against the same before the first true announcement.
+BOOST_FIXTURE_TEST_CASE(highest_sequence_comes_first, Fixture)
+{
+  heartbeat_period = kernel::Milliseconds(100);
+  agent = make_agent();
+  platform::Announcement other = announcement();
+  other.sequence = LARGEST_SEQUENCE;
+  agent->apply_announcement(other);
+  run_until([this] { return listed(); });
+  repeat(announcement());
+  announce();
+  BOOST_TEST(agent->report().ready());
+}
+
+// Guards against labels of another writer, by which the owner chooses servers.
+BOOST_FIXTURE_TEST_CASE(announced_labels_replace_the_true_ones, Fixture)
+{
+  start_task();
+  platform::Announcement other = announcement();
+  other.labels = { "b", "r9-9" };
+  other.rack = "r9-9";
+  other.zone = "zone-9";
+  agent->apply_announcement(other);
+  BOOST_TEST(agent->report().rack() == server.rack);
+  BOOST_TEST(agent->report().zone() == server.zone);
+}
+
 // Guards against a paused server whose leases last, and whose tasks are started
 // again because another program announced itself meanwhile.
 BOOST_FIXTURE_TEST_CASE(foreign_server_replaces_a_paused_one, Fixture)
