Hold a gang's servers by the progress of the late run it waits for

Cause: a gang's servers were reserved until the expected end of the last run that it waits for, by the estimate alone. A run that took four times as long had a remaining time near 0 all the while, so every longer step stayed off all reserved servers, without a bound.

Change: a run that is late by more than half of its expected time holds a reservation by its progress, or without progress for as long again as it is late. And a workflow without a run that has waited for 13 s, with less than half of the service in use, passes reservations of gangs that neither fit within 3 s nor have waited for 30 s; independent tasks get one server only. Stops keep the plain estimate.

Why it works: steps that end before the late run likely does are let in, as for runs in time; the bound covers what estimates do not show.

--- a/core/pool.h
+++ b/core/pool.h
@@ -59,8 +59,11 @@
   bool checkpoints = false;
   /// Tasks of the step that may be stopped before too many are unavailable.
   std::size_t disruptions_allowed = 0;
-  std::int64_t remaining_ms = 0; ///< Estimated time until the last run ends.
-  Resources demand;              ///< Resources of one task.
+  /// Time until the last run ends if all take as long as expected.
+  std::int64_t remaining_ms = 0;
+  /// The same by the progress of runs that took much longer, 0 if none did.
+  std::int64_t late_remaining_ms = 0;
+  Resources demand;                             ///< Resources of one task.
   std::map<std::string, std::uint32_t> servers; ///< Tasks on each server.
   /// Cost of a stop: unsaved work, resources that are idle until the runs have
   /// ended, and the value of the objective if the stop makes the step miss it.
@@ -71,6 +74,13 @@
   std::int64_t placed_ms = 0;  ///< Boot time of the placement, 0 if unknown.
   bool overdue = false;        ///< Runs for longer than expected.
   std::uint32_t earlier_stops = 0; ///< Of the step, for other steps.
+
+  /// Time until the runs have likely ended, so that others can use their
+  /// resources.
+  std::int64_t likely_remaining_ms() const
+  {
+    return std::max(this->remaining_ms, this->late_remaining_ms);
+  }
 };
 
 /// Servers with their free resources. Rebuilt for each scheduling round.
--- a/core/round.cpp
+++ b/core/round.cpp
@@ -19,6 +19,20 @@
 /// about 9 s of their last run.
 constexpr std::int64_t MAX_LASTING_WAIT_MS = 3'000;
 
+/// Longest time that a workflow without a run is kept from free servers, for a
+/// gang or for its rack, while most of the service is idle. Callers give it up
+/// as lost 17 s after its submission.
+constexpr std::int64_t MAX_HELD_MS = 13'000;
+
+/// A gang that has waited for so long is not passed by steps that were held.
+constexpr std::int64_t MAX_PASSED_GANG_WAIT_MS = 30'000;
+
+/// A gang that fits within this time is not passed either.
+constexpr std::int64_t MIN_PASSED_GANG_MS = 3'000;
+
+/// Share of a service's capacity below which it counts as mostly idle.
+constexpr double IDLE_SHARE = 0.5;
+
 /// A step counts as on time only if it could take this much longer than
 /// expected: the slowest of its tasks decides, tasks differ by about 30%,
 /// declared times are off by 20% or more, and learned speeds are inexact.
@@ -224,30 +238,92 @@
   std::set<std::string> reserved = request.reserved;
   this->add_gang_reservations(waiting);
   std::vector<std::string> servers = this->assign_or_use_avoided(waiting);
-  bool overdue = request.step->runs_until_cancelled &&
-                 waiting.waited_ms > MAX_LASTING_WAIT_MS;
-  if (servers.size() == request.tasks || !overdue)
+  if (servers.size() == request.tasks)
     return servers;
-  request.reserved = std::move(reserved);
-  request.allow_quarantined = true;
-  return this->assign_or_use_avoided(waiting);
+  if (request.step->runs_until_cancelled) {
+    if (waiting.waited_ms <= MAX_LASTING_WAIT_MS)
+      return servers;
+    request.reserved = std::move(reserved);
+    request.allow_quarantined = true;
+    return this->assign_or_use_avoided(waiting);
+  }
+  if (servers.empty() && this->is_held_too_long(waiting))
+    return this->find_withheld_servers(waiting, std::move(reserved));
+  return servers;
 }
 
 /// Reserves the servers on which a task of the step would not end before the
 /// gang that they are reserved for starts.
 void
 SchedulingRound::add_gang_reservations(WaitingStep& waiting) const
+{
+  for (const GangReservation& reservation : this->gang_reservations)
+    this->add_gang_reservation(reservation, waiting);
+}
+
+void
+SchedulingRound::add_gang_reservation(const GangReservation& reservation,
+                                      WaitingStep& waiting) const
 {
   std::int64_t expected_ms = this->expected_ms_of(waiting);
+  for (const std::string& server : reservation.servers) {
+    double run_ms = static_cast<double>(expected_ms) *
+                    this->pool.servers.at(server).run_time_factor;
+    if (expected_ms == 0 ||
+        static_cast<double>(reservation.free_in_ms) < run_ms)
+      waiting.request.reserved.insert(server);
+  }
+}
+
+/// Servers that are reserved for gangs or outside the step's rack, for a step
+/// that has been held too long. A step of independent tasks gets one server, so
+/// that it makes progress and leaves the others to the gangs and its other
+/// tasks to the rack.
+std::vector<std::string>
+SchedulingRound::find_withheld_servers(WaitingStep& waiting,
+                                       std::set<std::string> reserved) const
+{
+  AssignRequest request = waiting.request;
+  waiting.request.reserved = std::move(reserved);
   for (const GangReservation& reservation : this->gang_reservations) {
-    for (const std::string& server : reservation.servers) {
-      double run_ms = static_cast<double>(expected_ms) *
-                      this->pool.servers.at(server).run_time_factor;
-      if (expected_ms == 0 ||
-          static_cast<double>(reservation.free_in_ms) < run_ms)
-        waiting.request.reserved.insert(server);
-    }
+    if (reservation.free_in_ms < MIN_PASSED_GANG_MS ||
+        reservation.waited_ms >= MAX_PASSED_GANG_WAIT_MS)
+      this->add_gang_reservation(reservation, waiting);
+  }
+  if (!waiting.request.step->gang)
+    waiting.request.tasks = 1;
+  std::vector<std::string> servers = this->assign_or_use_avoided(waiting);
+  waiting.request = std::move(request);
+  return servers;
+}
+
+/// Whether the step has waited long enough to use servers that are kept free:
+/// its workflow has no run beside many idle servers.
+bool
+SchedulingRound::is_held_too_long(const WaitingStep& waiting) const
+{
+  if (waiting.waited_ms <= MAX_HELD_MS)
+    return false;
+  bool has_run = false;
+  for_each_run(
+    waiting.round_workflow.progress,
+    [&has_run](const TaskRef&, const TaskState&) { has_run = true; });
+  return !has_run && this->is_mostly_idle(waiting.request.service);
+}
+
+bool
+SchedulingRound::is_mostly_idle(const std::string& service) const
+{
+  double capacity = 0;
+  double free = 0;
+  for (const std::pair<const std::string, PoolServer>& item :
+       this->pool.servers) {
+    if (item.second.service != service || !item.second.accepts_work)
+      continue;
+    capacity += core_seconds(item.second.capacity, 1);
+    free += core_seconds(this->pool.free.at(item.first), 1);
   }
+  return capacity - free < IDLE_SHARE * capacity;
 }
 
 std::vector<std::string>
--- a/core/round_reserve.cpp
+++ b/core/round_reserve.cpp
@@ -36,7 +36,7 @@
   std::sort(ending_groups.begin(),
             ending_groups.end(),
             [](const RunGroup* left, const RunGroup* right) {
-              return left->remaining_ms < right->remaining_ms;
+              return left->likely_remaining_ms() < right->likely_remaining_ms();
             });
   // The pool after the first `ended` ends. The smallest number of ends after
   // which the gang fits is found by bisection.
@@ -63,9 +63,11 @@
   }
   std::vector<std::string> servers = servers_after_ends(high);
   std::int64_t free_in_ms =
-    high > 0 ? ending_groups[high - 1]->remaining_ms : 0;
+    high > 0 ? ending_groups[high - 1]->likely_remaining_ms() : 0;
   this->gang_reservations.push_back(
-    { std::set<std::string>(servers.begin(), servers.end()), free_in_ms });
+    { std::set<std::string>(servers.begin(), servers.end()),
+      free_in_ms,
+      waiting.waited_ms });
 }
 
 double
@@ -108,7 +110,9 @@
     if (static_cast<double>(wait_ms) > MAX_WAIT_SHARE * gain_ms)
       continue;
     this->gang_reservations.push_back(
-      { std::set<std::string>(later.begin(), later.end()), wait_ms });
+      { std::set<std::string>(later.begin(), later.end()),
+        wait_ms,
+        waiting.waited_ms });
     return true;
   }
   return false;
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -71,6 +71,7 @@
   {
     std::set<std::string> servers;
     std::int64_t free_in_ms = 0; ///< Expected time until the gang fits.
+    std::int64_t waited_ms = 0;  ///< Time for which the gang has waited.
   };
 
   const Step& step_of(const WaitingStep& waiting) const;
@@ -91,6 +92,13 @@
   void place(WaitingStep& waiting);
   std::vector<std::string> find_servers(WaitingStep& waiting) const;
   void add_gang_reservations(WaitingStep& waiting) const;
+  void add_gang_reservation(const GangReservation& reservation,
+                            WaitingStep& waiting) const;
+  std::vector<std::string> find_withheld_servers(
+    WaitingStep& waiting,
+    std::set<std::string> reserved) const;
+  bool is_held_too_long(const WaitingStep& waiting) const;
+  bool is_mostly_idle(const std::string& service) const;
   std::vector<std::string> assign_or_use_avoided(WaitingStep& waiting) const;
   bool must_use_avoided(const WaitingStep& waiting) const;
   void wait_for_servers(WaitingStep& waiting);
@@ -141,6 +149,8 @@
                                const TaskKey& task) const;
   std::int64_t remaining_ms(const RoundWorkflow& round_workflow,
                             const TaskKey& task) const;
+  std::int64_t late_remaining_ms(const RoundWorkflow& round_workflow,
+                                 const TaskKey& task) const;
   /// Factor on the run time of the task on its server.
   double run_time_factor(const RoundWorkflow& round_workflow,
                          const TaskKey& task) const;
--- a/core/round_stop.cpp
+++ b/core/round_stop.cpp
@@ -41,6 +41,9 @@
 /// divided by this. Ends come late as often as early, and a step that waits in
 /// vain for the whole of this time misses its objective.
 constexpr std::int64_t AWAIT_DIVISOR = 2;
+/// A run that is late by more than this share of its expected time is not just
+/// one of the slower tasks: these differ by about 30%.
+constexpr double LATE_SHARE = 0.5;
 /// Time between two reports of an agent.
 constexpr std::int64_t REPORT_PERIOD_MS = 1'000;
 
@@ -102,6 +105,7 @@
   return static_cast<std::int64_t>(static_cast<double>(expected) * factor);
 }
 
+/// Remaining run time if the run takes as long as expected.
 std::int64_t
 SchedulingRound::remaining_ms(const RoundWorkflow& round_workflow,
                               const TaskKey& task) const
@@ -116,6 +120,27 @@
   return std::max<std::int64_t>(expected - this->elapsed_ms(task), 0);
 }
 
+/// Time until the run will have ended by its progress, if it has taken much
+/// longer than expected already, else 0. Without any progress, it may last as
+/// long again as it is late.
+std::int64_t
+SchedulingRound::late_remaining_ms(const RoundWorkflow& round_workflow,
+                                   const TaskKey& task) const
+{
+  std::int64_t expected = this->expected_run_ms(round_workflow, task);
+  std::int64_t late_ms = this->elapsed_ms(task) - expected;
+  if (static_cast<double>(late_ms) <=
+      LATE_SHARE * static_cast<double>(expected))
+    return 0;
+  std::map<TaskKey, std::uint32_t>::const_iterator percent =
+    this->history.percent.find(task);
+  if (percent == this->history.percent.end() || percent->second == 0)
+    return late_ms;
+  return this->elapsed_ms(task) *
+         std::max<std::int64_t>(COMPLETE_PERCENT - percent->second, 0) /
+         percent->second;
+}
+
 /// Value of meeting the objective with one task of the step, in core seconds.
 double
 SchedulingRound::on_time_value(const RoundWorkflow& round_workflow,
@@ -262,6 +287,9 @@
                          this->expected_run_ms(round_workflow, task_key);
     group.remaining_ms = std::max(group.remaining_ms,
                                   this->remaining_ms(round_workflow, task_key));
+    group.late_remaining_ms =
+      std::max(group.late_remaining_ms,
+               this->late_remaining_ms(round_workflow, task_key));
   }
 }
 
