Limit how long a job without a run waits for the rack of its data

Cause: a step waits for the rack of its data for (rack_penalty - 1) times its expected time, 19 s in the case. The bound weighs the ends of one step and has no limit by what the caller bears; other jobs took the rack each time it was free.

Change: a workflow without a run that has waited for 13 s, while less than half of the service is in use, may use servers outside the rack, or at 15 s if the rack is expected to have room by then. Independent tasks get one server; the others go on waiting for the rack. The wait counts together with that for gangs, so that they do not add up.

Why it works: the job has a run before its caller gives it up, and a busy service keeps jobs near their data as before.

--- a/core/round.cpp
+++ b/core/round.cpp
@@ -24,6 +24,9 @@
 /// as lost 17 s after its submission.
 constexpr std::int64_t MAX_HELD_MS = 13'000;
 
+/// The same for a step whose rack is expected to have room by then.
+constexpr std::int64_t MAX_HELD_IN_RACK_MS = 15'000;
+
 /// A gang that has waited for so long is not passed by steps that were held.
 constexpr std::int64_t MAX_PASSED_GANG_WAIT_MS = 30'000;
 
@@ -292,11 +295,28 @@
   }
   if (!waiting.request.step->gang)
     waiting.request.tasks = 1;
+  std::int64_t rack_left_ms = MAX_HELD_IN_RACK_MS - waiting.waited_ms;
+  if (rack_left_ms <= 0 || !this->fits_rack_within(waiting, rack_left_ms))
+    waiting.request.allow_any_rack = true;
   std::vector<std::string> servers = this->assign_or_use_avoided(waiting);
   waiting.request = std::move(request);
   return servers;
 }
 
+/// Whether the step fits where it should run once the runs that likely end
+/// within the time have ended.
+bool
+SchedulingRound::fits_rack_within(const WaitingStep& waiting,
+                                  std::int64_t time_ms) const
+{
+  Pool future_pool = this->pool;
+  for (const RunGroup& group : this->groups) {
+    if (!group.runs_until_cancelled && group.likely_remaining_ms() <= time_ms)
+      release_runs(future_pool, group);
+  }
+  return !assign(future_pool, waiting.request).empty();
+}
+
 /// Whether the step has waited long enough to use servers that are kept free:
 /// its workflow has no run beside many idle servers.
 bool
--- a/core/round_state.h
+++ b/core/round_state.h
@@ -97,6 +97,7 @@
   std::vector<std::string> find_withheld_servers(
     WaitingStep& waiting,
     std::set<std::string> reserved) const;
+  bool fits_rack_within(const WaitingStep& waiting, std::int64_t time_ms) const;
   bool is_held_too_long(const WaitingStep& waiting) const;
   bool is_mostly_idle(const std::string& service) const;
   std::vector<std::string> assign_or_use_avoided(WaitingStep& waiting) const;
--- a/tests/core/held_step_test.cpp
+++ b/tests/core/held_step_test.cpp
@@ -165,3 +165,90 @@
   day.run_after(42'000);
   BOOST_TEST(!day.small_runs());
 }
+
+namespace {
+
+constexpr int RACK_SERVERS = 3;
+constexpr std::uint32_t RACK_ESTIMATE_MS = 9'500;
+
+/// Three racks of three servers; runs fill the first one, where the data of a
+/// small job is located.
+struct RackFixture : Fixture
+{
+  explicit RackFixture(std::uint32_t estimate_ms = 22'000)
+  {
+    pool = make_pool(3 * RACK_SERVERS, RACK_SERVERS);
+    workflows = {};
+    history = {};
+    add_in_rack("fills", RACK_SERVERS, { 2'800, 8'200, 8 }, estimate_ms);
+    run();
+    BOOST_REQUIRE(running(workflows.entries[0]) == RACK_SERVERS);
+  }
+
+  void add_in_rack(const std::string& id,
+                   std::uint32_t tasks,
+                   const Resources& demand,
+                   std::uint32_t estimate_ms)
+  {
+    Step step = make_step(tasks, demand);
+    step.estimate_ms = estimate_ms;
+    step.rack = "r0";
+    workflows.add(id, "x", 1, step);
+    if (workflows.entries.size() > 1)
+      run();
+  }
+
+  void add_data_job(std::uint32_t tasks = 1)
+  {
+    add_in_rack("data", tasks, { 2'800, 8'200, 1 }, RACK_ESTIMATE_MS);
+  }
+};
+
+} // namespace
+
+// Guards against a job that waits for the full rack of its data beside idle
+// servers until it is given up as lost (review/14).
+BOOST_AUTO_TEST_CASE(full_rack_holds_a_job_for_too_long)
+{
+  RackFixture day;
+  day.add_data_job();
+  day.run_after(12'900);
+  BOOST_TEST(!day.small_runs());
+  day.run_after(13'100);
+  BOOST_TEST(day.small_runs());
+}
+
+// Guards against a job that leaves its rack, where it runs faster, right before
+// that has room; and against a rack that is expected to have room for good.
+BOOST_AUTO_TEST_CASE(job_leaves_its_rack_for_a_short_wait)
+{
+  RackFixture day(14'000);
+  day.add_data_job();
+  day.run_after(13'100);
+  BOOST_TEST(!day.small_runs());
+  day.run_after(15'100);
+  BOOST_TEST(day.small_runs());
+}
+
+// Guards against a job of which all tasks leave the rack: one is enough for
+// progress.
+BOOST_AUTO_TEST_CASE(all_tasks_leave_the_rack)
+{
+  RackFixture day;
+  day.add_data_job(6);
+  day.run_after(13'100);
+  BOOST_TEST(running(day.workflows.entries.back()) == 1U);
+}
+
+// Guards against jobs outside their racks where the service is well used.
+BOOST_AUTO_TEST_CASE(busy_service_runs_jobs_outside_their_racks)
+{
+  RackFixture day;
+  Step step = make_step(4, { 32'000, 8'200, 8 });
+  step.estimate_ms = 60'000;
+  day.workflows.add("busy", "y", 1, step);
+  day.run();
+  day.add_data_job();
+  day.run_after(13'100);
+  BOOST_TEST(!day.small_runs());
+}
