--- a/tests/core/held_step_test.cpp
+++ b/tests/core/held_step_test.cpp
@@ -90,7 +90,7 @@
   add_small();
   run_after(7'500);
   BOOST_TEST(!small_runs());
-  run_after(2 * SMALL_ESTIMATE_MS);
+  run_after(std::int64_t{ 2 } * SMALL_ESTIMATE_MS);
   BOOST_TEST(small_runs());
 }
 
